Add design, base types, log and server contracts

Starts the repository: the design page, the typed identifiers, verdicts, clocks, the client and the stand-in of the platform's log, the contract of a backend server with its stand-in, and the protocol between entry hosts.

golangci-lint cannot be a tool of a module here: its module graph names a release of go-control-plane that the module proxy refuses. The Makefile installs it at a fixed version instead.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# make demo: runs the main job on the project's own stand-ins.
+# make test: runs all tests.
+GO ?= go
+LINT_VERSION = v2.15.0
+
+.PHONY: all build demo test test-race lint fmt model bench fuzz generate
+
+all: build
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+demo: build
+	bash scripts/demo.sh
+
+test:
+	$(GO) test ./...
+
+test-race:
+	$(GO) test -race ./...
+
+fmt:
+	gofmt -w $$(git ls-files '*.go')
+
+# Builds the linter at a fixed version; the build is cached.
+lint:
+	GOBIN=$(CURDIR)/bin $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+	bin/golangci-lint run ./...
+
+# Runs the model checker on the specification and its weakened variants.
+model:
+	bash spec/check.sh
+
+bench:
+	bash scripts/bench.sh
+
+# Needs protoc and the two plugins of tools/protoc; only after a change of a
+# .proto file.
+generate:
+	$(GO) build -modfile=tools/protoc/go.mod -o bin/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
+	PATH="$(CURDIR)/bin:$$PATH" protoc --go_out=. --go_opt=paths=source_relative \
+		--go-grpc_out=. --go-grpc_opt=paths=source_relative internal/peer/peerpb/peer.proto
--- /dev/null
+++ b/internal/serverapi/client.go
@@ -0,0 +1,70 @@
+package serverapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const maxLeaseReplyBytes = 4 << 20
+
+// Client is the HTTP client of Control for one server. Its one connection is
+// separate from those of requests, so that a full connection pool does not
+// delay renewals.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client of the server at base, for example
+// "http://127.0.0.1:7500".
+func NewClient(base string) *Client {
+	return &Client{base: base, http: &http.Client{Transport: &http.Transport{
+		DialContext:     (&net.Dialer{Timeout: 500 * time.Millisecond}).DialContext,
+		MaxConnsPerHost: 1,
+		IdleConnTimeout: 10 * time.Second,
+	}}}
+}
+
+// Lease implements Control.
+func (c *Client) Lease(ctx context.Context) (LeaseReply, error) {
+	return c.call(ctx, http.MethodGet, nil)
+}
+
+// UpdateLease implements Control.
+func (c *Client) UpdateLease(ctx context.Context, req LeaseRequest) (LeaseReply, error) {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return LeaseReply{}, eris.Wrap(err, "encode lease request")
+	}
+	return c.call(ctx, http.MethodPut, body)
+}
+
+// Close closes the idle connection.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+func (c *Client) call(ctx context.Context, method string, body []byte) (LeaseReply, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+"/v1/lease", bytes.NewReader(body))
+	if err != nil {
+		return LeaseReply{}, eris.Wrap(err, "lease request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return LeaseReply{}, eris.Wrap(err, "lease call")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return LeaseReply{}, eris.Errorf("lease call: status %d", resp.StatusCode)
+	}
+	var reply LeaseReply
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLeaseReplyBytes)).Decode(&reply); err != nil {
+		return LeaseReply{}, eris.Wrap(err, "decode lease reply")
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/internal/serverapi/serverfake/run.go
@@ -0,0 +1,136 @@
+package serverfake
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/lycheerudder/lycheerudder/internal/serverapi"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+	"github.com/lycheerudder/lycheerudder/internal/verdict"
+)
+
+// Begin admits a request for a shard, or says why it is refused. After a nil
+// error the caller must call Commit and End.
+func (s *Server) Begin(ref topology.ShardRef, key string, fence topology.Fence) *verdict.Error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inFlight >= s.opts.Slots {
+		return verdict.New(verdict.CodeOverload, verdict.NotRun, "server %s has no free slot", s.opts.ID)
+	}
+	if s.opts.ChecksFences {
+		if err := s.checkGrant(ref, key, fence); err != nil {
+			return err
+		}
+	}
+	s.inFlight++
+	s.running[ref]++
+	return nil
+}
+
+// Commit checks the grant again at the moment the request takes effect. A
+// request that outlived its grant must have no effect.
+func (s *Server) Commit(ref topology.ShardRef, key string, fence topology.Fence) *verdict.Error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.opts.ChecksFences {
+		return nil
+	}
+	return s.checkGrant(ref, key, fence)
+}
+
+// End ends a request that Begin admitted.
+func (s *Server) End(ref topology.ShardRef) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight--
+	if s.running[ref]--; s.running[ref] == 0 {
+		delete(s.running, ref)
+	}
+}
+
+func (s *Server) checkGrant(ref topology.ShardRef, key string, fence topology.Fence) *verdict.Error {
+	s.dropExpired()
+	g, ok := s.grants[ref]
+	if !ok || g.fence != fence {
+		return verdict.New(verdict.CodeFence, verdict.NotRun, "server %s holds no grant for %s with fence %s", s.opts.ID, ref, fence)
+	}
+	if ref.Key == "" && slices.Contains(g.except, key) {
+		return verdict.New(verdict.CodeFence, verdict.NotRun, "key %q was split off shard %s", key, ref)
+	}
+	return nil
+}
+
+// Handler serves the contract of package serverapi; app runs the requests.
+func (s *Server) Handler(app http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/lease", func(w http.ResponseWriter, r *http.Request) {
+		reply, _ := s.Lease(r.Context())
+		writeJSON(w, reply)
+	})
+	mux.HandleFunc("PUT /v1/lease", s.serveUpdate)
+	mux.HandleFunc("GET /v1/load", func(w http.ResponseWriter, r *http.Request) {
+		reply, _ := s.Lease(r.Context())
+		writeJSON(w, reply.Load)
+	})
+	mux.HandleFunc("GET /v1/health", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.Handle("/v1/run/", http.StripPrefix("/v1/run", s.runHandler(app)))
+	return mux
+}
+
+func (s *Server) serveUpdate(w http.ResponseWriter, r *http.Request) {
+	var req serverapi.LeaseRequest
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	reply, _ := s.UpdateLease(r.Context(), req)
+	writeJSON(w, reply)
+}
+
+func (s *Server) runHandler(app http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ref, err1 := topology.ParseShardRef(r.Header.Get(serverapi.HeaderShard))
+		fence, err2 := topology.ParseFence(r.Header.Get(serverapi.HeaderFence))
+		if err1 != nil || err2 != nil {
+			refuse(w, verdict.New(verdict.CodeBadRequest, verdict.NotRun, "invalid shard or fence header"))
+			return
+		}
+		if expired(r) {
+			refuse(w, verdict.New(verdict.CodeDeadline, verdict.NotRun, "not-after time has passed"))
+			return
+		}
+		key := r.Header.Get(serverapi.HeaderKey)
+		if err := s.Begin(ref, key, fence); err != nil {
+			refuse(w, err)
+			return
+		}
+		defer s.End(ref)
+		if err := s.Commit(ref, key, fence); err != nil {
+			refuse(w, err)
+			return
+		}
+		w.Header().Set(serverapi.HeaderVerdict, verdict.Ran.String())
+		app.ServeHTTP(w, r)
+	})
+}
+
+func expired(r *http.Request) bool {
+	ms, err := strconv.ParseInt(r.Header.Get(serverapi.HeaderNotAfter), 10, 64)
+	return err == nil && time.Now().UnixMilli() > ms
+}
+
+func refuse(w http.ResponseWriter, err *verdict.Error) {
+	w.Header().Set(serverapi.HeaderVerdict, err.Verdict.String())
+	w.Header().Set(serverapi.HeaderError, string(err.Code))
+	http.Error(w, err.Message, err.Status())
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/verdict/verdict.go
@@ -0,0 +1,143 @@
+// Package verdict defines what an answer says about the execution of a
+// request, and the error codes that callers see.
+package verdict
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Verdict says whether a request was executed by a server.
+type Verdict uint8
+
+const (
+	// MayHaveRun is the zero value: without proof of the contrary a request
+	// counts as possibly executed.
+	MayHaveRun Verdict = iota
+	// NotRun guarantees that no server executed the request or will execute it.
+	NotRun
+	// Ran guarantees that the owning server executed the request.
+	Ran
+)
+
+// String returns the value of the Lyr-Verdict header.
+func (v Verdict) String() string {
+	switch v {
+	case NotRun:
+		return "not-run"
+	case Ran:
+		return "ran"
+	default:
+		return "may-have-run"
+	}
+}
+
+// Parse reads the value of a Lyr-Verdict header. Any unknown value is
+// MayHaveRun, the only safe reading.
+func Parse(s string) Verdict {
+	switch s {
+	case "not-run":
+		return NotRun
+	case "ran":
+		return Ran
+	default:
+		return MayHaveRun
+	}
+}
+
+// Code is a machine-readable error code, the value of the Lyr-Error header.
+type Code string
+
+// Error codes that callers see.
+const (
+	CodeBadRequest      Code = "bad-request"
+	CodeUnknownService  Code = "unknown-service"
+	CodeUnknownCustomer Code = "unknown-customer"
+	CodeTooLarge        Code = "too-large"
+	CodeClock           Code = "clock"
+	CodeDeadline        Code = "deadline-exceeded"
+	CodeCancelled       Code = "cancelled"
+	CodeOverload        Code = "overload"
+	CodeNoOwner         Code = "no-owner"
+	CodeNotLeader       Code = "not-leader"
+	CodeNoLeader        Code = "no-leader"
+	CodeFence           Code = "fence"
+	CodeDuplicate       Code = "duplicate"
+	CodeIDReused        Code = "id-reused"
+	CodeIDUnknown       Code = "id-outcome-unknown"
+	CodeQuarantined     Code = "quarantined"
+	CodeServerFailed    Code = "server-failed"
+	CodeAnswerBroken    Code = "answer-broken"
+	CodeShuttingDown    Code = "shutting-down"
+	CodeInternal        Code = "internal"
+)
+
+var statusOf = map[Code]int{
+	CodeBadRequest:      http.StatusBadRequest,
+	CodeUnknownService:  http.StatusNotFound,
+	CodeUnknownCustomer: http.StatusForbidden,
+	CodeTooLarge:        http.StatusRequestEntityTooLarge,
+	CodeClock:           http.StatusBadRequest,
+	CodeDeadline:        http.StatusGatewayTimeout,
+	CodeCancelled:       499, // the status that proxies use for a caller that went away
+	CodeOverload:        http.StatusTooManyRequests,
+	CodeNoOwner:         http.StatusServiceUnavailable,
+	CodeNotLeader:       http.StatusServiceUnavailable,
+	CodeNoLeader:        http.StatusServiceUnavailable,
+	CodeFence:           http.StatusServiceUnavailable,
+	CodeDuplicate:       http.StatusConflict,
+	CodeIDReused:        http.StatusUnprocessableEntity,
+	CodeIDUnknown:       http.StatusConflict,
+	CodeQuarantined:     http.StatusUnprocessableEntity,
+	CodeServerFailed:    http.StatusBadGateway,
+	CodeAnswerBroken:    http.StatusBadGateway,
+	CodeShuttingDown:    http.StatusServiceUnavailable,
+	CodeInternal:        http.StatusInternalServerError,
+}
+
+// Error is a failed request together with its verdict.
+type Error struct {
+	Code    Code
+	Verdict Verdict
+	Message string
+	// RetryAfter is the earliest useful time for another attempt; zero if the
+	// caller should not expect a better result.
+	RetryAfter time.Duration
+}
+
+// New returns an Error with a formatted message.
+func New(code Code, v Verdict, format string, args ...any) *Error {
+	return &Error{Code: code, Verdict: v, Message: fmt.Sprintf(format, args...)}
+}
+
+// WithRetry returns a copy of e that asks the caller to wait for d.
+func (e *Error) WithRetry(d time.Duration) *Error {
+	c := *e
+	c.RetryAfter = d
+	return &c
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s (%s): %s", e.Code, e.Verdict, e.Message)
+}
+
+// Status returns the HTTP status of the error.
+func (e *Error) Status() int {
+	if s, ok := statusOf[e.Code]; ok {
+		return s
+	}
+	return http.StatusInternalServerError
+}
+
+// From returns err as an *Error. An error without a verdict becomes an
+// internal error that may have run.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return New(CodeInternal, MayHaveRun, "%v", err)
+}
--- /dev/null
+++ b/spec/check.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Checks the specification with Spin.
+set -euo pipefail
+echo "model: no specification yet"
