Serve one request end to end through separate processes

Adds the thin path: a caller's request enters at any entry host, is forwarded over gRPC to the host that leads the partition, and runs at the server that holds a fenced grant. Member lists and configuration are read from the stand-in of the platform's log.

--- /dev/null
+++ b/internal/request/request.go
@@ -0,0 +1,101 @@
+// Package request defines the caller's request and its answer as they pass
+// through the parts of the router.
+package request
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"time"
+
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+	"github.com/lycheerudder/lycheerudder/internal/verdict"
+)
+
+// Limits of one request.
+const (
+	MaxBodyBytes   = 1 << 20
+	MaxAnswerBytes = 8 << 20
+	MaxTimeout     = 30 * time.Second
+	MaxHeaderBytes = 16 << 10
+)
+
+// Class is the urgency of a request.
+type Class string
+
+// Classes of requests.
+const (
+	Interactive Class = "interactive"
+	Background  Class = "background"
+)
+
+// Request is one caller request. Its deadline is that of the context.
+type Request struct {
+	Service    topology.Service
+	Customer   topology.Customer
+	Key        string
+	Class      Class
+	ID         string
+	Repeatable bool
+	Method     string
+	// Path is the path at the server, with a leading slash and the query.
+	Path        string
+	ContentType string
+	// Body is read at most once and to its end.
+	Body io.Reader
+	// Size is the length of Body, or -1 if it is not known.
+	Size int64
+}
+
+// Timing is the time that a request spent in the parts.
+type Timing struct {
+	Queue  time.Duration
+	Server time.Duration
+}
+
+// Answer is a server's answer: its verdict is Ran. The reader of Body must
+// treat any error but io.EOF as a truncated answer.
+type Answer struct {
+	Status      int
+	ContentType string
+	Body        io.ReadCloser
+	// Size is the length of Body, or -1 if it is not known.
+	Size   int64
+	Server topology.ServerID
+	Fence  topology.Fence
+	Timing Timing
+}
+
+// Doer executes a request. Its error is always a *verdict.Error; with a nil
+// error the caller must close the answer's body.
+type Doer interface {
+	Do(ctx context.Context, req *Request) (*Answer, error)
+}
+
+// DoerFunc is a function that implements Doer.
+type DoerFunc func(ctx context.Context, req *Request) (*Answer, error)
+
+// Do implements Doer.
+func (f DoerFunc) Do(ctx context.Context, req *Request) (*Answer, error) { return f(ctx, req) }
+
+// ReadBody returns the whole body, or an error with verdict NotRun if it is
+// broken or larger than MaxBodyBytes.
+func (r *Request) ReadBody() ([]byte, error) {
+	if r.Body == nil {
+		return nil, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, MaxBodyBytes+1))
+	if err != nil {
+		return nil, verdict.New(verdict.CodeBadRequest, verdict.NotRun, "request body is incomplete: %v", err)
+	}
+	if len(body) > MaxBodyBytes {
+		return nil, verdict.New(verdict.CodeTooLarge, verdict.NotRun, "request body exceeds %d bytes", MaxBodyBytes)
+	}
+	r.SetBody(body)
+	return body, nil
+}
+
+// SetBody replaces the body.
+func (r *Request) SetBody(body []byte) {
+	r.Body, r.Size = bytes.NewReader(body), int64(len(body))
+}
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,86 @@
+#!/usr/bin/env bash
+# Runs the main job on loopback: the platform stand-in, backend servers and
+# entry hosts as separate processes, requests end to end, then the loss of a
+# server.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+platform=127.0.0.1:7400
+logs=.demo
+rm -rf "$logs" && mkdir -p "$logs"
+declare -A pids
+
+start() { # name command...
+	local name=$1
+	shift
+	"$@" >"$logs/$name.log" 2>&1 &
+	disown
+	pids[$name]=$!
+}
+
+stop_all() {
+	kill "${pids[@]}" 2>/dev/null || true
+	wait 2>/dev/null || true
+}
+trap stop_all EXIT
+
+register() { # id json
+	curl -fsS -X PUT "http://$platform/hosts/$1" -d "$2"
+}
+
+wait_port() { # host:port
+	for _ in $(seq 100); do
+		if (exec 3<>"/dev/tcp/${1%:*}/${1#*:}") 2>/dev/null; then return; fi
+		sleep 0.05
+	done
+	echo "no answer from $1" >&2
+	exit 1
+}
+
+server() { # id service data-centre port
+	start "$1" bin/lyserver --id "$1" --listen "127.0.0.1:$4"
+	register "$1" "{\"role\":\"server\",\"service\":\"$2\",\"data_centre\":\"$3\",\"address\":\"127.0.0.1:$4\"}"
+}
+
+entry() { # id data-centre port
+	start "$1" bin/lyrouter --host "$1" --data-centre "$2" --platform "http://$platform" \
+		--listen "127.0.0.1:$3" --peer "127.0.0.1:$(($3 + 1))" --admin "127.0.0.1:$(($3 + 2))"
+	register "$1" "{\"role\":\"entry\",\"data_centre\":\"$2\",\"address\":\"127.0.0.1:$(($3 + 1))\",\"admin\":\"127.0.0.1:$(($3 + 2))\"}"
+}
+
+echo "== platform, servers and entry hosts"
+start platform bin/lylog --listen "$platform"
+wait_port "$platform"
+bin/lyctl --platform "http://$platform" --file scripts/demo/config.json
+server booking-1 booking kgn-a 7501
+server booking-2 booking kgn-a 7502
+server booking-3 booking kgn-b 7503
+server booking-4 booking kgn-b 7504
+server rounds-1 rounds kgn-a 7505
+server rounds-2 rounds kgn-a 7506
+entry entry-a1 kgn-a 8110
+entry entry-a2 kgn-a 8120
+entry entry-b1 kgn-b 8130
+entry entry-b2 kgn-b 8140
+targets=127.0.0.1:8110,127.0.0.1:8120,127.0.0.1:8130,127.0.0.1:8140
+for p in 8110 8120 8130 8140; do wait_port "127.0.0.1:$p"; done
+sleep 3
+
+echo "== requests through all entry hosts"
+bin/lyload --target "$targets" --service booking --customer pewright --key job --count 8
+bin/lyload --target "$targets" --service rounds --customer sejk-kombi --key round --count 4 --write
+
+echo "== server booking-1 is killed"
+kill -9 "${pids[booking-1]}"
+killed=$(date +%s%N)
+sleep 0.05
+until out=$(bin/lyload --target "$targets" --service booking --customer pewright --key job --count 8) && ! grep -q -e not-run -e may-have-run -e failed <<<"$out"; do
+	if (($(date +%s%N) - killed > 10000000000)); then
+		echo "$out"
+		echo "keys were not served again within 10 s" >&2
+		exit 1
+	fi
+	sleep 0.05
+done
+echo "$out"
+echo "all keys served again after $((($(date +%s%N) - killed) / 1000000)) ms"
