Fold the streams of the log into agreed state

Cause: the walking skeleton took the last configuration and member list that it could decode.

Later repeats need no id: an accepted record makes every record with its own base stale. Quarantine has no base rule; a crash is identified by fingerprint, server and incarnation instead.

Ruled out: hosts-stopped as part of the configuration document. The fold of `members` depends on it, and the order of records of two streams is not defined, so it is a record of the stream `members`. Expiry by time inside the fold was ruled out as well, because the fold has no clock.

The control loops do not use the fold yet.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -70,6 +70,9 @@
 
 func (c *Controller) followConfig(ctx context.Context) {
 	c.follow(ctx, record.StreamConfig, func(e record.Envelope) {
+		if e.Kind != record.KindConfig {
+			return
+		}
 		var doc config.Document
 		if err := json.Unmarshal(e.Body, &doc); err != nil {
 			c.log.Error("Configuration record is invalid.", err)
@@ -83,6 +86,9 @@
 
 func (c *Controller) followMembers(ctx context.Context) {
 	c.follow(ctx, record.StreamMembers, func(e record.Envelope) {
+		if e.Kind != record.KindMembers {
+			return
+		}
 		var list record.MemberList
 		if err := json.Unmarshal(e.Body, &list); err != nil {
 			c.log.Error("Member list record is invalid.", err)
--- /dev/null
+++ b/internal/record/bodies.go
@@ -0,0 +1,279 @@
+package record
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+)
+
+// MaxMembers is the largest number of members of a cell.
+const MaxMembers = 5
+
+// Mode is the mode of a member for a list at the time of its pledge.
+type Mode string
+
+// Modes that a pledge can name.
+const (
+	ModeNormal Mode = "normal"
+	ModeLost   Mode = "lost"
+)
+
+// Pledge is the consent of a member of list List to its replacement.
+type Pledge struct {
+	List        uint32               `json:"list"`
+	Host        topology.HostID      `json:"host"`
+	Incarnation topology.Incarnation `json:"incarnation"`
+	Mode        Mode                 `json:"mode"`
+}
+
+// MemberList is the body of a KindMembers record.
+type MemberList struct {
+	Cell       topology.CellID     `json:"cell"`
+	DataCentre topology.DataCentre `json:"data_centre"`
+	Version    uint32              `json:"version"`
+	Members    []topology.Member   `json:"members"`
+	// Pledges are those of members of list Version-1.
+	Pledges []Pledge `json:"pledges,omitempty"`
+	// Stopped is the id of the KindHostsStopped record that stands in for
+	// missing pledges.
+	Stopped string `json:"stopped,omitempty"`
+}
+
+// Check returns an error if the list is malformed.
+func (l MemberList) Check() error {
+	if l.Cell == "" || l.DataCentre == "" || l.Version == 0 {
+		return errors.New("cell, data_centre and version are required")
+	}
+	if len(l.Members) == 0 || len(l.Members) > MaxMembers {
+		return fmt.Errorf("%d members; a cell has 1 to %d", len(l.Members), MaxMembers)
+	}
+	if len(l.Pledges) > MaxMembers {
+		return fmt.Errorf("%d pledges; at most %d are possible", len(l.Pledges), MaxMembers)
+	}
+	for _, p := range l.Pledges {
+		if p.Mode != ModeNormal && p.Mode != ModeLost {
+			return fmt.Errorf("pledge of host %q has the unknown mode %q", p.Host, p.Mode)
+		}
+	}
+	return checkMembers(l.Members)
+}
+
+func checkMembers(members []topology.Member) error {
+	seen := make(map[topology.HostID]bool, len(members))
+	for _, m := range members {
+		if m.Host == "" || m.Incarnation == 0 {
+			return errors.New("a member needs a host and an incarnation")
+		}
+		if seen[m.Host] {
+			return fmt.Errorf("host %q is listed twice", m.Host)
+		}
+		seen[m.Host] = true
+	}
+	return nil
+}
+
+// HostsStopped is the body of a KindHostsStopped record: an operator states
+// that the incarnations run no longer. It is kept in the members stream,
+// because the fold of that stream depends on it and the order of records of
+// different streams is not defined.
+type HostsStopped struct {
+	Members []topology.Member `json:"members"`
+	Reason  string            `json:"reason"`
+}
+
+// Check returns an error if the body is malformed.
+func (h HostsStopped) Check() error {
+	if len(h.Members) == 0 {
+		return errors.New("no incarnations are named")
+	}
+	if strings.TrimSpace(h.Reason) == "" {
+		return errors.New("a written reason is required")
+	}
+	return checkMembers(h.Members)
+}
+
+// Release is the body of a KindRelease record: the home of the shards has
+// revoked all grants and gives the shards up.
+type Release struct {
+	Service    topology.Service     `json:"service"`
+	Shards     []topology.ShardID   `json:"shards"`
+	Partition  topology.PartitionID `json:"partition"`
+	DataCentre topology.DataCentre  `json:"data_centre"`
+}
+
+// Check returns an error if the body is malformed.
+func (r Release) Check() error {
+	return checkHome(r.Service, r.Shards, r.Partition, r.DataCentre)
+}
+
+// TakeOver is the body of a KindTakeOver record: a partition becomes the home
+// of released shards.
+type TakeOver struct {
+	Service    topology.Service     `json:"service"`
+	Shards     []topology.ShardID   `json:"shards"`
+	Partition  topology.PartitionID `json:"partition"`
+	DataCentre topology.DataCentre  `json:"data_centre"`
+	// From and Stopped are set if there is no release: From is the data centre
+	// that holds the shards, and Stopped the id of a KindHostsStopped record
+	// that names all members of its cells.
+	From    topology.DataCentre `json:"from,omitempty"`
+	Stopped string              `json:"stopped,omitempty"`
+}
+
+// Check returns an error if the body is malformed.
+func (t TakeOver) Check() error {
+	if (t.From == "") != (t.Stopped == "") {
+		return errors.New("from and stopped must be set together")
+	}
+	return checkHome(t.Service, t.Shards, t.Partition, t.DataCentre)
+}
+
+func checkHome(service topology.Service, shards []topology.ShardID, p topology.PartitionID, dc topology.DataCentre) error {
+	if service == "" || p == "" || dc == "" || len(shards) == 0 {
+		return errors.New("service, shards, partition and data_centre are required")
+	}
+	seen := make(map[topology.ShardID]bool, len(shards))
+	for _, s := range shards {
+		if seen[s] {
+			return fmt.Errorf("shard %d is listed twice", s)
+		}
+		seen[s] = true
+	}
+	return nil
+}
+
+// SplitKey is a hot key that is owned apart from its shard.
+type SplitKey struct {
+	Shard topology.ShardID `json:"shard"`
+	Key   string           `json:"key"`
+}
+
+// Grant names the owner of a set of shards and split keys.
+type Grant struct {
+	Server topology.ServerID  `json:"server"`
+	Fence  topology.Fence     `json:"fence"`
+	Since  int64              `json:"since_ms"` // wall clock, Unix milliseconds
+	Reason string             `json:"reason"`
+	Shards []topology.ShardID `json:"shards,omitempty"`
+	Keys   []SplitKey         `json:"keys,omitempty"`
+}
+
+// Assignments is the body of a KindAssign record: a batch of changes of one
+// partition.
+type Assignments struct {
+	Partition topology.PartitionID `json:"partition"`
+	Service   topology.Service     `json:"service"`
+	Grants    []Grant              `json:"grants,omitempty"`
+	// Joined are split keys that are owned by the owner of their shard again.
+	Joined []SplitKey `json:"joined,omitempty"`
+	// Dropped are shards that the partition has given up.
+	Dropped []topology.ShardID `json:"dropped,omitempty"`
+}
+
+// Check returns an error if the body is malformed.
+func (a Assignments) Check() error {
+	if a.Partition == "" || a.Service == "" {
+		return errors.New("partition and service are required")
+	}
+	seen := make(map[SplitKey]bool)
+	add := func(k SplitKey) error {
+		if seen[k] {
+			return fmt.Errorf("shard %d key %q is named twice", k.Shard, k.Key)
+		}
+		seen[k] = true
+		return nil
+	}
+	for _, g := range a.Grants {
+		if g.Server == "" {
+			return errors.New("a grant names no server")
+		}
+		for _, s := range g.Shards {
+			if err := add(SplitKey{Shard: s}); err != nil {
+				return err
+			}
+		}
+		if err := addKeys(g.Keys, add); err != nil {
+			return err
+		}
+	}
+	for _, s := range a.Dropped {
+		if err := add(SplitKey{Shard: s}); err != nil {
+			return err
+		}
+	}
+	return addKeys(a.Joined, add)
+}
+
+func addKeys(keys []SplitKey, add func(SplitKey) error) error {
+	for _, k := range keys {
+		if k.Key == "" {
+			return fmt.Errorf("split key of shard %d is empty", k.Shard)
+		}
+		if err := add(k); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Fingerprint is the hash that identifies a request that crashes servers.
+type Fingerprint string
+
+// Crash is one suspect of a server's crash.
+type Crash struct {
+	Fingerprint Fingerprint          `json:"fingerprint"`
+	Server      topology.ServerID    `json:"server"`
+	Incarnation topology.Incarnation `json:"incarnation"`
+	At          int64                `json:"at_ms"` // wall clock, Unix milliseconds
+}
+
+// Crashes is the body of a KindCrashes record: the requests in flight on a
+// server that died.
+type Crashes struct {
+	Suspects []Crash `json:"suspects"`
+}
+
+// Check returns an error if the body is malformed.
+func (c Crashes) Check() error {
+	if len(c.Suspects) == 0 {
+		return errors.New("no suspects are named")
+	}
+	for _, s := range c.Suspects {
+		if err := s.Fingerprint.check(); err != nil {
+			return err
+		}
+		if s.Server == "" || s.Incarnation == 0 || s.At <= 0 {
+			return errors.New("server, incarnation and at_ms are required")
+		}
+	}
+	return nil
+}
+
+// maxFingerprintBytes bounds a fingerprint; a hexadecimal SHA-512 fits.
+const maxFingerprintBytes = 128
+
+func (f Fingerprint) check() error {
+	if f == "" || len(f) > maxFingerprintBytes {
+		return fmt.Errorf("fingerprint is empty or longer than %d bytes", maxFingerprintBytes)
+	}
+	return nil
+}
+
+// Quarantine is the body of a KindQuarantine record: a leader refuses the
+// fingerprint until a time, for example because of crashes that it counted
+// while the log was down.
+type Quarantine struct {
+	Fingerprint Fingerprint `json:"fingerprint"`
+	Until       int64       `json:"until_ms"` // wall clock, Unix milliseconds
+	Reason      string      `json:"reason"`
+}
+
+// Check returns an error if the body is malformed.
+func (q Quarantine) Check() error {
+	if q.Until <= 0 || strings.TrimSpace(q.Reason) == "" {
+		return errors.New("until_ms and reason are required")
+	}
+	return q.Fingerprint.check()
+}
--- /dev/null
+++ b/internal/record/record_test.go
@@ -0,0 +1,80 @@
+package record
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lycheerudder/lycheerudder/internal/config"
+	"github.com/lycheerudder/lycheerudder/internal/platformlog"
+)
+
+// TestSnapshotParts guards against snapshots that exceed the record limit of
+// the log, and against parts that are joined wrongly.
+func TestSnapshotParts(t *testing.T) {
+	g := NewWithT(t)
+	state := make([]byte, 3*snapshotPartBytes-10) // does not compress
+	_, _ = rand.NewChaCha8([32]byte{1}).Read(state)
+	es, err := SplitSnapshot(state, 7, 1, "w")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(es).To(HaveLen(4))
+	var c Collector
+	add := func(i int) ([]byte, error) {
+		p, err := Body[SnapshotPart](es[i])
+		g.Expect(err).NotTo(HaveOccurred())
+		return c.Add(p)
+	}
+	for _, i := range []int{2, 0, 0, 3} {
+		data, err := es[i].Encode()
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(len(data)).To(BeNumerically("<", platformlog.MaxRecordBytes))
+		got, err := add(i)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(got).To(BeNil(), "not complete")
+	}
+	got, err := add(1)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(bytes.Equal(got, state)).To(BeTrue())
+	p, _ := Body[SnapshotPart](es[0])
+	p.Parts, p.Data = 1, []byte("damaged")
+	_, err = c.Add(p)
+	g.Expect(err).To(MatchError(ContainSubstring("digest")))
+}
+
+// FuzzDecode guards against panics in the decoders, and against bodies that
+// change when they are encoded again.
+func FuzzDecode(f *testing.F) {
+	e, _ := New(KindMembers, NoBase, "w", MemberList{Cell: "c", DataCentre: "a", Version: 1})
+	data, _ := e.Encode()
+	f.Add(data)
+	f.Add([]byte(`{"version":9,"kind":[],"id":7}`))
+	f.Add([]byte(`{"version":1,"kind":"snapshot","id":"a","base":-1,"writer":"w","body":{"next":1,"part":0,"parts":1,"digest":"","data":"AA=="}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		e, err := Decode(data)
+		if err != nil {
+			return
+		}
+		_, _ = Body[config.Document](e)
+		_, _ = Body[config.Change](e)
+		_, _ = Body[MemberList](e)
+		_, _ = Body[HostsStopped](e)
+		_, _ = Body[Release](e)
+		_, _ = Body[TakeOver](e)
+		_, _ = Body[Assignments](e)
+		_, _ = Body[Crashes](e)
+		_, _ = Body[Quarantine](e)
+		if p, err := Body[SnapshotPart](e); err == nil {
+			var c Collector
+			_, _ = c.Add(p)
+		}
+		again, err := e.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if f, err := Decode(again); err != nil || f.ID != e.ID || f.Kind != e.Kind || f.Base != e.Base {
+			t.Fatalf("%v: %s", err, again)
+		}
+	})
+}
--- /dev/null
+++ b/internal/state/assign.go
@@ -0,0 +1,193 @@
+package state
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/lycheerudder/lycheerudder/internal/record"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+)
+
+// Owner is the recorded owner of a shard or a split key.
+type Owner struct {
+	Server topology.ServerID `json:"server"`
+	Fence  topology.Fence    `json:"fence"`
+	Since  int64             `json:"since_ms"`
+	Reason string            `json:"reason"`
+}
+
+// Assign is the fold of the assignment stream of one cell. Subjects are
+// partitions.
+type Assign struct{ *Fold }
+
+// NewAssign returns the state before the first record.
+func NewAssign(cell topology.CellID) *Assign {
+	return &Assign{newFold(record.StreamAssign(cell), &assignMachine{partitions: make(map[topology.PartitionID]*assignments)})}
+}
+
+// Owner returns the recorded owner of a shard, or of a split key.
+func (a *Assign) Owner(id topology.PartitionID, ref topology.ShardRef) (Owner, bool) {
+	p, ok := a.machine.(*assignMachine).partitions[id]
+	if !ok || p.service != ref.Service {
+		return Owner{}, false
+	}
+	o, ok := p.owners[record.SplitKey{Shard: ref.Shard, Key: ref.Key}]
+	return o, ok
+}
+
+// Owners returns all owners of a partition and the revision of its last
+// change. Shards are keyed by an empty split key.
+func (a *Assign) Owners(id topology.PartitionID) (map[record.SplitKey]Owner, Revision) {
+	p, ok := a.machine.(*assignMachine).partitions[id]
+	if !ok {
+		return nil, none
+	}
+	return maps.Clone(p.owners), p.revision
+}
+
+type assignments struct {
+	service  topology.Service
+	revision Revision
+	owners   map[record.SplitKey]Owner
+}
+
+type assignMachine struct {
+	partitions map[topology.PartitionID]*assignments
+}
+
+func (m *assignMachine) known(k record.Kind) bool { return k == record.KindAssign }
+
+func (m *assignMachine) prepare(e record.Envelope) (change, error) {
+	a, err := record.Body[record.Assignments](e)
+	if err != nil {
+		return change{}, err
+	}
+	p, ok := m.partitions[a.Partition]
+	if !ok {
+		p = &assignments{service: a.Service, revision: none, owners: make(map[record.SplitKey]Owner)}
+	}
+	return change{
+		subject: fmt.Sprintf("partition %s", a.Partition), latest: &p.revision,
+		check: func() error { return p.check(a) },
+		commit: func(r Revision) {
+			p.apply(a)
+			p.revision = r
+			m.partitions[a.Partition] = p
+		},
+	}, nil
+}
+
+// check refuses fences that go back: they are of a leader that has been
+// replaced.
+func (p *assignments) check(a record.Assignments) error {
+	if a.Service != p.service {
+		return fmt.Errorf("partition is of service %s, not %s", p.service, a.Service)
+	}
+	for _, g := range a.Grants {
+		for k := range grantKeys(g) {
+			if old, ok := p.owners[k]; ok && g.Fence.Compare(old.Fence) < 0 {
+				return fmt.Errorf("fence %s of shard %d is older than %s", g.Fence, k.Shard, old.Fence)
+			}
+		}
+	}
+	return nil
+}
+
+func (p *assignments) apply(a record.Assignments) {
+	for _, g := range a.Grants {
+		o := Owner{Server: g.Server, Fence: g.Fence, Since: g.Since, Reason: g.Reason}
+		for k := range grantKeys(g) {
+			p.owners[k] = o
+		}
+	}
+	for _, k := range a.Joined {
+		delete(p.owners, k)
+	}
+	for _, s := range a.Dropped {
+		delete(p.owners, record.SplitKey{Shard: s})
+	}
+}
+
+// grantKeys yields the shards and split keys of a grant.
+func grantKeys(g record.Grant) func(func(record.SplitKey) bool) {
+	return func(yield func(record.SplitKey) bool) {
+		for _, s := range g.Shards {
+			if !yield(record.SplitKey{Shard: s}) {
+				return
+			}
+		}
+		for _, k := range g.Keys {
+			if !yield(k) {
+				return
+			}
+		}
+	}
+}
+
+// partitionState is the encoded form of a partition. Grants join everything
+// with the same owner, which shortens a snapshot by an order of magnitude.
+type partitionState struct {
+	Partition topology.PartitionID `json:"partition"`
+	Service   topology.Service     `json:"service"`
+	Revision  Revision             `json:"revision"`
+	Grants    []record.Grant       `json:"grants"`
+}
+
+func (m *assignMachine) snapshot() any {
+	all := make([]partitionState, 0, len(m.partitions))
+	for _, id := range slices.Sorted(maps.Keys(m.partitions)) {
+		p := m.partitions[id]
+		all = append(all, partitionState{Partition: id, Service: p.service, Revision: p.revision, Grants: p.grants()})
+	}
+	return all
+}
+
+// grants returns the owners grouped by owner in a fixed order.
+func (p *assignments) grants() []record.Grant {
+	groups := make(map[Owner]*record.Grant)
+	for k, o := range p.owners {
+		g, ok := groups[o]
+		if !ok {
+			g = &record.Grant{Server: o.Server, Fence: o.Fence, Since: o.Since, Reason: o.Reason}
+			groups[o] = g
+		}
+		if k.Key == "" {
+			g.Shards = append(g.Shards, k.Shard)
+		} else {
+			g.Keys = append(g.Keys, k)
+		}
+	}
+	grants := make([]record.Grant, 0, len(groups))
+	for _, g := range groups {
+		slices.Sort(g.Shards)
+		slices.SortFunc(g.Keys, func(a, b record.SplitKey) int {
+			return cmp.Or(cmp.Compare(a.Shard, b.Shard), cmp.Compare(a.Key, b.Key))
+		})
+		grants = append(grants, *g)
+	}
+	slices.SortFunc(grants, func(a, b record.Grant) int {
+		return cmp.Or(a.Fence.Compare(b.Fence), cmp.Compare(a.Server, b.Server), cmp.Compare(a.Since, b.Since), cmp.Compare(a.Reason, b.Reason))
+	})
+	return grants
+}
+
+func (m *assignMachine) restore(data json.RawMessage) (machine, error) {
+	all, err := decodeState[[]partitionState](data)
+	if err != nil {
+		return nil, err
+	}
+	r := &assignMachine{partitions: make(map[topology.PartitionID]*assignments, len(all))}
+	for _, s := range all {
+		body := record.Assignments{Partition: s.Partition, Service: s.Service, Grants: s.Grants}
+		if err := body.Check(); err != nil {
+			return nil, err
+		}
+		p := &assignments{service: s.Service, revision: s.Revision, owners: make(map[record.SplitKey]Owner)}
+		p.apply(body)
+		r.partitions[s.Partition] = p
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/state/quarantine.go
@@ -0,0 +1,149 @@
+package state
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/lycheerudder/lycheerudder/internal/record"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+)
+
+const (
+	// quarantineTime is how long a fingerprint is refused, and the time within
+	// which crashes count together.
+	quarantineTime = 10 * time.Minute
+	// crashLimit is the number of crashes that quarantine a fingerprint.
+	crashLimit = 2
+	// maxSuspects bounds the state. The suspects with the oldest records are
+	// forgotten first; the fold has no clock to expire them by.
+	maxSuspects = 4096
+)
+
+// Quarantine is the fold of the quarantine stream. Its records need no base:
+// a crash is identified by fingerprint, server and incarnation and counts once.
+type Quarantine struct{ *Fold }
+
+// NewQuarantine returns the state before the first record.
+func NewQuarantine() *Quarantine {
+	return &Quarantine{newFold(record.StreamQuarantine, &quarantineMachine{Suspects: make(map[record.Fingerprint]*suspect)})}
+}
+
+// Until returns the wall clock time up to which a fingerprint is refused; zero
+// if it is not quarantined.
+func (q *Quarantine) Until(f record.Fingerprint) time.Time {
+	if s, ok := q.machine.(*quarantineMachine).Suspects[f]; ok && s.Until > 0 {
+		return time.UnixMilli(s.Until)
+	}
+	return time.Time{}
+}
+
+// Crashes returns the number of crashes of a fingerprint that still count at
+// a wall clock time.
+func (q *Quarantine) Crashes(f record.Fingerprint, now time.Time) int {
+	s, ok := q.machine.(*quarantineMachine).Suspects[f]
+	if !ok {
+		return 0
+	}
+	n := 0
+	for _, c := range s.Crashes {
+		if now.UnixMilli()-c.At < quarantineTime.Milliseconds() {
+			n++
+		}
+	}
+	return n
+}
+
+type crash struct {
+	Server      topology.ServerID    `json:"server"`
+	Incarnation topology.Incarnation `json:"incarnation"`
+	At          int64                `json:"at_ms"`
+}
+
+type suspect struct {
+	// Crashes are the last crashLimit crashes, by time.
+	Crashes []crash `json:"crashes,omitempty"`
+	Until   int64   `json:"until_ms,omitempty"`
+	Reason  string  `json:"reason,omitempty"`
+	// Touched is the offset of the last record.
+	Touched int64 `json:"touched"`
+}
+
+type quarantineMachine struct {
+	Suspects map[record.Fingerprint]*suspect `json:"suspects"`
+}
+
+func (m *quarantineMachine) known(k record.Kind) bool {
+	return k == record.KindCrashes || k == record.KindQuarantine
+}
+
+func (m *quarantineMachine) prepare(e record.Envelope) (change, error) {
+	if e.Kind == record.KindQuarantine {
+		q, err := record.Body[record.Quarantine](e)
+		return change{commit: func(r Revision) { m.refuse(q, r) }}, err
+	}
+	c, err := record.Body[record.Crashes](e)
+	return change{commit: func(r Revision) {
+		for _, s := range c.Suspects {
+			m.count(s, r)
+		}
+	}}, err
+}
+
+func (m *quarantineMachine) suspect(f record.Fingerprint, r Revision) *suspect {
+	s, ok := m.Suspects[f]
+	if !ok {
+		s = &suspect{}
+		m.Suspects[f] = s
+	}
+	s.Touched = r.Offset
+	if len(m.Suspects) > maxSuspects {
+		oldest := slices.MinFunc(slices.Sorted(maps.Keys(m.Suspects)), func(a, b record.Fingerprint) int {
+			return int(m.Suspects[a].Touched - m.Suspects[b].Touched)
+		})
+		delete(m.Suspects, oldest)
+	}
+	return s
+}
+
+func (m *quarantineMachine) refuse(q record.Quarantine, r Revision) {
+	s := m.suspect(q.Fingerprint, r)
+	if q.Until > s.Until {
+		s.Until, s.Reason = q.Until, q.Reason
+	}
+}
+
+func (m *quarantineMachine) count(c record.Crash, r Revision) {
+	s := m.suspect(c.Fingerprint, r)
+	k := crash{c.Server, c.Incarnation, c.At}
+	if slices.ContainsFunc(s.Crashes, func(o crash) bool { return o.Server == k.Server && o.Incarnation == k.Incarnation }) {
+		return
+	}
+	s.Crashes = append(s.Crashes, k)
+	slices.SortStableFunc(s.Crashes, func(a, b crash) int { return int(a.At - b.At) })
+	if len(s.Crashes) > crashLimit {
+		s.Crashes = s.Crashes[len(s.Crashes)-crashLimit:]
+	}
+	if len(s.Crashes) < crashLimit {
+		return
+	}
+	first, last := s.Crashes[0].At, s.Crashes[crashLimit-1].At
+	if until := last + quarantineTime.Milliseconds(); last-first < quarantineTime.Milliseconds() && until > s.Until {
+		s.Until, s.Reason = until, "crashed servers"
+	}
+}
+
+func (m *quarantineMachine) snapshot() any { return m }
+
+func (m *quarantineMachine) restore(data json.RawMessage) (machine, error) {
+	s, err := decodeState[quarantineMachine](data)
+	if err != nil {
+		return nil, err
+	}
+	if s.Suspects == nil {
+		s.Suspects = make(map[record.Fingerprint]*suspect)
+	}
+	maps.DeleteFunc(s.Suspects, func(_ record.Fingerprint, v *suspect) bool { return v == nil })
+	return &s, nil
+}
