--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -38,20 +38,29 @@
 	if err := env.Parse(target); err != nil {
 		return err
 	}
-	parser := flaggy.NewParser(p.Name)
-	parser.Description = p.Description
-	parser.Version = Version
-	addFlags(parser, target)
+	parser := newParser(p)
+	addFlags(&parser.Subcommand, reflect.ValueOf(target).Elem())
 	if err := parser.ParseArgs(args); err != nil {
 		return err
 	}
 	return errors.Join(target.Validate()...)
 }
 
-func addFlags(parser *flaggy.Parser, target any) {
-	v := reflect.ValueOf(target).Elem()
+func newParser(p Program) *flaggy.Parser {
+	parser := flaggy.NewParser(p.Name)
+	parser.Description = p.Description
+	parser.Version = Version
+	return parser
+}
+
+// addFlags adds the flags of a struct and of the structs that it embeds.
+func addFlags(parser *flaggy.Subcommand, v reflect.Value) {
 	for i := range v.NumField() {
 		field := v.Type().Field(i)
+		if field.Anonymous {
+			addFlags(parser, v.Field(i))
+			continue
+		}
 		name := field.Tag.Get("flag")
 		if name == "" {
 			continue
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -51,7 +51,7 @@
 echo "== platform, servers and entry hosts"
 start platform bin/lylog --listen "$platform"
 wait_port "$platform"
-bin/lyctl --platform "http://$platform" --file scripts/demo/config.json
+bin/lyctl publish --platform "http://$platform" --file scripts/demo/config.json
 server booking-1 booking kgn-a 7501
 server booking-2 booking kgn-a 7502
 server booking-3 booking kgn-b 7503
