Follow streams of the log and append with known outcomes

Reads wait 400 ms, so the age of an idle stream stays below 0.8 s; it must stay below the 1.5 s after which the log counts as lost. - follow.Writer: repeats one encoded record until the stream shows it, and returns the fold's outcome. - follow.AssignWriter: joins changes of a partition, one append in flight and at most one per 500 ms. - follow.Snapshotter: random delay, then a second check. - Assignment records name the list and term of their leader, and the fold rejects those of a replaced leader. The base does not stop such a leader, because it reads its successor's records too. The test of the assignment writer showed this. - Contract tests of platformlog.Log run against the stand-in directly and through its HTTP handler.

Ruled out: trusting the offset of a successful append. The log acknowledges the records of both of two conflicting operators.

Conclusion: every append ends in applied, rejected with the winner's writer and revision, or outcome unknown. lyctl and control do not use it yet.

--- /dev/null
+++ b/internal/follow/assign.go
@@ -0,0 +1,152 @@
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/lycheerudder/lycheerudder/internal/record"
+	"github.com/lycheerudder/lycheerudder/internal/state"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+)
+
+const (
+	// AppendInterval is the shortest time between two appends of a partition.
+	AppendInterval = 500 * time.Millisecond
+	// Spread is the time over which the first appends of new leaders are
+	// spread, so that the loss of a data centre does not exceed the budget of
+	// the log.
+	Spread = 2 * time.Second
+)
+
+// AssignWriter records the assignments of one partition. It joins changes so
+// that at most one append is in flight and at most one is sent per
+// AppendInterval.
+type AssignWriter struct {
+	writer    *Writer
+	assign    *state.Assign
+	partition topology.PartitionID
+	service   topology.Service
+	host      string
+	epoch     topology.Fence
+	// placed is called with every batch that was read back.
+	placed func(record.Assignments)
+
+	mu      sync.Mutex
+	pending map[record.SplitKey]pendingChange
+	wake    chan struct{}
+}
+
+// pendingChange is the newest owner of a shard or split key; no owner if it is
+// dropped or joined.
+type pendingChange struct {
+	owner state.Owner
+	gone  bool
+}
+
+// NewAssignWriter returns a writer for one leadership of a partition: the list
+// and term of epoch. assign is the fold of the stream that w appends to.
+func NewAssignWriter(w *Writer, assign *state.Assign, p topology.PartitionID, s topology.Service, host topology.HostID, epoch topology.Fence, placed func(record.Assignments)) *AssignWriter {
+	return &AssignWriter{
+		writer: w, assign: assign, partition: p, service: s, host: string(host), epoch: epoch, placed: placed,
+		pending: make(map[record.SplitKey]pendingChange), wake: make(chan struct{}, 1),
+	}
+}
+
+// Grant adds the owner of shards and split keys to the next batch. It does not
+// block.
+func (a *AssignWriter) Grant(g record.Grant) {
+	owner := state.Owner{Server: g.Server, Fence: g.Fence, Since: g.Since, Reason: g.Reason}
+	keys := append([]record.SplitKey(nil), g.Keys...)
+	for _, s := range g.Shards {
+		keys = append(keys, record.SplitKey{Shard: s})
+	}
+	a.put(pendingChange{owner: owner}, keys)
+}
+
+// Remove adds shards that the partition gave up (with an empty key) and split
+// keys that were joined to the next batch. It does not block.
+func (a *AssignWriter) Remove(keys ...record.SplitKey) { a.put(pendingChange{gone: true}, keys) }
+
+func (a *AssignWriter) put(c pendingChange, keys []record.SplitKey) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, k := range keys {
+		a.pending[k] = c
+	}
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run appends batches until the context ends, after a random delay of up to
+// spread. It returns an error that is not ErrOutcomeUnknown if the fold
+// rejected a batch: another leader has recorded assignments since, and this
+// one must stop.
+func (a *AssignWriter) Run(ctx context.Context, spread time.Duration) error {
+	sleep(ctx, rand.N(spread+1)) //nolint:gosec // spreads load, needs no secrecy
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-a.wake:
+		}
+		if err := a.flush(ctx); err != nil {
+			return err
+		}
+		sleep(ctx, AppendInterval)
+	}
+}
+
+func (a *AssignWriter) flush(ctx context.Context) error {
+	batch, ok := a.take()
+	if !ok {
+		return nil
+	}
+	var revision state.Revision
+	a.writer.stream.View(func(*state.Fold) { revision = a.assign.Revision(a.partition) })
+	e, err := record.New(record.KindAssign, revision.Offset, a.host, batch)
+	if err != nil {
+		return err
+	}
+	if _, err := a.writer.Append(ctx, e); err != nil {
+		return err
+	}
+	a.placed(batch)
+	return nil
+}
+
+// take returns the pending changes as one batch. Its order does not matter.
+func (a *AssignWriter) take() (record.Assignments, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	batch := record.Assignments{Partition: a.partition, Service: a.service, List: a.epoch.List, Term: a.epoch.Term}
+	groups := make(map[state.Owner]*record.Grant)
+	for k, c := range a.pending {
+		switch {
+		case c.gone && k.Key == "":
+			batch.Dropped = append(batch.Dropped, k.Shard)
+		case c.gone:
+			batch.Joined = append(batch.Joined, k)
+		default:
+			g, ok := groups[c.owner]
+			if !ok {
+				g = &record.Grant{Server: c.owner.Server, Fence: c.owner.Fence, Since: c.owner.Since, Reason: c.owner.Reason}
+				groups[c.owner] = g
+			}
+			if k.Key == "" {
+				g.Shards = append(g.Shards, k.Shard)
+			} else {
+				g.Keys = append(g.Keys, k)
+			}
+		}
+	}
+	for _, g := range groups {
+		batch.Grants = append(batch.Grants, *g)
+	}
+	ok := len(a.pending) > 0
+	a.pending = make(map[record.SplitKey]pendingChange)
+	return batch, ok
+}
--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,295 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lycheerudder/lycheerudder/internal/clock"
+	"github.com/lycheerudder/lycheerudder/internal/config"
+	"github.com/lycheerudder/lycheerudder/internal/platformlog"
+	"github.com/lycheerudder/lycheerudder/internal/platformlog/logfake"
+	"github.com/lycheerudder/lycheerudder/internal/record"
+	"github.com/lycheerudder/lycheerudder/internal/state"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+)
+
+func change(base int64, writer string, share float64) record.Envelope {
+	c := config.Customer{Share: share}
+	e, err := record.New(record.KindConfigChange, base, writer, config.Change{Customers: map[topology.Customer]*config.Customer{"pewright": &c}})
+	if err != nil {
+		panic(err)
+	}
+	return e
+}
+
+func put(ctx context.Context, l platformlog.Log, e record.Envelope) {
+	data, _ := e.Encode()
+	_, _ = l.Append(ctx, record.StreamConfig, data)
+}
+
+type host struct {
+	cfg *state.Config
+	*Stream
+	*Follower
+}
+
+func newHost(l platformlog.Log) host {
+	cfg := state.NewConfig()
+	s := NewStream(cfg.Fold, clock.NewProcess())
+	return host{cfg, s, NewFollower(l, s)}
+}
+
+func (h host) share() (share float64) {
+	h.View(func(*state.Fold) {
+		if d, _ := h.cfg.Document(); d != nil {
+			share = d.Customers["pewright"].Share
+		}
+	})
+	return share
+}
+
+// bubble runs fn in virtual time with a context that ends with it.
+func bubble(t *testing.T, fn func(g *WithT, ctx context.Context, l *logfake.Log)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
+		fn(NewWithT(t), ctx, logfake.New())
+	})
+}
+
+// TestWriter guards against a record that is lost or applied twice, and
+// against an outcome that is taken from a reply instead of the stream.
+func TestWriter(t *testing.T) {
+	for name, c := range map[string]struct {
+		faults  logfake.Faults
+		lasts   time.Duration
+		appends int // least number of appends that took effect
+		within  time.Duration
+	}{
+		"no fault":       {logfake.Faults{}, 0, 1, time.Second},
+		"lost replies":   {logfake.Faults{LoseReplies: true}, time.Minute, 1, time.Second},
+		"dropped":        {logfake.Faults{DropAppends: true}, 5 * time.Second, 1, 8 * time.Second},
+		"outage":         {logfake.Faults{Down: true}, time.Hour, 1, time.Hour + 5*time.Second},
+		"slow":           {logfake.Faults{Delay: 3 * time.Second}, 20 * time.Second, 1, 30 * time.Second},
+		"slow but alive": {logfake.Faults{Delay: 600 * time.Millisecond}, time.Hour, 1, 10 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(g *WithT, ctx context.Context, l *logfake.Log) {
+				h := newHost(l)
+				go h.Run(ctx)
+				l.SetFaults(c.faults)
+				time.AfterFunc(c.lasts, func() { l.SetFaults(logfake.Faults{}) })
+				start := time.Now()
+				out, err := NewWriter(l, h.Stream).Append(ctx, change(-1, "a", 2))
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(out.Kind).To(Equal(state.Applied))
+				g.Expect(time.Since(start)).To(BeNumerically("<=", c.within))
+				g.Expect(l.Appends()).To(BeNumerically(">=", c.appends))
+				_, err = NewWriter(l, h.Stream).Append(ctx, change(out.Offset, "a", 3))
+				g.Expect(err).NotTo(HaveOccurred(), "no repeat may have become a revision")
+			})
+		})
+	}
+}
+
+// TestWriterGivesUp guards against a writer that reports a failure although
+// the record may still take effect.
+func TestWriterGivesUp(t *testing.T) {
+	bubble(t, func(g *WithT, ctx context.Context, l *logfake.Log) {
+		h := newHost(l)
+		go h.Run(ctx)
+		l.SetFaults(logfake.Faults{Down: true})
+		short, cancel := context.WithTimeout(ctx, 10*time.Second)
+		defer cancel()
+		_, err := NewWriter(l, h.Stream).Append(short, change(-1, "a", 2))
+		g.Expect(err).To(MatchError(ErrOutcomeUnknown))
+	})
+}
+
+// TestOperators guards against a losing operator who believes to have won: the
+// log acknowledges both records.
+func TestOperators(t *testing.T) {
+	bubble(t, func(g *WithT, ctx context.Context, l *logfake.Log) {
+		one, two := newHost(l), newHost(l)
+		go one.Run(ctx)
+		go two.Run(ctx)
+		errs := make(chan error, 2)
+		for i, h := range []host{one, two} {
+			go func() {
+				time.Sleep(time.Duration(i) * time.Millisecond)
+				_, err := NewWriter(l, h.Stream).Append(ctx, change(-1, fmt.Sprint("op", i), float64(2+i)))
+				errs <- err
+			}()
+		}
+		g.Expect(<-errs).NotTo(HaveOccurred())
+		var conflict *state.Conflict
+		g.Expect(errors.As(<-errs, &conflict)).To(BeTrue())
+		g.Expect(conflict.Winner.Writer).To(Equal("op0"))
+		g.Expect(conflict.Winner.Offset).To(BeZero())
+		synctest.Wait()
+		g.Expect([]float64{one.share(), two.share()}).To(Equal([]float64{2, 2}))
+		g.Expect(l.Appends()).To(BeEquivalentTo(2))
+	})
+}
+
+// TestFollowerGap guards against a fold across expired records and against a
+// confirmed read while records are missing.
+func TestFollowerGap(t *testing.T) {
+	bubble(t, func(g *WithT, ctx context.Context, l *logfake.Log) {
+		up, late := newHost(l), newHost(l)
+		put(ctx, l, change(-1, "a", 1))
+		g.Expect(late.Poll(ctx)).To(Succeed())
+		for i := range int64(5) {
+			put(ctx, l, change(i, "a", float64(i+2)))
+		}
+		g.Expect(up.Poll(ctx)).To(Succeed())
+		l.SetFaults(logfake.Faults{Keep: 2})
+		at, _ := late.Confirmed()
+		g.Expect(late.Poll(ctx)).To(Succeed()) // finds no snapshot
+		g.Expect(late.Poll(ctx)).To(MatchError(ErrNoSnapshot))
+		now, _ := late.Confirmed()
+		g.Expect(now).To(Equal(at))
+		g.Expect(late.share()).To(Equal(1.0))
+
+		l.SetFaults(logfake.Faults{Keep: 3})
+		g.Expect(NewSnapshotter(l, up.Stream, time.Hour, "up").write(ctx)).To(Succeed())
+		put(ctx, l, change(5, "a", 9))
+		for range 4 {
+			_ = late.Poll(ctx)
+		}
+		now, _ = late.Confirmed()
+		g.Expect(now).To(BeNumerically(">", at))
+		g.Expect(late.share()).To(Equal(9.0))
+		l2 := newHost(logfake.New())
+		g.Expect(l2.DeliverSnapshot(mustSnapshot(late.cfg))).To(Succeed())
+		g.Expect(l2.Poll(ctx)).To(MatchError(ErrLogReset))
+	})
+}
+
+func mustSnapshot(c *state.Config) []byte {
+	data, err := c.Snapshot()
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// TestAge guards against an age that is counted from the reply of a slow read
+// or from a read that failed.
+func TestAge(t *testing.T) {
+	bubble(t, func(g *WithT, ctx context.Context, l *logfake.Log) {
+		h := newHost(l)
+		_, ok := h.Age()
+		g.Expect(ok).To(BeFalse())
+		put(ctx, l, change(-1, "a", 1))
+		l.SetFaults(logfake.Faults{Delay: 300 * time.Millisecond})
+		g.Expect(h.Poll(ctx)).To(Succeed())
+		age, _ := h.Age()
+		g.Expect(age).To(Equal(300 * time.Millisecond))
+		l.SetFaults(logfake.Faults{Down: true})
+		time.Sleep(time.Second)
+		g.Expect(h.Poll(ctx)).To(MatchError(platformlog.ErrUnavailable))
+		age, _ = h.Age()
+		g.Expect(age).To(Equal(1300 * time.Millisecond))
+
+		l.SetFaults(logfake.Faults{})
+		go h.Run(ctx)
+		time.Sleep(time.Second)
+		worst := time.Duration(0)
+		for range 1000 {
+			time.Sleep(7 * time.Millisecond)
+			if age, _ = h.Age(); age > worst {
+				worst = age
+			}
+		}
+		g.Expect(worst).To(BeNumerically("<=", 2*ReadWait))
+	})
+}
+
+// TestSnapshots guards against a stream whose only copy of old state expires,
+// and against every reader writing the same snapshot.
+func TestSnapshots(t *testing.T) {
+	bubble(t, func(g *WithT, ctx context.Context, l *logfake.Log) {
+		hosts := []host{newHost(l), newHost(l), newHost(l)}
+		for i, h := range hosts {
+			go h.Run(ctx)
+			go NewSnapshotter(l, h.Stream, 4*time.Hour, fmt.Sprint(i)).Run(ctx)
+		}
+		for i := range int64(state.SnapshotInterval - 1) {
+			put(ctx, l, change(i-1, "a", 1))
+		}
+		time.Sleep(time.Hour)
+		count := func() int { return int(l.Appends()) }
+		g.Expect(count()).To(Equal(999), "not due")
+		put(ctx, l, change(998, "a", 2))
+		time.Sleep(2 * time.Minute)
+		g.Expect(count()).To(And(BeNumerically(">", 1000), BeNumerically("<=", 1002)), "one snapshot by records, rarely two")
+		after := count()
+		time.Sleep(110 * time.Minute)
+		g.Expect(count()).To(Equal(after))
+		time.Sleep(12 * time.Minute)
+		g.Expect(count()).To(BeNumerically("~", after+1, 1), "one snapshot by time")
+		g.Expect(count()).To(BeNumerically(">", after))
+
+		l.SetFaults(logfake.Faults{Keep: count() - after + 1})
+		fresh := newHost(l)
+		for range 4 {
+			_ = fresh.Poll(ctx)
+		}
+		g.Expect(fresh.share()).To(Equal(2.0))
+	})
+}
+
+// TestAssignWriter guards against more appends than the budget allows,
+// assignments that are reported before they were read back, and a replaced
+// leader that goes on.
+func TestAssignWriter(t *testing.T) {
+	bubble(t, func(g *WithT, ctx context.Context, l *logfake.Log) {
+		start := func(host topology.HostID, term uint32) (*AssignWriter, chan error, *atomic.Int64) {
+			fold := state.NewAssign("c")
+			s := NewStream(fold.Fold, clock.NewProcess())
+			go NewFollower(l, s).Run(ctx)
+			placed, done := new(atomic.Int64), make(chan error, 1)
+			w := NewAssignWriter(NewWriter(l, s), fold, "p", "booking", host, topology.Fence{List: 1, Term: term}, func(b record.Assignments) {
+				for _, gr := range b.Grants {
+					placed.Add(int64(len(gr.Shards)))
+				}
+			})
+			go func() { done <- w.Run(ctx, 0) }()
+			return w, done, placed
+		}
+		grant := func(w *AssignWriter, term uint32, i int) {
+			w.Grant(record.Grant{Server: "s", Fence: topology.Fence{List: 1, Term: term, Seq: uint64(i)}, Shards: []topology.ShardID{topology.ShardID(i)}})
+		}
+		old, oldDone, placed := start("h1", 1)
+		for i := range 100 {
+			grant(old, 1, i)
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		g.Expect(placed.Load()).To(BeEquivalentTo(100))
+		g.Expect(l.Appends()).To(BeNumerically("<=", 3))
+
+		l.SetFaults(logfake.Faults{DropAppends: true})
+		grant(old, 1, 7)
+		time.Sleep(time.Second)
+		g.Expect(placed.Load()).To(BeEquivalentTo(100), "not read back")
+		l.SetFaults(logfake.Faults{Down: true})
+		next, _, _ := start("h2", 2)
+		l.SetFaults(logfake.Faults{})
+		time.Sleep(10 * time.Second)
+		grant(next, 2, 7)
+		time.Sleep(2 * time.Second)
+		grant(old, 1, 8)
+		time.Sleep(2 * time.Second)
+		g.Expect(<-oldDone).To(MatchError(ContainSubstring("leader of list 1 term 1 was replaced by list 1 term 2")))
+	})
+}
--- /dev/null
+++ b/internal/follow/follower.go
@@ -0,0 +1,106 @@
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/lycheerudder/lycheerudder/internal/platformlog"
+)
+
+const (
+	readLimit = 500
+	// ReadWait is the long-poll time. Without new records the age of the last
+	// confirmed read grows to twice this time before it is renewed, and must
+	// stay well below the 1.5 s after which the log counts as lost.
+	ReadWait = 400 * time.Millisecond
+	// readTimeout is added to ReadWait for a slow log.
+	readTimeout = 2 * time.Second
+	minBackoff  = 100 * time.Millisecond
+	maxBackoff  = 2 * time.Second
+)
+
+// ErrNoSnapshot means that records have expired that were not folded, and that
+// the stream has no complete snapshot behind the folded position.
+var ErrNoSnapshot = eris.New("records have expired and the stream has no newer snapshot")
+
+// ErrLogReset means that the stream ends before the folded position. The log
+// has lost records, and nothing that it shows is trusted.
+var ErrLogReset = eris.New("the stream ends before the folded position")
+
+// Follower reads a stream from the log into a Stream.
+type Follower struct {
+	log    platformlog.Log
+	stream *Stream
+	// scan is the offset from which the search for a snapshot goes on while
+	// records are missing.
+	scan int64
+}
+
+// NewFollower returns a Follower that starts at the stream's position.
+func NewFollower(log platformlog.Log, s *Stream) *Follower { return &Follower{log: log, stream: s} }
+
+// Run reads until the context ends. Failed reads are retried after a random
+// delay that doubles up to 2 s.
+func (f *Follower) Run(ctx context.Context) {
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		if err := f.Poll(ctx); err != nil && ctx.Err() == nil {
+			f.stream.log.Error("Stream cannot be read.", err)
+			sleep(ctx, jitter(backoff))
+			backoff = min(2*backoff, maxBackoff)
+			continue
+		}
+		backoff = minBackoff
+	}
+}
+
+// Poll sends one read and folds its records.
+func (f *Follower) Poll(ctx context.Context) error {
+	next := f.stream.Next()
+	wait := ReadWait
+	if age, ok := f.stream.Age(); !ok || age > 2*ReadWait {
+		wait = 0 // confirm the state at once after a start or an outage
+	}
+	sent := f.stream.clock.Now()
+	call, cancel := context.WithTimeout(ctx, ReadWait+readTimeout)
+	defer cancel()
+	b, err := f.log.Read(call, f.stream.Name(), max(next, f.scan), readLimit, wait)
+	if err != nil {
+		return eris.Wrap(err, "read log")
+	}
+	if b.Next < next {
+		return eris.Wrapf(ErrLogReset, "folded %d records, the stream has %d", next, b.Next)
+	}
+	used := f.stream.Deliver(b.Records)
+	after := f.stream.Next()
+	switch {
+	case after == b.Next:
+		f.scan = 0
+		f.stream.Confirm(b.Next, sent)
+	case after >= b.First:
+		f.scan = 0 // contiguous, or restored with all later records kept
+	case used > 0:
+		f.scan = b.Records[used-1].Offset + 1
+	default:
+		f.scan = max(f.scan, b.First)
+		return eris.Wrapf(ErrNoSnapshot, "folded %d records, the stream starts at %d", after, b.First)
+	}
+	return nil
+}
+
+// jitter returns a random time between half of d and d.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d/2+1) //nolint:gosec // spreads load, needs no secrecy
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/follow/stream.go
@@ -0,0 +1,246 @@
+// Package follow keeps a host's copy of the log's streams up to date. A Stream
+// is the shared copy; a Follower feeds it from the log, and package relay
+// feeds it from other hosts. A Writer appends to the log, and a Snapshotter
+// keeps snapshots in the stream.
+package follow
+
+import (
+	"sync"
+	"time"
+
+	"github.com/lycheerudder/lycheerudder/internal/clock"
+	"github.com/lycheerudder/lycheerudder/internal/logging"
+	"github.com/lycheerudder/lycheerudder/internal/platformlog"
+	"github.com/lycheerudder/lycheerudder/internal/state"
+)
+
+// Limits of the records that a Stream keeps for subscribers. A subscriber that
+// is further behind gets a snapshot.
+const (
+	maxRecent      = 1024
+	maxRecentBytes = 4 << 20
+)
+
+// Stream is a host's copy of one stream. It is safe for concurrent use; the
+// lock is held for the fold of one batch at most.
+type Stream struct {
+	clock clock.Clock
+	log   logging.Logger
+
+	mu          sync.Mutex
+	fold        *state.Fold
+	recent      []platformlog.Record // contiguous, up to fold.Next()
+	recentBytes int
+	confirmed   time.Duration
+	isConfirmed bool
+	logNext     int64 // end of the stream at the confirmed read
+	changed     chan struct{}
+	waiting     map[string]chan state.Outcome
+}
+
+// NewStream returns a Stream on a fold, which must only be used inside View
+// from then on.
+func NewStream(fold *state.Fold, c clock.Clock) *Stream {
+	return &Stream{
+		clock: c, log: logging.For(logging.State).With("stream", fold.Stream()), fold: fold,
+		changed: make(chan struct{}), waiting: make(map[string]chan state.Outcome),
+	}
+}
+
+// View calls fn while no other goroutine changes the state.
+func (s *Stream) View(fn func(*state.Fold)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fn(s.fold)
+}
+
+// Name returns the name of the stream.
+func (s *Stream) Name() string { return s.fold.Stream() }
+
+// Next returns the offset of the first record that is not folded yet.
+func (s *Stream) Next() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fold.Next()
+}
+
+// Confirmed returns when the last read was sent that showed the stream's end
+// at the folded position, on the host's clock. It is false before the first.
+func (s *Stream) Confirmed() (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.confirmed, s.isConfirmed
+}
+
+// Age returns the time since Confirmed.
+func (s *Stream) Age() (time.Duration, bool) {
+	at, ok := s.Confirmed()
+	return s.clock.Now() - at, ok
+}
+
+// Changed returns a channel that is closed at the next change of the state or
+// of Confirmed.
+func (s *Stream) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// Deliver folds records in order. It stops after a record that restored a
+// snapshot, because the records before it must be read again, and reports the
+// number of records used.
+func (s *Stream) Deliver(records []platformlog.Record) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	defer s.notify()
+	for i, r := range records {
+		out := s.fold.Apply(r.Offset, r.Data)
+		s.report(out)
+		switch out.Kind {
+		case state.Seen, state.Gap:
+		case state.Restored:
+			s.dropRecent()
+			return i + 1
+		default:
+			if r.Offset == s.fold.Next()-1 {
+				s.keepRecent(r)
+			}
+			s.resolve(out)
+		}
+	}
+	return len(records)
+}
+
+// DeliverSnapshot replaces the state by a snapshot of another host. It returns
+// state.ErrNotNewer if the state is as new.
+func (s *Stream) DeliverSnapshot(data []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.fold.Restore(data); err != nil {
+		return err
+	}
+	s.dropRecent()
+	s.notify()
+	return nil
+}
+
+// Confirm records that a read of the log, sent at a time on the host's clock,
+// found the end of the stream at next. It has no effect while the state ends
+// elsewhere: the read says nothing about this state then.
+func (s *Stream) Confirm(next int64, sent time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if next > s.fold.Next() || s.isConfirmed && sent <= s.confirmed {
+		return
+	}
+	s.confirmed, s.isConfirmed, s.logNext = sent, true, next
+	s.notify()
+}
+
+func (s *Stream) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+	for id := range s.waiting {
+		if first, ok := s.fold.Find(id); ok {
+			s.resolve(outcomeOf(id, first))
+		}
+	}
+}
+
+// Await returns a channel that receives the result of the record with an id.
+// cancel must be called.
+func (s *Stream) Await(id string) (result <-chan state.Outcome, cancel func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := make(chan state.Outcome, 1)
+	s.waiting[id] = c
+	if first, ok := s.fold.Find(id); ok {
+		s.resolve(outcomeOf(id, first))
+	}
+	return c, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.waiting, id)
+	}
+}
+
+// outcomeOf returns the result of a record that was folded before, possibly by
+// another host whose snapshot was restored.
+func outcomeOf(id string, first state.First) state.Outcome {
+	out := state.Outcome{Kind: state.Applied, Offset: first.Offset, ID: id}
+	if !first.Accepted {
+		out.Kind, out.Err = state.Rejected, ErrRejected
+	}
+	return out
+}
+
+func (s *Stream) resolve(out state.Outcome) {
+	c, ok := s.waiting[out.ID]
+	if !ok {
+		return
+	}
+	delete(s.waiting, out.ID)
+	if out.Kind == state.Duplicate {
+		out = outcomeOf(out.ID, *out.First)
+	}
+	c <- out
+}
+
+func (s *Stream) keepRecent(r platformlog.Record) {
+	s.recent = append(s.recent, r)
+	s.recentBytes += len(r.Data)
+	for len(s.recent) > maxRecent || s.recentBytes > maxRecentBytes {
+		s.recentBytes -= len(s.recent[0].Data)
+		s.recent = s.recent[1:]
+	}
+}
+
+func (s *Stream) dropRecent() { s.recent, s.recentBytes = nil, 0 }
+
+func (s *Stream) report(out state.Outcome) {
+	log := s.log.With("offset", out.Offset).With("writer", out.Writer)
+	switch out.Kind {
+	case state.Rejected:
+		log.Error("Record is rejected.", out.Err)
+	case state.UnknownKept:
+		log.Warn("Record has an unknown version or kind.")
+	case state.Restored:
+		log.Info("State is restored from a snapshot in the stream.")
+	default:
+	}
+}
+
+// Page is what a subscriber at some offset needs next.
+type Page struct {
+	// Snapshot is set if the records are no longer kept.
+	Snapshot []byte
+	Records  []platformlog.Record
+	// Next is the offset after the snapshot and the records.
+	Next int64
+	// LogNext, Confirmed and IsConfirmed describe the last confirmed read.
+	LogNext     int64
+	Confirmed   time.Duration
+	IsConfirmed bool
+}
+
+// Since returns the records from an offset on, or a snapshot, and a channel
+// that is closed at the next change. A subscriber that is ahead gets neither.
+func (s *Stream) Since(from int64) (Page, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := Page{Next: from, LogNext: s.logNext, Confirmed: s.confirmed, IsConfirmed: s.isConfirmed}
+	next := s.fold.Next()
+	switch first := next - int64(len(s.recent)); {
+	case from >= next:
+	case from >= first:
+		p.Records = append(p.Records, s.recent[from-first:]...)
+		p.Next = next
+	default:
+		data, err := s.fold.Snapshot()
+		if err != nil {
+			return p, s.changed, err
+		}
+		p.Snapshot, p.Next = data, next
+	}
+	return p, s.changed, nil
+}
--- a/internal/platformlog/http.go
+++ b/internal/platformlog/http.go
@@ -27,8 +27,12 @@
 
 // NewClient returns a client of the service at base, for example
 // "http://127.0.0.1:7400". Calls are bounded by their context only.
-func NewClient(base string) *Client {
-	return &Client{base: base, http: &http.Client{Transport: newTransport()}}
+func NewClient(base string) *Client { return NewClientWith(base, newTransport()) }
+
+// NewClientWith returns a client that sends through a transport of the caller,
+// for example an in-memory one. The transport must not repeat an append.
+func NewClientWith(base string, transport http.RoundTripper) *Client {
+	return &Client{base: base, http: &http.Client{Transport: transport}}
 }
 
 // newTransport returns a transport that never repeats an append by itself:
--- a/internal/record/bodies.go
+++ b/internal/record/bodies.go
@@ -165,7 +165,11 @@
 type Assignments struct {
 	Partition topology.PartitionID `json:"partition"`
 	Service   topology.Service     `json:"service"`
-	Grants    []Grant              `json:"grants,omitempty"`
+	// List and Term name the leadership that records the batch. All grants
+	// have them in their fences.
+	List   uint32  `json:"list"`
+	Term   uint32  `json:"term"`
+	Grants []Grant `json:"grants,omitempty"`
 	// Joined are split keys that are owned by the owner of their shard again.
 	Joined []SplitKey `json:"joined,omitempty"`
 	// Dropped are shards that the partition has given up.
@@ -174,8 +178,8 @@
 
 // Check returns an error if the body is malformed.
 func (a Assignments) Check() error {
-	if a.Partition == "" || a.Service == "" {
-		return errors.New("partition and service are required")
+	if a.Partition == "" || a.Service == "" || a.List == 0 {
+		return errors.New("partition, service and list are required")
 	}
 	seen := make(map[SplitKey]bool)
 	add := func(k SplitKey) error {
@@ -189,6 +193,9 @@
 		if g.Server == "" {
 			return errors.New("a grant names no server")
 		}
+		if g.Fence.List != a.List || g.Fence.Term != a.Term {
+			return fmt.Errorf("fence %s is not of list %d term %d", g.Fence, a.List, a.Term)
+		}
 		for _, s := range g.Shards {
 			if err := add(SplitKey{Shard: s}); err != nil {
 				return err
--- a/internal/state/assign.go
+++ b/internal/state/assign.go
@@ -48,9 +48,19 @@
 	return maps.Clone(p.owners), p.revision
 }
 
+// Revision returns the revision of the last change of a partition.
+func (a *Assign) Revision(id topology.PartitionID) Revision {
+	if p, ok := a.machine.(*assignMachine).partitions[id]; ok {
+		return p.revision
+	}
+	return none
+}
+
 type assignments struct {
 	service  topology.Service
 	revision Revision
+	list     uint32
+	term     uint32
 	owners   map[record.SplitKey]Owner
 }
 
@@ -80,12 +90,15 @@
 	}, nil
 }
 
-// check refuses fences that go back: they are of a leader that has been
-// replaced.
+// check refuses a leader that has been replaced. The base alone does not stop
+// it, because it reads the records of its successor as well.
 func (p *assignments) check(a record.Assignments) error {
 	if a.Service != p.service {
 		return fmt.Errorf("partition is of service %s, not %s", p.service, a.Service)
 	}
+	if a.List < p.list || a.List == p.list && a.Term < p.term {
+		return fmt.Errorf("leader of list %d term %d was replaced by list %d term %d", a.List, a.Term, p.list, p.term)
+	}
 	for _, g := range a.Grants {
 		for k := range grantKeys(g) {
 			if old, ok := p.owners[k]; ok && g.Fence.Compare(old.Fence) < 0 {
@@ -97,6 +110,7 @@
 }
 
 func (p *assignments) apply(a record.Assignments) {
+	p.list, p.term = a.List, a.Term
 	for _, g := range a.Grants {
 		o := Owner{Server: g.Server, Fence: g.Fence, Since: g.Since, Reason: g.Reason}
 		for k := range grantKeys(g) {
@@ -133,6 +147,8 @@
 	Partition topology.PartitionID `json:"partition"`
 	Service   topology.Service     `json:"service"`
 	Revision  Revision             `json:"revision"`
+	List      uint32               `json:"list"`
+	Term      uint32               `json:"term"`
 	Grants    []record.Grant       `json:"grants"`
 }
 
@@ -140,7 +156,7 @@
 	all := make([]partitionState, 0, len(m.partitions))
 	for _, id := range slices.Sorted(maps.Keys(m.partitions)) {
 		p := m.partitions[id]
-		all = append(all, partitionState{Partition: id, Service: p.service, Revision: p.revision, Grants: p.grants()})
+		all = append(all, partitionState{Partition: id, Service: p.service, Revision: p.revision, List: p.list, Term: p.term, Grants: p.grants()})
 	}
 	return all
 }
@@ -181,12 +197,8 @@
 	}
 	r := &assignMachine{partitions: make(map[topology.PartitionID]*assignments, len(all))}
 	for _, s := range all {
-		body := record.Assignments{Partition: s.Partition, Service: s.Service, Grants: s.Grants}
-		if err := body.Check(); err != nil {
-			return nil, err
-		}
 		p := &assignments{service: s.Service, revision: s.Revision, owners: make(map[record.SplitKey]Owner)}
-		p.apply(body)
+		p.apply(record.Assignments{List: s.List, Term: s.Term, Grants: s.Grants})
 		r.partitions[s.Partition] = p
 	}
 	return r, nil
--- a/internal/state/fold_test.go
+++ b/internal/state/fold_test.go
@@ -68,7 +68,7 @@
 }
 
 func assigned(server string, term uint32, shards ...topology.ShardID) record.Assignments {
-	return record.Assignments{Partition: "p", Service: "booking", Grants: []record.Grant{{
+	return record.Assignments{Partition: "p", Service: "booking", List: 1, Term: term, Grants: []record.Grant{{
 		Server: topology.ServerID(server), Fence: topology.Fence{List: 1, Term: term, Seq: 1}, Reason: "test", Shards: shards,
 	}}}
 }
@@ -174,7 +174,7 @@
 		"assignments of a replaced leader": {asg, []step{
 			{enc(record.KindAssign, "a", -1, assigned("s1", 2, 0, 1)), ""},
 			{enc(record.KindAssign, "b", -1, assigned("s2", 3, 1)), "partition p: base -1 is older than revision 0"},
-			{enc(record.KindAssign, "c", 0, assigned("s2", 1, 1)), "invalid record: fence 0.1.1.1 of shard 1 is older"},
+			{enc(record.KindAssign, "c", 0, assigned("s2", 1, 1)), "invalid record: leader of list 1 term 1 was replaced by list 1 term 2"},
 			{enc(record.KindAssign, "d", 0, assigned("s2", 2, 1, 1)), "invalid record: body of assign record: shard 1"},
 			{enc(record.KindAssign, "e", 0, assigned("s2", 3, 1)), ""}}},
 	} {
