Add the decision logic of partition leadership

Cause: the runtime had a fixed leader per partition and no failover.

Change: package lead holds member lists, promises, terms, modes, pledges, list changes, joining and hand-over for one host of one cell. It takes events and the current time and returns messages. Four rules are stricter or wider than the design: - The leader subtracts 2 ms from each promise, and waits 6 ms longer than the log bound, for a clock rate error of 0.1% on both hosts. - The age of a log read counts from the send of the request that its reply answers. A one-way message has no bound on its transit time. - A member may promise a higher term or a newer list to the host that it supports already, so a list change does not interrupt a leadership. - A list can be replaced with pledges of a set that shares a member with every majority. With a majority, a list of two that went through mode lost could not be replaced after the loss of one member. A lapsed term is never resumed, so an epoch names one unbroken leadership. The stagger is 80 ms and the support interval 200 ms; the grants of a lost leader are then still valid when its successor extends them.

Ruled out: releasing support for a candidate's term while the same host acts on an earlier term; members hold one promise for both. Proposals of a host that does not reach half of its list without a delay; it would evict the larger side.

--- /dev/null
+++ b/internal/lead/change.go
@@ -0,0 +1,255 @@
+package lead
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+)
+
+// listChange is the state of a proposal of this member.
+type listChange struct {
+	active      bool
+	since       time.Duration // a change has been needed since then
+	reason      string
+	pledges     map[topology.HostID]Pledge
+	nextPledge  time.Duration
+	nextPropose time.Duration
+	nextProbe   time.Duration
+}
+
+// joinState is the state of a host that is not a member.
+type joinState struct {
+	interval time.Duration
+	next     time.Duration
+	list     uint32
+	pledges  map[topology.HostID]Pledge
+}
+
+func (j *joinState) listChanged(dropped bool, now time.Duration) {
+	j.pledges = nil
+	if !dropped {
+		return
+	}
+	// A host that cannot reach every member would be dropped again and again.
+	j.interval = min(max(2*j.interval, joinInterval), maxJoinInterval)
+	j.next = now + j.interval
+}
+
+func (n *Node) tickList(now time.Duration, a *Actions) {
+	switch {
+	case !n.hasRead || now-n.lastRead > freshRead:
+	case n.member():
+		n.tickChange(now, a)
+	case !n.leaving:
+		n.tickJoin(now, a)
+	}
+}
+
+// dead reports whether a member did not answer for DeadAfter.
+func (n *Node) dead(m topology.Member, now time.Duration) bool {
+	if m == n.self {
+		return false
+	}
+	p := n.peers[m.Host]
+	return now-p.answered >= n.cfg.Params.DeadAfter
+}
+
+func (n *Node) noteMode(from topology.Member, m Mode) {
+	if m == ModeLost {
+		n.peers[from.Host].lost = true
+	}
+}
+
+// wanted returns the members that the next list should have, and the reason;
+// an empty reason means that the list is as it should be.
+func (n *Node) wanted(now time.Duration) ([]topology.Member, string) {
+	reason := ""
+	switch {
+	case n.mode == ModeLost, n.mode == ModePledged && n.pledgedFrom == ModeLost:
+		reason = "the log is readable again"
+	case n.mode == ModePledged && now-n.pledgedAt >= pledgeTimeout:
+		// A pledged member never records ModeLost, so its partitions would stop
+		// in the next outage of the log.
+		reason = "a pledge was not followed by a list"
+	}
+	var members []topology.Member
+	for _, m := range n.list.Members {
+		switch {
+		case n.dead(m, now):
+			reason = "member " + string(m.Host) + " does not answer"
+		case m == n.self && n.leaving:
+			reason = "member " + string(m.Host) + " leaves"
+		default:
+			members = append(members, m)
+		}
+	}
+	if len(members) == 0 {
+		return nil, ""
+	}
+	return members, reason
+}
+
+// tickChange proposes a new list if a member is dead or leaves, or if the list
+// went through ModeLost.
+func (n *Node) tickChange(now time.Duration, a *Actions) {
+	members, reason := n.wanted(now)
+	if reason == "" {
+		n.change = listChange{}
+		return
+	}
+	c := &n.change
+	if !c.active {
+		*c = listChange{active: true, since: now, pledges: make(map[topology.HostID]Pledge)}
+	}
+	c.reason = reason
+	lost := n.mode == ModeLost || n.pledgedFrom == ModeLost
+	if now < c.since+n.proposalDelay(members) || (lost && !n.logIsBack(now, a)) {
+		return
+	}
+	c.pledges[n.self.Host] = n.pledge(now)
+	if !n.enoughPledges(c.pledges) {
+		n.askPledges(now, a)
+		return
+	}
+	if now < c.nextPropose {
+		return
+	}
+	c.nextPropose = now + proposeRepeat
+	a.Propose = n.proposal(members, c.pledges, c.reason)
+}
+
+// proposalDelay lets one member propose first, and the larger side of a
+// partition before the smaller one.
+func (n *Node) proposalDelay(live []topology.Member) time.Duration {
+	rank := max(0, slices.Index(live, n.self))
+	d := time.Duration(rank) * proposeStagger
+	if 2*len(live) < len(n.list.Members) && !n.leaving {
+		d += minorityDelay
+	}
+	return d
+}
+
+// logIsBack reports whether the log was readable for ReadsBack and took an
+// append of this host in that time. A pledge before that could stop the
+// leaders of the list if the log failed again.
+func (n *Node) logIsBack(now time.Duration, a *Actions) bool {
+	if now-n.ownRead > freshRead || now-n.goodSince < n.cfg.Params.ReadsBack {
+		return false
+	}
+	if n.appended >= n.goodSince {
+		return true
+	}
+	if now >= n.change.nextProbe {
+		n.change.nextProbe = now + proposeRepeat
+		a.ProbeLog = true
+	}
+	return false
+}
+
+// pledge records ModePledged and returns the pledge.
+func (n *Node) pledge(now time.Duration) Pledge {
+	if n.mode != ModePledged {
+		n.pledgedFrom, n.mode, n.pledgedAt = n.mode, ModePledged, now
+	}
+	return Pledge{List: n.list.Version, Member: n.self, Mode: n.pledgedFrom}
+}
+
+// enoughPledges reports whether the list can be replaced: one member that
+// never records ModeLost, or a set that shares a member with every majority,
+// so that the promises of every majority are limited by the log again.
+func (n *Node) enoughPledges(pledges map[topology.HostID]Pledge) bool {
+	for _, p := range pledges {
+		if p.Mode == ModeNormal {
+			return true
+		}
+	}
+	return len(pledges) >= n.list.Blocking()
+}
+
+func (n *Node) askPledges(now time.Duration, a *Actions) {
+	if now < n.change.nextPledge {
+		return
+	}
+	n.change.nextPledge = now + joinInterval
+	for _, m := range n.list.Members {
+		if m != n.self {
+			a.Pledge = append(a.Pledge, n.pledgeRequest(m))
+		}
+	}
+}
+
+func (n *Node) pledgeRequest(to topology.Member) PledgeTo {
+	return PledgeTo{To: to, Request: PledgeRequest{Cell: n.cfg.Cell, From: n.self, List: n.list.Version}}
+}
+
+func (n *Node) proposal(members []topology.Member, pledges map[topology.HostID]Pledge, reason string) *Proposal {
+	p := &Proposal{
+		Cell: n.cfg.Cell, Version: n.list.Version + 1, Base: n.list.Offset, Members: slices.Clone(members), Reason: reason,
+	}
+	for _, m := range n.list.Members {
+		if pl, ok := pledges[m.Host]; ok {
+			p.Pledges = append(p.Pledges, pl)
+		}
+	}
+	return p
+}
+
+// tickJoin asks all members for a pledge and proposes a list with this host
+// when all of them have answered, so that a host that some members cannot
+// reach does not join.
+func (n *Node) tickJoin(now time.Duration, a *Actions) {
+	j := &n.join
+	if now < j.next {
+		return
+	}
+	j.next = now + max(j.interval, joinInterval)
+	if n.list.Version == 0 {
+		a.Propose = &Proposal{Cell: n.cfg.Cell, Version: 1, Base: -1, Members: []topology.Member{n.self}, Reason: "first list"}
+		return
+	}
+	j.list, j.pledges = n.list.Version, make(map[topology.HostID]Pledge)
+	for _, m := range n.list.Members {
+		if m.Host != n.self.Host {
+			a.Pledge = append(a.Pledge, n.pledgeRequest(m))
+		}
+	}
+}
+
+// HandlePledge answers a request for a pledge. A member that cannot read the
+// log refuses, because its pledge would end its promises after LogBound.
+func (n *Node) HandlePledge(req PledgeRequest, now time.Duration) PledgeReply {
+	fresh := n.hasRead && now-n.lastRead <= freshRead
+	if req.Cell != n.cfg.Cell || req.List != n.list.Version || !n.member() || !fresh {
+		return PledgeReply{}
+	}
+	return PledgeReply{Pledged: true, Pledge: n.pledge(now)}
+}
+
+// HandlePledgeReply passes the answer to a PledgeRequest. The returned actions
+// hold the proposal if it was the last answer that was needed.
+func (n *Node) HandlePledgeReply(r PledgeReply, now time.Duration) Actions {
+	var a Actions
+	if !r.Pledged || r.Pledge.List != n.list.Version || n.list.index(r.Pledge.Member) < 0 {
+		return a
+	}
+	if n.member() {
+		if n.change.active {
+			n.change.pledges[r.Pledge.Member.Host] = r.Pledge
+		}
+		return a // the next tick proposes
+	}
+	j := &n.join
+	if j.list != n.list.Version || j.pledges == nil {
+		return a
+	}
+	j.pledges[r.Pledge.Member.Host] = r.Pledge
+	members := slices.DeleteFunc(slices.Clone(n.list.Members), func(m topology.Member) bool { return m.Host == n.self.Host })
+	if len(j.pledges) < len(members) || !n.enoughPledges(j.pledges) {
+		return a
+	}
+	a.Propose = n.proposal(append(members, n.self), j.pledges, "host "+string(n.self.Host)+" joins")
+	j.pledges = nil
+	j.next = now + proposeRepeat
+	return a
+}
--- /dev/null
+++ b/internal/lead/node.go
@@ -0,0 +1,317 @@
+package lead
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+)
+
+// Params are the times of the protocol. All hosts of a cell must use the same
+// values.
+type Params struct {
+	// Promise is the length of a promise.
+	Promise time.Duration
+	// LogBound limits a promise after the send of the last confirmed read.
+	LogBound time.Duration
+	// LostAfter is the age of the last confirmed read from which on a member
+	// records ModeLost.
+	LostAfter time.Duration
+	// Round is the interval of support requests.
+	Round time.Duration
+	// Stagger is the delay of a candidate per position after the last leader.
+	Stagger time.Duration
+	// DeadAfter is the time without an answer after which a member is dropped.
+	DeadAfter time.Duration
+	// ReadsBack is the time of successful reads that is required before a list
+	// that went through ModeLost is replaced.
+	ReadsBack time.Duration
+	// MaxAutonomy is the time without a confirmed read after which the host
+	// stops leading, because the data centre may have been replaced.
+	MaxAutonomy time.Duration
+}
+
+// DefaultParams returns the values of the design.
+//
+// The stagger is 80 ms, because grants of a lost leader end 900 ms after its
+// last support request and the successor must extend them before that.
+func DefaultParams() Params {
+	return Params{
+		Promise: 800 * time.Millisecond, LogBound: 3 * time.Second, LostAfter: 1500 * time.Millisecond,
+		Round: 200 * time.Millisecond, Stagger: 80 * time.Millisecond, DeadAfter: 800 * time.Millisecond,
+		ReadsBack: 5 * time.Second, MaxAutonomy: 12 * time.Hour,
+	}
+}
+
+const (
+	// driftMargin covers a clock rate error of 0.1% on both hosts over the
+	// longest interval that two hosts measure (LogBound, 3 s): 6 ms.
+	driftMargin = 6 * time.Millisecond
+	// promiseMargin covers the same error over Promise.
+	promiseMargin = 2 * time.Millisecond
+	// freshRead is the age of the last read up to which a host proposes lists.
+	freshRead = time.Second
+	// pauseGap is the time between two ticks from which on the host assumes
+	// that it was paused and does not hold missing answers against its peers.
+	pauseGap = 150 * time.Millisecond
+	// proposeStagger separates the proposals of live members.
+	proposeStagger = 200 * time.Millisecond
+	// minorityDelay lets the larger side of a partition propose first.
+	minorityDelay = 500 * time.Millisecond
+	// proposeRepeat is the interval of repeated proposals.
+	proposeRepeat = time.Second
+	// joinInterval and maxJoinInterval bound the interval of join attempts. It
+	// doubles after each time the host was dropped from a list again.
+	joinInterval    = 300 * time.Millisecond
+	maxJoinInterval = time.Minute
+	// pledgeTimeout is the time after a pledge from which on the member itself
+	// proposes a list.
+	pledgeTimeout = time.Second
+	// releasePause keeps a host that handed a partition over from leading it
+	// again at once.
+	releasePause = 2 * time.Second
+)
+
+// Config describes a Node.
+type Config struct {
+	Self topology.Member
+	Cell topology.CellID
+	// Partitions is the number of partition indexes that the cell leads.
+	Partitions int
+	Params     Params
+}
+
+// earlierList is a list that may still have supported leaders.
+type earlierList struct {
+	List
+	// replaced is the time at which this host read the oldest later list.
+	replaced time.Duration
+}
+
+type peerState struct {
+	// answered is the time of the last answer; it starts at the first tick
+	// after the list was applied.
+	answered time.Duration
+	lost     bool // recorded ModeLost
+}
+
+// Node is the view of one host of one cell. It is not safe for concurrent use.
+type Node struct {
+	cfg  Config
+	self topology.Member
+
+	list    List
+	earlier []earlierList
+	// coldUntil is the end of the log bound of lists that this host has not
+	// read.
+	coldUntil time.Duration
+	mode      Mode
+	// pledgedFrom is the mode before the first pledge.
+	pledgedFrom Mode
+	pledgedAt   time.Duration
+	peers       map[topology.HostID]*peerState
+
+	hasRead   bool
+	lastRead  time.Duration // send of the last confirmed read, own or relayed
+	goodSince time.Duration // start of an unbroken row of own reads
+	ownRead   time.Duration // send of the last own read
+	appended  time.Duration // last confirmed append of this host; -1 if none
+
+	parts    []*partition
+	releases []TermRequest
+
+	lastTick  time.Duration
+	nextRound time.Duration
+	leaving   bool
+	change    listChange
+	join      joinState
+	// unsafe switches mechanisms off in tests that show that the checks find
+	// the consequence.
+	unsafe unsafeSwitches
+}
+
+// unsafeSwitches are only set by tests.
+type unsafeSwitches struct {
+	ignorePromises bool // support any term at once
+	ignoreLogBound bool // do not limit promises by the log
+	ignoreEarlier  bool // lead under a new list without waiting for earlier ones
+	countReceipt   bool // the leader counts promises from the reply
+}
+
+// NewNode returns a Node that has read no list. The incarnation of cfg.Self
+// must be new for every start of the process.
+func NewNode(cfg Config) *Node {
+	n := &Node{cfg: cfg, self: cfg.Self, appended: -1, peers: make(map[topology.HostID]*peerState)}
+	n.SetPartitions(cfg.Partitions)
+	return n
+}
+
+// SetPartitions changes the number of partition indexes. Promises for indexes
+// that are no longer used stay recorded.
+func (n *Node) SetPartitions(count int) {
+	for len(n.parts) < count {
+		n.parts = append(n.parts, newPartition(len(n.parts)))
+	}
+	n.cfg.Partitions = count
+}
+
+// ApplyList passes an accepted list of the cell after the log was read. The
+// runtime passes every accepted list in order. If it leaves one out, because
+// the log does not keep it any more, this host does not lead under the new list
+// before Params.LogBound has passed. Older lists are ignored.
+func (n *Node) ApplyList(l List, now time.Duration) {
+	if l.Version <= n.list.Version || len(l.Members) == 0 {
+		return
+	}
+	if n.list.Version > 0 {
+		n.earlier = append(n.earlier, earlierList{List: n.list, replaced: now})
+	}
+	if l.Version != n.list.Version+1 {
+		// Lists in between, or before the first one, were not read.
+		n.coldUntil = now + n.cfg.Params.LogBound + driftMargin
+	}
+	wasMember := n.member()
+	l.Members = slices.Clone(l.Members)
+	n.list, n.mode, n.pledgedFrom = l, ModeNormal, ModeNormal
+	n.change, n.releases = listChange{}, nil
+	n.peers = make(map[topology.HostID]*peerState, len(l.Members))
+	for _, m := range l.Members {
+		n.peers[m.Host] = &peerState{answered: now}
+	}
+	for _, p := range n.parts {
+		p.newList(l, now)
+	}
+	n.join.listChanged(wasMember && !n.member(), now)
+	n.nextRound = now
+}
+
+// LogRead reports a confirmed read of the members stream that this host sent
+// at sentAt or later and whose lists were passed to ApplyList. For records
+// that were relayed, sentAt must be a time on the local clock that is not
+// later than the send of the read, for example the send of the request that
+// the relay answered, minus the age in the answer.
+func (n *Node) LogRead(sentAt, now time.Duration) {
+	if !n.hasRead || sentAt-n.ownRead > n.cfg.Params.LostAfter {
+		n.goodSince = sentAt
+	}
+	n.ownRead = max(n.ownRead, sentAt)
+	n.confirmRead(sentAt, now)
+}
+
+func (n *Node) confirmRead(sentAt, now time.Duration) {
+	sentAt = min(sentAt, now)
+	if !n.hasRead || sentAt > n.lastRead {
+		n.hasRead, n.lastRead = true, sentAt
+	}
+}
+
+// AppendConfirmed reports that an append of this host was sent at sentAt and
+// read back.
+func (n *Node) AppendConfirmed(sentAt time.Duration) { n.appended = max(n.appended, sentAt) }
+
+// member reports whether the newest list names this incarnation.
+func (n *Node) member() bool { return n.list.index(n.self) >= 0 }
+
+// Tick advances timers. It must be called at least every 10 ms; a longer gap
+// delays the protocol but breaks no guarantee.
+func (n *Node) Tick(now time.Duration) Actions {
+	if now-n.lastTick > pauseGap {
+		for _, p := range n.peers {
+			p.answered = max(p.answered, now)
+		}
+	}
+	n.lastTick = now
+	n.updateMode(now)
+	n.earlier = slices.DeleteFunc(n.earlier, func(e earlierList) bool {
+		return now >= e.replaced+n.cfg.Params.LogBound+driftMargin
+	})
+	var a Actions
+	if n.member() {
+		start := false
+		for _, p := range n.parts[:n.cfg.Partitions] {
+			start = n.tickPartition(p, now) || start
+		}
+		if start || now >= n.nextRound || len(n.releases) > 0 {
+			a.Support = n.supportRound(now)
+		}
+	}
+	n.tickList(now, &a)
+	return a
+}
+
+func (n *Node) updateMode(now time.Duration) {
+	if n.mode == ModeNormal && n.member() && n.hasRead && now-n.lastRead > n.cfg.Params.LostAfter {
+		n.mode = ModeLost
+	}
+}
+
+// allLost reports whether all members recorded ModeLost for the list.
+func (n *Node) allLost() bool {
+	if n.mode != ModeLost {
+		return false
+	}
+	for h, p := range n.peers {
+		if h != n.self.Host && !p.lost {
+			return false
+		}
+	}
+	return true
+}
+
+// Mode returns the mode of this member.
+func (n *Node) Mode() Mode { return n.mode }
+
+// Leads reports whether this host leads the partition now, and until when. The
+// epoch identifies the leadership: it never names two leaderships, also not
+// two of the same host. Its Home is zero; the caller adds it.
+func (n *Node) Leads(partition int, now time.Duration) (epoch topology.Fence, until time.Duration, ok bool) {
+	if partition < 0 || partition >= n.cfg.Partitions {
+		return topology.Fence{}, 0, false
+	}
+	o := n.parts[partition].lead
+	if o == nil || now >= o.until {
+		return topology.Fence{}, 0, false
+	}
+	return topology.Fence{List: o.list, Term: o.term}, o.until, true
+}
+
+// Leader returns the host that leads the partition as far as this host knows.
+// It is a hint: it may be out of date.
+func (n *Node) Leader(partition int) (topology.Member, bool) {
+	if partition < 0 || partition >= n.cfg.Partitions || len(n.list.Members) == 0 {
+		return topology.Member{}, false
+	}
+	p := n.parts[partition]
+	if p.known {
+		return p.lastLeader, true
+	}
+	return n.list.Leader(partition, 0), true
+}
+
+// Status describes the node for operators.
+func (n *Node) Status(now time.Duration) Status {
+	s := Status{List: n.list, Member: n.member(), Mode: n.mode, AllLost: n.allLost(), LogAge: n.logAge(now)}
+	for _, m := range n.list.Members {
+		if n.dead(m, now) {
+			s.Dead = append(s.Dead, m.Host)
+		}
+	}
+	for _, p := range n.parts[:n.cfg.Partitions] {
+		ps := PartitionStatus{Partition: p.index, Term: p.promise.term}
+		if now < p.promise.until {
+			ps.Supports, ps.SupportLeft = p.promise.to.Host, p.promise.until-now
+		}
+		if _, until, ok := n.Leads(p.index, now); ok {
+			ps.Leads, ps.LeadLeft = true, until-now
+		}
+		s.Partitions = append(s.Partitions, ps)
+	}
+	return s
+}
+
+func (n *Node) logAge(now time.Duration) time.Duration {
+	if !n.hasRead {
+		return -1
+	}
+	return max(0, now-n.lastRead)
+}
--- /dev/null
+++ b/internal/lead/safety_test.go
@@ -0,0 +1,151 @@
+package lead
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+)
+
+// cutLink cuts the link between two hosts.
+func (s *sim) cutLink(a, b *simHost) { s.cut[[2]topology.HostID{a.id, b.id}] = true }
+
+// split cuts the leader and one member off from the log and from the third
+// member, which can still append a list.
+func split(s *sim, l *simHost) {
+	var others []*simHost
+	for _, h := range s.hosts {
+		if h != l {
+			others = append(others, h)
+		}
+	}
+	l.noLog, others[0].noLog = true, true
+	s.isolate(others[1])
+}
+
+// TestMechanisms shows for each mechanism that the check of the simulation
+// finds two leaders when the mechanism is switched off, and none when it is on.
+func TestMechanisms(t *testing.T) {
+	cases := []struct {
+		name string
+		off  unsafeSwitches
+		do   func(s *sim, l *simHost)
+	}{
+		{"a promise excludes other terms", unsafeSwitches{ignorePromises: true}, func(s *sim, l *simHost) {
+			for _, h := range s.hosts {
+				if h != l {
+					s.cutLink(l, h)
+					break
+				}
+			}
+		}},
+		{"promises count from the send", unsafeSwitches{countReceipt: true}, func(s *sim, l *simHost) {
+			// The answers to one round arrive during a pause, later ones are cut off.
+			for l.node.nextRound-l.clock(s.now) < 198*ms {
+				s.run(ms)
+			}
+			l.paused = s.now + 550*ms
+			s.after(5*ms, func() { s.isolate(l) })
+		}},
+		{"the log bounds promises", unsafeSwitches{ignoreLogBound: true}, split},
+		{"a new list waits for earlier ones", unsafeSwitches{ignoreEarlier: true}, split},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			found := false
+			for seed := range uint64(20) {
+				g.Expect(runCase(t, seed, unsafeSwitches{}, c.do)).To(BeEmpty(), "seed %d", seed)
+				found = found || runCase(t, seed, c.off, c.do) != ""
+			}
+			g.Expect(found).To(BeTrue(), "the check does not find the missing mechanism")
+		})
+	}
+}
+
+func runCase(t *testing.T, seed uint64, off unsafeSwitches, do func(*sim, *simHost)) string {
+	s := newSim(t, seed, 3)
+	for _, h := range s.hosts {
+		h.node.unsafe = off
+	}
+	l := s.settle()
+	NewWithT(t).Expect(l).NotTo(BeNil())
+	do(s, l)
+	s.run(8 * time.Second)
+	return s.violation
+}
+
+// TestRandomFaults guards against two leaders under sequences of random
+// faults, and against a cell that does not recover when they have ended.
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		hosts := rapid.IntRange(2, 5).Draw(rt, "hosts")
+		s := newSim(t, rapid.Uint64().Draw(rt, "seed"), hosts)
+		s.settle()
+		for range rapid.IntRange(1, 5).Draw(rt, "faults") {
+			s.randomFault(rt)
+			s.run(time.Duration(rapid.IntRange(1, 4000).Draw(rt, "ms")) * ms)
+		}
+		if s.violation != "" {
+			rt.Fatal(s.violation)
+		}
+		restarted := 0
+		for _, h := range s.hosts {
+			if h.dead || h.node.leaving || h.node.self.Incarnation > 1 {
+				restarted++
+			}
+		}
+		s.heal()
+		s.run(75 * time.Second)
+		if s.violation != "" {
+			rt.Fatal(s.violation)
+		}
+		if last := s.lists[len(s.lists)-1]; restarted == 0 && (s.leader() == nil || len(last.Members) != hosts) {
+			rt.Fatalf("not recovered: list %v", last)
+		}
+	})
+}
+
+func (s *sim) randomFault(rt *rapid.T) {
+	h := s.hosts[rapid.IntRange(0, len(s.hosts)-1).Draw(rt, "host")]
+	o := s.hosts[rapid.IntRange(0, len(s.hosts)-1).Draw(rt, "peer")]
+	switch rapid.IntRange(0, 10).Draw(rt, "fault") {
+	case 0:
+		h.dead = true
+	case 1:
+		h.paused = s.now + time.Duration(rapid.IntRange(10, 6000).Draw(rt, "pause"))*ms
+	case 2:
+		s.isolate(h)
+	case 3:
+		s.cutLink(h, o)
+	case 4:
+		h.noLog = !h.noLog
+	case 5:
+		s.logDown = !s.logDown
+	case 6:
+		s.logSlow = time.Duration(rapid.IntRange(0, 4000).Draw(rt, "slow")) * ms
+	case 7:
+		s.drop, s.jitter = 0.2, 400
+	case 8:
+		s.start(h, h.node.self.Incarnation+1)
+	case 9:
+		h.node.Leave(h.clock(s.now))
+	case 10:
+		clear(s.cut)
+	}
+}
+
+// TestMain fixes the seed and the number of random runs; flags override them.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "30", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
