--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -1,34 +1,58 @@
-// Package control runs the control loops of an entry host: it follows the log,
-// leads partitions and grants shards to servers.
+// Package control is the runtime of the control path of an entry host. It
+// follows the streams of the log, drives the decision packages lead, grant and
+// placement with the clock and with I/O, and holds the tables that the request
+// path reads.
+//
+// Locks: Controller.mu is taken before the locks of streams and of the load
+// meter, and never held during I/O.
 package control
 
 import (
 	"context"
-	"encoding/json"
-	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
-
+	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/config"
+	"github.com/lycheerudder/lycheerudder/internal/dedup"
+	"github.com/lycheerudder/lycheerudder/internal/follow"
 	"github.com/lycheerudder/lycheerudder/internal/hostlist"
+	"github.com/lycheerudder/lycheerudder/internal/lead"
 	"github.com/lycheerudder/lycheerudder/internal/logging"
+	"github.com/lycheerudder/lycheerudder/internal/metrics"
+	"github.com/lycheerudder/lycheerudder/internal/peer"
 	"github.com/lycheerudder/lycheerudder/internal/platformlog"
-	"github.com/lycheerudder/lycheerudder/internal/record"
+	"github.com/lycheerudder/lycheerudder/internal/quarantine"
+	"github.com/lycheerudder/lycheerudder/internal/state"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
 
 const (
-	renewInterval  = 400 * time.Millisecond
-	grantDuration  = 1300 * time.Millisecond
-	readLimit      = 500
-	readWait       = time.Second
-	hostsInterval  = time.Second
-	callTimeout    = 400 * time.Millisecond
-	startupBackoff = 200 * time.Millisecond
+	// tickInterval is the longest time between two ticks of the decision
+	// packages; their delays are multiples of 10 ms.
+	tickInterval  = 10 * time.Millisecond
+	hostsInterval = time.Second
+	// messageTimeout bounds a control message to another host or a server. The
+	// next one follows before that.
+	messageTimeout = 400 * time.Millisecond
+	// leadSlots is the number of leaderships of a cell. A partition uses the
+	// slot that its name hashes to. The slot must not depend on configuration:
+	// hosts that have applied different revisions would disagree on it and
+	// could lead the same partition at the same time. Partitions that share a
+	// slot have the same leader.
+	leadSlots = 8
 )
 
+// Executor is the request path of this host as a leader.
+type Executor interface {
+	HandOver(p topology.PartitionID, epoch topology.Fence) (dedup.HandOver, bool)
+	TakeOver(p topology.PartitionID, epoch topology.Fence, h dedup.HandOver) bool
+	Continue(p topology.PartitionID, from, to topology.Fence) bool
+	ServerDied(server topology.ServerID)
+	Quarantine() *quarantine.Table
+}
+
 // Options configure a Controller.
 type Options struct {
 	Self       topology.Member
@@ -36,129 +60,129 @@
 	Cell       topology.CellID
 	Log        platformlog.Log
 	Hosts      hostlist.Source
+	Metrics    *metrics.Set
+	Clock      clock.Clock
+	// Retention is the time for which the log keeps records.
+	Retention time.Duration
 }
 
-// Controller holds the control state of one entry host.
+// Controller holds the control state of one entry host. It is safe for
+// concurrent use.
 type Controller struct {
-	opts Options
-	log  logging.Logger
-
-	mu      sync.RWMutex
-	config  *config.Document
-	lists   map[topology.DataCentre]record.MemberList
-	hosts   []hostlist.Host
-	leaders map[topology.PartitionID]*leader
+	opts  Options
+	log   logging.Logger
+	clock clock.Clock
+	peers *peer.Pool
+	exec  Executor
+
+	streams streams
+	ready   atomic.Bool // configuration is known
+	closing atomic.Bool // the host is shutting down
+	crashes chan quarantine.Crash
+
+	mu         sync.RWMutex
+	node       *lead.Node
+	config     *config.Document
+	revision   int64
+	lists      map[topology.DataCentre][]state.List
+	hosts      []hostlist.Host
+	addresses  map[topology.HostID]string
+	partitions map[topology.PartitionID]*partition
+	learned    leaderCache
+	proposing  string // id of the proposal that is being appended
 }
 
-// New returns a Controller that has read nothing.
+// New returns a Controller that has read nothing. SetExecutor must be called
+// before Run.
 func New(opts Options) *Controller {
-	return &Controller{
-		opts: opts, log: logging.For(logging.Control),
-		lists:   make(map[topology.DataCentre]record.MemberList),
-		leaders: make(map[topology.PartitionID]*leader),
+	if opts.Metrics == nil {
+		opts.Metrics = metrics.NewSet()
 	}
+	if opts.Clock == nil {
+		opts.Clock = clock.Boot{}
+	}
+	c := &Controller{
+		opts: opts, log: logging.For(logging.Control), clock: opts.Clock, peers: peer.NewPool(),
+		node: lead.NewNode(lead.Config{
+			Self: opts.Self, Cell: opts.Cell, Partitions: leadSlots, Params: lead.DefaultParams(),
+		}),
+		revision: -1, crashes: make(chan quarantine.Crash, maxPendingCrashes),
+		lists:     make(map[topology.DataCentre][]state.List),
+		addresses: make(map[topology.HostID]string), partitions: make(map[topology.PartitionID]*partition),
+		learned: leaderCache{addresses: make(map[topology.PartitionID]string)},
+	}
+	c.streams = newStreams(opts.Cell, opts.Clock)
+	return c
 }
 
+// SetExecutor connects the request path.
+func (c *Controller) SetExecutor(e Executor) { c.exec = e }
+
 // Run runs the loops until the context ends.
 func (c *Controller) Run(ctx context.Context) {
+	defer c.peers.Close()
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){c.followConfig, c.followMembers, c.followHosts, c.lead} {
+	loops := []func(context.Context){
+		c.watchConfig, c.watchMembers, c.watchQuarantine, c.watchHosts, c.tick, c.place, c.publishCrashes,
+	}
+	for _, s := range c.streams.all() {
+		loops = append(loops, follow.NewFollower(c.opts.Log, s).Run,
+			follow.NewSnapshotter(c.opts.Log, s, c.opts.Retention, string(c.opts.Self.Host)).Run)
+	}
+	for _, loop := range loops {
 		wg.Go(func() { loop(ctx) })
 	}
 	wg.Wait()
 }
 
-func (c *Controller) followConfig(ctx context.Context) {
-	c.follow(ctx, record.StreamConfig, func(e record.Envelope) {
-		if e.Kind != record.KindConfig {
-			return
-		}
-		var doc config.Document
-		if err := json.Unmarshal(e.Body, &doc); err != nil {
-			c.log.Error("Configuration record is invalid.", err)
+func (c *Controller) tick(ctx context.Context) {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
 			return
+		case <-t.C:
+			c.step(ctx, func(now time.Duration) lead.Actions { return c.node.Tick(now) })
 		}
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.config = &doc
-	})
+	}
 }
 
-func (c *Controller) followMembers(ctx context.Context) {
-	c.follow(ctx, record.StreamMembers, func(e record.Envelope) {
-		if e.Kind != record.KindMembers {
-			return
-		}
-		var list record.MemberList
-		if err := json.Unmarshal(e.Body, &list); err != nil {
-			c.log.Error("Member list record is invalid.", err)
-			return
-		}
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if old, ok := c.lists[list.DataCentre]; !ok || list.Version == old.Version+1 {
-			c.lists[list.DataCentre] = list
-		}
-	})
+// step runs one event of the leadership under the lock, brings the partitions
+// in line with it, and sends the messages that result.
+func (c *Controller) step(ctx context.Context, event func(now time.Duration) lead.Actions) {
+	c.mu.Lock()
+	now := c.clock.Now()
+	actions := event(now)
+	c.syncPartitions(ctx, now)
+	orders := c.tickPartitions(now)
+	c.mu.Unlock()
+	c.sendLead(ctx, actions, now)
+	c.sendOrders(ctx, orders)
 }
 
-// follow reads a stream from its start and applies each record.
-func (c *Controller) follow(ctx context.Context, stream string, apply func(record.Envelope)) {
-	var next int64
+func (c *Controller) watchHosts(ctx context.Context) {
 	for ctx.Err() == nil {
-		b, err := c.opts.Log.Read(ctx, stream, next, readLimit, readWait)
-		if err != nil {
-			sleep(ctx, startupBackoff)
-			continue
-		}
-		for _, r := range b.Records {
-			next = r.Offset + 1
-			e, err := record.Decode(r.Data)
-			if err != nil || e.Version != record.Version {
-				c.log.With("offset", r.Offset).Warn("Record has an unknown version.")
-				continue
-			}
-			apply(e)
-		}
-		if next >= b.Next && stream == record.StreamMembers {
-			c.joinList(ctx)
+		if hosts, err := c.opts.Hosts.Hosts(ctx); err == nil {
+			c.applyHosts(hosts)
 		}
+		sleep(ctx, hostsInterval)
 	}
 }
 
-// joinList adds this host to its data centre's list if it is missing.
-func (c *Controller) joinList(ctx context.Context) {
-	c.mu.RLock()
-	list, ok := c.lists[c.opts.DataCentre]
-	c.mu.RUnlock()
-	if ok && slices.ContainsFunc(list.Members, func(m topology.Member) bool { return m.Host == c.opts.Self.Host }) {
-		return
-	}
-	next := record.MemberList{
-		Cell: c.opts.Cell, DataCentre: c.opts.DataCentre, Version: list.Version + 1,
-		Members: append(slices.Clone(list.Members), c.opts.Self),
-	}
-	e, err := record.New(record.KindMembers, -1, string(c.opts.Self.Host), next)
-	if err != nil {
-		return
-	}
-	data, err := e.Encode()
-	if err != nil {
-		return
-	}
-	if _, err := c.opts.Log.Append(ctx, record.StreamMembers, data); err != nil {
-		c.log.Error("Member list could not be appended.", eris.Wrap(err, "append"))
-	}
-}
-
-func (c *Controller) followHosts(ctx context.Context) {
-	for ctx.Err() == nil {
-		if hosts, err := c.opts.Hosts.Hosts(ctx); err == nil {
-			c.mu.Lock()
-			c.hosts = hosts
-			c.mu.Unlock()
+// applyHosts takes over the platform's list. Addresses of hosts that are no
+// longer listed are kept, because the list lags.
+func (c *Controller) applyHosts(hosts []hostlist.Host) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hosts = hosts
+	for _, h := range hosts {
+		if h.Role == hostlist.RoleEntry {
+			c.addresses[topology.HostID(h.ID)] = h.Address
 		}
-		sleep(ctx, hostsInterval)
+	}
+	for _, p := range c.partitions {
+		p.setServers(c.serversOf(p.service), c.clock.Now())
 	}
 }
 
--- /dev/null
+++ b/internal/control/leadership.go
@@ -0,0 +1,178 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/lycheerudder/lycheerudder/internal/follow"
+	"github.com/lycheerudder/lycheerudder/internal/lead"
+	"github.com/lycheerudder/lycheerudder/internal/peer"
+	"github.com/lycheerudder/lycheerudder/internal/record"
+	"github.com/lycheerudder/lycheerudder/internal/state"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+)
+
+// proposeTimeout bounds the append of a member list; the proposal is repeated
+// under the same record id after that.
+const proposeTimeout = 3 * time.Second
+
+// Support implements peer.Control.
+func (c *Controller) Support(req lead.SupportRequest) (reply lead.SupportReply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.node.HandleSupport(req, c.clock.Now())
+}
+
+// Pledge implements peer.Control.
+func (c *Controller) Pledge(req lead.PledgeRequest) lead.PledgeReply {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.node.HandlePledge(req, c.clock.Now())
+}
+
+// sendLead sends the messages of one event, which happened at sentAt.
+func (c *Controller) sendLead(ctx context.Context, a lead.Actions, sentAt time.Duration) {
+	for _, m := range a.Support {
+		go c.sendSupport(ctx, m, sentAt)
+	}
+	for _, m := range a.Pledge {
+		go c.sendPledge(ctx, m)
+	}
+	if a.Propose != nil {
+		go c.propose(ctx, *a.Propose)
+	}
+	if a.ProbeLog {
+		go c.probeLog(ctx)
+	}
+}
+
+func (c *Controller) peerOf(host topology.HostID) (*peer.Client, bool) {
+	c.mu.RLock()
+	address, ok := c.addresses[host]
+	c.mu.RUnlock()
+	if !ok {
+		return nil, false
+	}
+	client, err := c.peers.Client(host, address)
+	return client, err == nil
+}
+
+func (c *Controller) sendSupport(ctx context.Context, m lead.SupportTo, sentAt time.Duration) {
+	client, ok := c.peerOf(m.To.Host)
+	if !ok {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, messageTimeout)
+	defer cancel()
+	reply, err := client.Support(call, m.Request)
+	if err != nil {
+		return // the member counts as dead after Params.DeadAfter
+	}
+	c.step(ctx, func(now time.Duration) lead.Actions {
+		c.node.HandleSupportReply(reply, sentAt, now)
+		return lead.Actions{}
+	})
+}
+
+func (c *Controller) sendPledge(ctx context.Context, m lead.PledgeTo) {
+	client, ok := c.peerOf(m.To.Host)
+	if !ok {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, messageTimeout)
+	defer cancel()
+	reply, err := client.Pledge(call, m.Request)
+	if err != nil {
+		return
+	}
+	c.step(ctx, func(now time.Duration) lead.Actions { return c.node.HandlePledgeReply(reply, now) })
+}
+
+// propose appends a member list. One proposal is in flight at a time.
+func (c *Controller) propose(ctx context.Context, p lead.Proposal) {
+	e, err := c.listRecord(p)
+	if err != nil {
+		c.log.Error("Member list cannot be encoded.", err)
+		return
+	}
+	c.mu.Lock()
+	if c.proposing != "" || !c.mayPropose() {
+		c.mu.Unlock()
+		return
+	}
+	c.proposing = e.ID
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	log := c.log.With("list", p.Version).With("reason", p.Reason)
+	sentAt := c.clock.Now()
+	_, err = follow.NewWriter(c.opts.Log, c.streams.members).Append(ctx, e)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.proposing = ""
+	if err != nil {
+		log.Error("Member list is not accepted.", err)
+		return
+	}
+	c.node.AppendConfirmed(sentAt)
+	log.Info("Member list is accepted.")
+}
+
+// mayPropose reports whether this release understands all records about the
+// cell.
+func (c *Controller) mayPropose() (ok bool) {
+	// The stream's lock is taken inside c.mu, as the package's lock order says.
+	c.streams.members.View(func(*state.Fold) { ok = c.streams.membersFold.MayPropose(c.opts.Cell) })
+	return ok
+}
+
+// listRecord returns the record of a proposal. Equal proposals have the same
+// id, so that a repeated append is a duplicate.
+func (c *Controller) listRecord(p lead.Proposal) (record.Envelope, error) {
+	body := record.MemberList{Cell: p.Cell, DataCentre: c.opts.DataCentre, Version: p.Version, Members: p.Members}
+	for _, pl := range p.Pledges {
+		mode := record.ModeNormal
+		if pl.Mode == lead.ModeLost {
+			mode = record.ModeLost
+		}
+		body.Pledges = append(body.Pledges, record.Pledge{
+			List: pl.List, Host: pl.Member.Host, Incarnation: pl.Member.Incarnation, Mode: mode,
+		})
+	}
+	e, err := record.New(record.KindMembers, p.Base, string(c.opts.Self.Host), body)
+	if err != nil {
+		return e, err
+	}
+	key, err := json.Marshal(struct {
+		Self topology.Member
+		Base int64
+		Body json.RawMessage
+	}{c.opts.Self, p.Base, e.Body})
+	e.ID = uuid.NewSHA1(uuid.NameSpaceOID, key).String()
+	return e, err
+}
+
+// probeLog appends a marker to a stream of this host and reads it back. It
+// shows that the log takes appends again before members give pledges.
+func (c *Controller) probeLog(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	stream := "probe." + string(c.opts.Cell)
+	marker := []byte(uuid.NewString())
+	sentAt := c.clock.Now()
+	offset, err := c.opts.Log.Append(ctx, stream, marker)
+	if err != nil {
+		return
+	}
+	b, err := c.opts.Log.Read(ctx, stream, offset, 1, 0)
+	if err != nil || len(b.Records) == 0 || !bytes.Equal(b.Records[0].Data, marker) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.node.AppendConfirmed(sentAt)
+}
--- /dev/null
+++ b/internal/control/routing.go
@@ -0,0 +1,156 @@
+package control
+
+import (
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lycheerudder/lycheerudder/internal/config"
+	"github.com/lycheerudder/lycheerudder/internal/dispatch"
+	"github.com/lycheerudder/lycheerudder/internal/hostlist"
+	"github.com/lycheerudder/lycheerudder/internal/request"
+	"github.com/lycheerudder/lycheerudder/internal/state"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+	"github.com/lycheerudder/lycheerudder/internal/verdict"
+)
+
+// location is where a key belongs.
+type location struct {
+	ref       topology.ShardRef
+	partition topology.PartitionID
+	dc        topology.DataCentre
+	service   config.Service
+}
+
+// slotOf returns the leadership slot of a partition.
+func slotOf(p topology.PartitionID) int { return int(xxhash.Sum64String(string(p)) % leadSlots) }
+
+// cellOf returns the list of the cell that leads a partition. All hosts choose
+// the same one from the same lists: a data centre's cells share its partitions
+// by hash.
+func cellOf(lists []state.List, p topology.PartitionID) (state.List, bool) {
+	if len(lists) == 0 {
+		return state.List{}, false
+	}
+	return lists[int(xxhash.Sum64String(string(p)))%len(lists)], true
+}
+
+// locate returns the shard and the partition of a request's key. c.mu must be
+// held.
+func (c *Controller) locate(service topology.Service, customer topology.Customer, key string) (location, error) {
+	if c.config == nil {
+		return location{}, verdict.New(verdict.CodeNoLeader, verdict.NotRun, "configuration is not known yet")
+	}
+	if _, ok := c.config.Customers[customer]; !ok {
+		return location{}, verdict.New(verdict.CodeUnknownCustomer, verdict.NotRun, "customer %q is not configured", customer)
+	}
+	s, ok := c.config.Services[service]
+	if !ok {
+		return location{}, verdict.New(verdict.CodeUnknownService, verdict.NotRun, "service %q is not configured", service)
+	}
+	ref := topology.ShardRef{Service: service, Shard: topology.ShardOf(customer, service, key, s.Shards)}
+	id, dc, err := c.config.PartitionOf(service, ref.Shard)
+	if err != nil {
+		return location{}, verdict.New(verdict.CodeUnknownService, verdict.NotRun, "%v", err)
+	}
+	return location{ref: ref, partition: id, dc: dc, service: s}, nil
+}
+
+// leaderOf returns the host that leads a partition, as far as this host knows.
+// For its own cell it is the leader that it supports; for other cells it is
+// the first of the list, and the answer of that host has a better hint.
+func (c *Controller) leaderOf(l location) (topology.HostID, bool) {
+	list, ok := cellOf(c.lists[l.dc], l.partition)
+	if !ok {
+		return "", false
+	}
+	if list.Cell == c.opts.Cell {
+		m, known := c.node.Leader(slotOf(l.partition))
+		return m.Host, known
+	}
+	return list.Members[slotOf(l.partition)%len(list.Members)].Host, true
+}
+
+// Route implements dispatch.Routes.
+func (c *Controller) Route(req *request.Request) (dispatch.Route, error) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	l, err := c.locate(req.Service, req.Customer, req.Key)
+	if err != nil {
+		return dispatch.Route{}, err
+	}
+	if address, ok := c.learned.get(l.partition); ok && !c.ownCell(l) {
+		return dispatch.Route{Address: address}, nil
+	}
+	host, ok := c.leaderOf(l)
+	if !ok {
+		return dispatch.Route{}, verdict.New(verdict.CodeNoLeader, verdict.NotRun, "no entry host is known for data centre %s", l.dc)
+	}
+	if host == c.opts.Self.Host {
+		return dispatch.Route{Local: true}, nil
+	}
+	address, ok := c.addresses[host]
+	if !ok {
+		return dispatch.Route{}, verdict.New(verdict.CodeNoLeader, verdict.NotRun, "the address of host %s is not known", host)
+	}
+	return dispatch.Route{Address: address}, nil
+}
+
+// ownCell reports whether this host's cell leads the partition.
+func (c *Controller) ownCell(l location) bool {
+	list, ok := cellOf(c.lists[l.dc], l.partition)
+	return ok && list.Cell == c.opts.Cell
+}
+
+// Learn implements dispatch.Learner.
+func (c *Controller) Learn(req *request.Request, address string) {
+	c.mu.RLock()
+	l, err := c.locate(req.Service, req.Customer, req.Key)
+	c.mu.RUnlock()
+	if err == nil {
+		c.learned.set(l.partition, address)
+	}
+}
+
+// leaderCache remembers the address of the host that last answered for a
+// partition of another cell. Its lock is taken after Controller.mu.
+type leaderCache struct {
+	mu        sync.RWMutex
+	addresses map[topology.PartitionID]string
+}
+
+func (l *leaderCache) get(p topology.PartitionID) (string, bool) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	a, ok := l.addresses[p]
+	return a, ok
+}
+
+// set remembers an address; an empty one forgets it.
+func (l *leaderCache) set(p topology.PartitionID, address string) {
+	if old, ok := l.get(p); old == address && ok == (address != "") {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if address == "" {
+		delete(l.addresses, p)
+		return
+	}
+	l.addresses[p] = address
+}
+
+// serversOf returns the listed servers of a service in this data centre,
+// ordered by id. c.mu must be held.
+func (c *Controller) serversOf(service topology.Service) []hostlist.Host {
+	var servers []hostlist.Host
+	for _, h := range c.hosts {
+		if h.Role == hostlist.RoleServer && h.Service == service && h.DataCentre == c.opts.DataCentre {
+			servers = append(servers, h)
+		}
+	}
+	slices.SortFunc(servers, func(a, b hostlist.Host) int { return strings.Compare(a.ID, b.ID) })
+	return servers
+}
--- /dev/null
+++ b/internal/control/streams.go
@@ -0,0 +1,167 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/lycheerudder/lycheerudder/internal/clock"
+	"github.com/lycheerudder/lycheerudder/internal/config"
+	"github.com/lycheerudder/lycheerudder/internal/follow"
+	"github.com/lycheerudder/lycheerudder/internal/lead"
+	"github.com/lycheerudder/lycheerudder/internal/quarantine"
+	"github.com/lycheerudder/lycheerudder/internal/record"
+	"github.com/lycheerudder/lycheerudder/internal/request"
+	"github.com/lycheerudder/lycheerudder/internal/state"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+)
+
+const (
+	maxPendingCrashes = 256
+	crashTimeout      = 30 * time.Second
+)
+
+// streams are this host's copies of the log's streams.
+type streams struct {
+	config, members, assign, quarantine *follow.Stream
+
+	configFold     *state.Config
+	membersFold    *state.Members
+	assignFold     *state.Assign
+	quarantineFold *state.Quarantine
+}
+
+func newStreams(cell topology.CellID, clk clock.Clock) streams {
+	s := streams{
+		configFold: state.NewConfig(), membersFold: state.NewMembers(),
+		assignFold: state.NewAssign(cell), quarantineFold: state.NewQuarantine(),
+	}
+	s.config = follow.NewStream(s.configFold.Fold, clk)
+	s.members = follow.NewStream(s.membersFold.Fold, clk)
+	s.assign = follow.NewStream(s.assignFold.Fold, clk)
+	s.quarantine = follow.NewStream(s.quarantineFold.Fold, clk)
+	return s
+}
+
+func (s *streams) all() []*follow.Stream {
+	return []*follow.Stream{s.config, s.members, s.assign, s.quarantine}
+}
+
+// watch calls apply after every change of a stream.
+func watch(ctx context.Context, s *follow.Stream, apply func()) {
+	for ctx.Err() == nil {
+		changed := s.Changed()
+		apply()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (c *Controller) watchConfig(ctx context.Context) {
+	watch(ctx, c.streams.config, func() {
+		var doc *config.Document
+		var rev state.Revision
+		c.streams.config.View(func(*state.Fold) { doc, rev = c.streams.configFold.Document() })
+		if doc == nil {
+			return
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if rev.Offset > c.revision {
+			c.config, c.revision = doc, rev.Offset
+			c.ready.Store(true)
+			c.log.With("revision", rev.Offset).Info("Configuration is in force.")
+		}
+	})
+}
+
+func (c *Controller) watchMembers(ctx context.Context) {
+	watch(ctx, c.streams.members, func() {
+		// The read must be confirmed before the state is looked at, so that the
+		// lists are at least as new as the read.
+		sent, confirmed := c.streams.members.Confirmed()
+		var lists []state.List
+		c.streams.members.View(func(*state.Fold) { lists = c.streams.membersFold.Lists() })
+		c.step(ctx, func(now time.Duration) lead.Actions {
+			c.applyLists(lists, now)
+			if confirmed {
+				c.node.LogRead(sent, now)
+			}
+			return lead.Actions{}
+		})
+	})
+}
+
+func (c *Controller) applyLists(lists []state.List, now time.Duration) {
+	clear(c.lists)
+	for _, l := range lists {
+		c.lists[l.DataCentre] = append(c.lists[l.DataCentre], l)
+		if l.Cell == c.opts.Cell {
+			c.node.ApplyList(lead.List{Version: l.Version, Members: l.Members, Offset: l.Revision.Offset}, now)
+		}
+	}
+}
+
+func (c *Controller) watchQuarantine(ctx context.Context) {
+	watch(ctx, c.streams.quarantine, func() {
+		var list []quarantine.Crash
+		c.streams.quarantine.View(func(*state.Fold) { list = crashesOf(c.streams.quarantineFold) })
+		c.exec.Quarantine().Import(list)
+	})
+}
+
+func crashesOf(fold *state.Quarantine) []quarantine.Crash {
+	var list []quarantine.Crash
+	for fp, crashes := range fold.All() {
+		content, ok := request.ParseDigest(string(fp))
+		if !ok {
+			continue
+		}
+		for _, cr := range crashes {
+			list = append(list, quarantine.Crash{
+				ID: quarantine.CrashID(cr.Server, cr.Incarnation), Content: content,
+				Server: cr.Server, Incarnation: cr.Incarnation, At: time.UnixMilli(cr.At),
+			})
+		}
+	}
+	return list
+}
+
+// PublishCrash queues a crash for the log. It does not block: when the queue
+// is full because the log is down, the record is dropped and the count stays
+// with this host and its hand-overs.
+func (c *Controller) PublishCrash(cr quarantine.Crash) {
+	select {
+	case c.crashes <- cr:
+	default:
+		c.log.With("server", cr.Server).Warn("Crash record is dropped, because the queue is full.")
+	}
+}
+
+func (c *Controller) publishCrashes(ctx context.Context) {
+	w := follow.NewWriter(c.opts.Log, c.streams.quarantine)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case cr := <-c.crashes:
+			c.appendCrash(ctx, w, cr)
+		}
+	}
+}
+
+func (c *Controller) appendCrash(ctx context.Context, w *follow.Writer, cr quarantine.Crash) {
+	e, err := record.New(record.KindCrashes, record.NoBase, string(c.opts.Self.Host), record.Crashes{Suspects: []record.Crash{{
+		Fingerprint: record.Fingerprint(cr.Content.String()), Server: cr.Server, Incarnation: cr.Incarnation, At: cr.At.UnixMilli(),
+	}}})
+	if err != nil {
+		c.log.Error("Crash record cannot be encoded.", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, crashTimeout)
+	defer cancel()
+	if _, err := w.Append(ctx, e); err != nil {
+		c.log.Error("Crash record cannot be appended.", err)
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -42,6 +42,13 @@
 	Route(req *request.Request) (Route, error)
 }
 
+// Learner is implemented by Routes that remember which host answered for a
+// partition, so that later requests do not follow a hint again. An empty
+// address means that the last remembered host was wrong.
+type Learner interface {
+	Learn(req *request.Request, address string)
+}
+
 // Peer forwards requests to one host.
 type Peer interface {
 	request.Doer
@@ -148,9 +155,13 @@
 		ans, err = d.forward(ctx, route.Address, req)
 	}
 	if err == nil {
+		d.learn(req, route.Address)
 		return ans, true, nil
 	}
 	e := verdict.From(err)
+	if e.Code == verdict.CodeNotLeader || e.Code == verdict.CodeNoLeader {
+		d.learn(req, "")
+	}
 	if !repeatable(e) {
 		return nil, true, e
 	}
@@ -164,6 +175,12 @@
 	return nil, false, nil
 }
 
+func (d *Dispatcher) learn(req *request.Request, address string) {
+	if l, ok := d.opts.Routes.(Learner); ok {
+		l.Learn(req, address)
+	}
+}
+
 // route chooses the host of the next attempt; send is false if there is none
 // yet. A new leader in the routes ends the wait for a move or failover. Sending
 // to a host that refused already, or to a host that only the refusal named, is
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -24,7 +24,9 @@
 // Target is the server that a request is sent to, and the grant that it holds.
 type Target struct {
 	Server topology.ServerID
-	Base   string
+	// Incarnation is the server's process; zero if it is not known.
+	Incarnation topology.Incarnation
+	Base        string
 	Ref    topology.ShardRef
 	Fence  topology.Fence
 	// NotAfter is the wall clock time after which the server must not start
--- a/internal/execute/flights.go
+++ b/internal/execute/flights.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lycheerudder/lycheerudder/internal/clock"
+	"github.com/lycheerudder/lycheerudder/internal/exchange"
 	"github.com/lycheerudder/lycheerudder/internal/request"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
@@ -17,6 +18,7 @@
 // flight is a request at a server.
 type flight struct {
 	server  topology.ServerID
+	process topology.Incarnation
 	content request.Digest
 	// counted is set when the flight was reported as a suspect.
 	counted bool
@@ -37,8 +39,9 @@
 	return &flights{clk: clk, servers: make(map[topology.ServerID]map[*flight]struct{})}
 }
 
-func (f *flights) start(server topology.ServerID, content request.Digest) *flight {
-	fl := &flight{server: server, content: content}
+func (f *flights) start(t exchange.Target, content request.Digest) *flight {
+	server := t.Server
+	fl := &flight{server: server, process: t.Incarnation, content: content}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	set, ok := f.servers[server]
@@ -71,24 +74,25 @@
 	}
 }
 
-// died returns the contents that were in flight when the server died. Each
-// flight is returned once, and each content once per crash.
-func (f *flights) died(server topology.ServerID) []request.Digest {
+// died returns the contents that were in flight when the server died, and the
+// newest incarnation that they were sent to. Each flight is returned once, and
+// each content once per crash.
+func (f *flights) died(server topology.ServerID) (process topology.Incarnation, suspects []request.Digest) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	set := f.servers[server]
 	f.dropOld(set, f.clk.Now())
 	seen := make(map[request.Digest]bool)
-	var out []request.Digest
 	for fl := range set {
 		if !fl.counted && !seen[fl.content] {
 			seen[fl.content] = true
-			out = append(out, fl.content)
+			suspects = append(suspects, fl.content)
+			process = max(process, fl.process)
 		}
 		fl.counted = true
 		if fl.lost {
 			delete(set, fl)
 		}
 	}
-	return out
+	return process, suspects
 }
--- a/internal/execute/send.go
+++ b/internal/execute/send.go
@@ -33,7 +33,7 @@
 }
 
 func (s *Service) send(ctx context.Context, c *call, t exchange.Target, slot *admission.Slot, ticket *dedup.Ticket) (*request.Answer, error) {
-	snd := &sending{s: s, target: t, slot: slot, flight: s.flights.start(t.Server, c.digest)}
+	snd := &sending{s: s, target: t, slot: slot, flight: s.flights.start(t, c.digest)}
 	queued := time.Since(c.start)
 	ans, err := s.opts.Servers.Do(ctx, t, c.req)
 	if err != nil {
--- a/internal/execute/term.go
+++ b/internal/execute/term.go
@@ -95,8 +95,8 @@
 // control path calls it when it sees a new incarnation or the end of the
 // server, before it grants the server's shards elsewhere.
 func (s *Service) ServerDied(server topology.ServerID) {
-	if suspects := s.flights.died(server); len(suspects) > 0 {
-		s.crashes.Crashed(server, suspects)
+	if process, suspects := s.flights.died(server); len(suspects) > 0 {
+		s.crashes.Crashed(server, process, suspects)
 	}
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -65,7 +65,7 @@
 	if err := config.ValidateChange(prev, next); err != nil {
 		return state.Revision{}, err
 	}
-	e, err := record.New(record.KindConfig, rev.Offset, o.writer, config.Diff(prev, next))
+	e, err := record.New(record.KindConfigChange, rev.Offset, o.writer, config.Diff(prev, next))
 	if err != nil {
 		return state.Revision{}, err
 	}
--- /dev/null
+++ b/internal/peer/control.go
@@ -0,0 +1,181 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/lycheerudder/lycheerudder/internal/dedup"
+	"github.com/lycheerudder/lycheerudder/internal/lead"
+	"github.com/lycheerudder/lycheerudder/internal/peer/peerpb"
+	"github.com/lycheerudder/lycheerudder/internal/quarantine"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+	"github.com/lycheerudder/lycheerudder/internal/verdict"
+)
+
+// HandOver is what a leader passes to the leader of the next term.
+type HandOver struct {
+	Partition topology.PartitionID
+	// Epoch is the leadership that ends.
+	Epoch   topology.Fence
+	IDs     dedup.HandOver
+	Crashes []quarantine.Crash
+}
+
+// Control answers the control messages of other entry hosts.
+type Control interface {
+	Support(req lead.SupportRequest) lead.SupportReply
+	Pledge(req lead.PledgeRequest) lead.PledgeReply
+	// HandOver returns false if the receiver is not the next leader.
+	HandOver(h HandOver) bool
+}
+
+// Support implements the support call.
+func (s *Server) Support(_ context.Context, p *peerpb.SupportRequest) (*peerpb.SupportResponse, error) {
+	req := lead.SupportRequest{
+		Cell: topology.CellID(p.Cell), From: member(p.Host, p.Incarnation), List: p.List, Mode: lead.Mode(p.Mode),
+	}
+	for _, t := range p.Terms {
+		req.Terms = append(req.Terms, lead.TermRequest{Partition: int(t.PartitionIndex), Term: t.Term, Release: t.Release})
+	}
+	r := s.control.Support(req)
+	resp := &peerpb.SupportResponse{
+		Host: string(r.From.Host), Incarnation: uint64(r.From.Incarnation), List: r.List, Mode: uint32(r.Mode), LogAgeUs: -1,
+	}
+	if r.LogAge >= 0 {
+		resp.LogAgeUs = ceilMicros(r.LogAge)
+	}
+	for _, t := range r.Terms {
+		resp.Terms = append(resp.Terms, &peerpb.TermReply{
+			PartitionIndex: uint32(t.Partition), Term: t.Term, Granted: t.Granted, SupportedTerm: t.Supported, ForUs: t.For.Microseconds(),
+		})
+	}
+	return resp, nil
+}
+
+// ceilMicros rounds up, because a read must not look younger than it is.
+func ceilMicros(d time.Duration) int64 {
+	return int64((d + time.Microsecond - 1) / time.Microsecond)
+}
+
+// Pledge implements the pledge call.
+func (s *Server) Pledge(_ context.Context, p *peerpb.PledgeRequest) (*peerpb.PledgeResponse, error) {
+	r := s.control.Pledge(lead.PledgeRequest{Cell: topology.CellID(p.Cell), From: member(p.Host, p.Incarnation), List: p.List})
+	return &peerpb.PledgeResponse{
+		Pledged: r.Pledged, Host: string(r.Pledge.Member.Host), Incarnation: uint64(r.Pledge.Member.Incarnation),
+		List: r.Pledge.List, Mode: uint32(r.Pledge.Mode),
+	}, nil
+}
+
+// HandOver implements the hand-over call.
+func (s *Server) HandOver(_ context.Context, p *peerpb.HandOverRequest) (*peerpb.HandOverResponse, error) {
+	h, err := decodeHandOver(p)
+	if err != nil {
+		return &peerpb.HandOverResponse{}, nil //nolint:nilerr // a void hand-over is not accepted
+	}
+	return &peerpb.HandOverResponse{Accepted: s.control.HandOver(h)}, nil
+}
+
+// Support sends a support request.
+func (c *Client) Support(ctx context.Context, req lead.SupportRequest) (lead.SupportReply, error) {
+	p := &peerpb.SupportRequest{
+		Cell: string(req.Cell), Host: string(req.From.Host), Incarnation: uint64(req.From.Incarnation), List: req.List, Mode: uint32(req.Mode),
+	}
+	for _, t := range req.Terms {
+		p.Terms = append(p.Terms, &peerpb.TermRequest{PartitionIndex: uint32(t.Partition), Term: t.Term, Release: t.Release})
+	}
+	resp, err := c.rpc.Support(ctx, p)
+	if err != nil {
+		return lead.SupportReply{}, eris.Wrap(err, "support")
+	}
+	r := lead.SupportReply{From: member(resp.Host, resp.Incarnation), List: resp.List, Mode: lead.Mode(resp.Mode), LogAge: -1}
+	if resp.LogAgeUs >= 0 {
+		r.LogAge = time.Duration(resp.LogAgeUs) * time.Microsecond
+	}
+	for _, t := range resp.Terms {
+		r.Terms = append(r.Terms, lead.TermReply{
+			Partition: int(t.PartitionIndex), Term: t.Term, Granted: t.Granted, Supported: t.SupportedTerm, For: time.Duration(t.ForUs) * time.Microsecond,
+		})
+	}
+	return r, nil
+}
+
+// Pledge asks for a pledge.
+func (c *Client) Pledge(ctx context.Context, req lead.PledgeRequest) (lead.PledgeReply, error) {
+	resp, err := c.rpc.Pledge(ctx, &peerpb.PledgeRequest{
+		Cell: string(req.Cell), List: req.List, Host: string(req.From.Host), Incarnation: uint64(req.From.Incarnation),
+	})
+	if err != nil {
+		return lead.PledgeReply{}, eris.Wrap(err, "pledge")
+	}
+	return lead.PledgeReply{Pledged: resp.Pledged, Pledge: lead.Pledge{
+		List: resp.List, Member: member(resp.Host, resp.Incarnation), Mode: lead.Mode(resp.Mode),
+	}}, nil
+}
+
+// HandOver passes the memory of a partition on. It returns false if the other
+// host did not take it.
+func (c *Client) HandOver(ctx context.Context, h HandOver) (bool, error) {
+	p, err := encodeHandOver(h)
+	if err != nil {
+		return false, err
+	}
+	resp, err := c.rpc.HandOver(ctx, p)
+	if err != nil {
+		return false, eris.Wrap(err, "hand-over")
+	}
+	return resp.Accepted, nil
+}
+
+func member(host string, incarnation uint64) topology.Member {
+	return topology.Member{Host: topology.HostID(host), Incarnation: topology.Incarnation(incarnation)}
+}
+
+func encodeHandOver(h HandOver) (*peerpb.HandOverRequest, error) {
+	crashes, err := json.Marshal(h.Crashes)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode crash records")
+	}
+	p := &peerpb.HandOverRequest{
+		Partition: string(h.Partition), Epoch: h.Epoch.String(), SinceUs: h.IDs.Since.UnixMicro(), Crashes: crashes,
+	}
+	for _, r := range h.IDs.Records {
+		o := r.Outcome
+		p.Ids = append(p.Ids, &peerpb.IDRecord{
+			Id: r.ID, Digest: r.Digest[:], Verdict: uint32(o.Verdict), Status: int32(o.Status), ContentType: o.ContentType,
+			Server: string(o.Server), Fence: o.Fence.String(), Stored: o.Stored, Body: o.Body, AgeUs: r.Age.Microseconds(),
+		})
+	}
+	return p, nil
+}
+
+func decodeHandOver(p *peerpb.HandOverRequest) (HandOver, error) {
+	epoch, err := topology.ParseFence(p.Epoch)
+	if err != nil {
+		return HandOver{}, err
+	}
+	h := HandOver{
+		Partition: topology.PartitionID(p.Partition), Epoch: epoch,
+		IDs: dedup.HandOver{Since: time.UnixMicro(p.SinceUs), Records: make([]dedup.Record, 0, len(p.Ids))},
+	}
+	if err := json.Unmarshal(p.Crashes, &h.Crashes); err != nil {
+		return HandOver{}, eris.Wrap(err, "decode crash records")
+	}
+	for _, r := range p.Ids {
+		fence, err := topology.ParseFence(r.Fence)
+		if err != nil {
+			return HandOver{}, err
+		}
+		rec := dedup.Record{ID: r.Id, Age: time.Duration(r.AgeUs) * time.Microsecond, Outcome: dedup.Outcome{
+			Verdict: verdict.Verdict(r.Verdict), Status: int(r.Status), ContentType: r.ContentType,
+			Server: topology.ServerID(r.Server), Fence: fence, Stored: r.Stored, Body: r.Body,
+		}}
+		if copy(rec.Digest[:], r.Digest) != len(rec.Digest) {
+			return HandOver{}, eris.New("digest of an id has the wrong length")
+		}
+		h.IDs.Records = append(h.IDs.Records, rec)
+	}
+	return h, nil
+}
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -31,8 +31,9 @@
 // Server is the receiving side of the peer interface.
 type Server struct {
 	peerpb.UnimplementedPeerServer
-	doer  request.Doer
-	relay Relay
+	doer    request.Doer
+	relay   Relay
+	control Control
 }
 
 // Relay serves subscribers of the log's streams.
@@ -55,6 +56,12 @@
 // NewServer returns a server that executes forwarded requests with doer.
 func NewServer(doer request.Doer) *Server { return &Server{doer: doer} }
 
+// WithControl passes control messages to c. Without it they must not arrive.
+func (s *Server) WithControl(c Control) *Server {
+	s.control = c
+	return s
+}
+
 // Do implements the unary forward call.
 func (s *Server) Do(ctx context.Context, p *peerpb.Request) (*peerpb.Response, error) {
 	ctx, cancel := bound(ctx, p)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -33,11 +34,12 @@
 
 // Crash is the record of one suspect of one crash.
 type Crash struct {
-	// ID is unique, so that a record counts once although it arrives from the
-	// log and in a hand-over.
-	ID      string            `json:"id"`
-	Content request.Digest    `json:"content"`
-	Server  topology.ServerID `json:"server"`
+	// ID is the same in all records of one crash, so that it counts once
+	// although it arrives from the log and in a hand-over.
+	ID          string               `json:"id"`
+	Content     request.Digest       `json:"content"`
+	Server      topology.ServerID    `json:"server"`
+	Incarnation topology.Incarnation `json:"incarnation"`
 	// At is the wall clock time of the crash.
 	At time.Time `json:"at"`
 }
@@ -99,10 +101,19 @@
 	return until
 }
 
+// CrashID returns the id of the crash of one incarnation of a server. An
+// unknown incarnation (zero) gets a unique id.
+func CrashID(server topology.ServerID, inc topology.Incarnation) string {
+	if inc == 0 {
+		return uuid.NewString()
+	}
+	return fmt.Sprintf("%s#%d", server, inc)
+}
+
 // Crashed counts a crash of a server for each suspect and publishes it.
-func (t *Table) Crashed(server topology.ServerID, suspects []request.Digest) {
+func (t *Table) Crashed(server topology.ServerID, inc topology.Incarnation, suspects []request.Digest) {
 	for _, content := range suspects {
-		c := Crash{ID: uuid.NewString(), Content: content, Server: server, At: t.wall()}
+		c := Crash{ID: CrashID(server, inc), Content: content, Server: server, Incarnation: inc, At: t.wall()}
 		t.Apply(c)
 		t.publish(c)
 	}
--- a/internal/request/id.go
+++ b/internal/request/id.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"encoding/hex"
 	"fmt"
 	"time"
 
@@ -46,6 +47,18 @@
 // service, customer, key, method, path and body.
 type Digest [16]byte
 
+// String returns the digest in hexadecimal.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
+// ParseDigest reads the form that Digest.String writes.
+func ParseDigest(s string) (Digest, bool) {
+	raw, err := hex.DecodeString(s)
+	if err != nil || len(raw) != len(Digest{}) {
+		return Digest{}, false
+	}
+	return Digest(raw), true
+}
+
 // Digest returns the digest of the request with the given body.
 func (r *Request) Digest(body []byte) Digest {
 	head := make([]byte, 0, 256)
--- a/internal/state/quarantine.go
+++ b/internal/state/quarantine.go
@@ -55,6 +55,17 @@
 	return n
 }
 
+// All returns the crashes that the fold keeps, by fingerprint.
+func (q *Quarantine) All() map[record.Fingerprint][]record.Crash {
+	all := make(map[record.Fingerprint][]record.Crash)
+	for fp, s := range q.machine.(*quarantineMachine).Suspects {
+		for _, c := range s.Crashes {
+			all[fp] = append(all[fp], record.Crash{Fingerprint: fp, Server: c.Server, Incarnation: c.Incarnation, At: c.At})
+		}
+	}
+	return all
+}
+
 type crash struct {
 	Server      topology.ServerID    `json:"server"`
 	Incarnation topology.Incarnation `json:"incarnation"`
