--- /dev/null
+++ b/internal/grant/leader.go
@@ -0,0 +1,324 @@
+package grant
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lycheerudder/lycheerudder/internal/serverapi"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+)
+
+type shard struct {
+	ref    topology.ShardRef
+	except []string
+	state  ShardState
+	server topology.ServerID // owner, or last owner
+	inc    topology.Incarnation
+	to     topology.ServerID
+	fence  topology.Fence
+	// freeAt is the time from which on no server can hold an earlier grant. In
+	// state Waiting the last owner may get the shard before that.
+	freeAt  time.Duration
+	onlyIf  bool // the grant extends one of an earlier leader
+	nextTry time.Duration
+	acked   time.Duration     // receipt of the acknowledgement
+	holder  topology.ServerID // server of the last acknowledged grant
+	inPlace topology.Fence
+	// unavailable since downAt, if down.
+	down   bool
+	downAt time.Duration
+}
+
+// order is one grant or revoke order within an exchange.
+type order struct {
+	shard  *shard
+	fence  topology.Fence
+	revoke bool
+}
+
+// exchange is a lease request without an answer.
+type exchange struct {
+	sent     time.Duration
+	tickSent time.Duration // lower limit of the time of the clock reading
+	duration time.Duration
+	orders   []order
+	drop     []topology.ShardRef // claims to revoke without a shard to follow
+	withHeld bool
+}
+
+type server struct {
+	id       topology.ServerID
+	listed   bool
+	leaving  bool // according to the host list
+	draining bool // according to the server
+	inc      topology.Incarnation
+	adopted  bool // its grants of earlier leaders are known
+	load     serverapi.LoadReport
+
+	// tick is the newest reading of the server's clock. It was read between
+	// tickSent and tickRecv.
+	tick, tickSent, tickRecv time.Duration
+	answered                 bool
+	answeredAt               time.Duration
+	// sure is the time until which the server holds its lease; mayHold is the
+	// time from which on it surely does not.
+	sure, mayHold time.Duration
+
+	open    map[uint64]*exchange
+	waitFor uint64 // newest open request, 0 if answered
+	sentAt  time.Duration
+	due     bool // a renewal is due
+	shards  int
+	drop    []topology.ShardRef
+}
+
+// Leader holds the grants of one leadership. It is not safe for concurrent
+// use.
+type Leader struct {
+	cfg     Config
+	start   time.Duration
+	support time.Duration
+	// deposed is true after a server reported a newer epoch.
+	deposed   bool
+	seq       uint64
+	nextID    uint64
+	nextRound time.Duration
+	servers   []*server
+	shards    []*shard
+	byID      map[topology.ServerID]*server
+	byRef     map[topology.ShardRef]*shard
+	changes   []Change
+	counters  Counters
+	unsafe    unsafeSwitches
+}
+
+// unsafeSwitches are only set by tests that show that their checks find the
+// consequence of a missing mechanism.
+type unsafeSwitches struct {
+	noStartWait bool // grant unclaimed shards at once
+	noGrantWait bool // move shards of a silent server at once
+	noRevoke    bool // move shards without a revoke
+	noOverhang  bool // do not limit grants by the leader's support
+}
+
+// New returns the Leader of a leadership that began at now and is supported
+// until support.
+func New(cfg Config, support, now time.Duration) *Leader {
+	return newLeader(cfg, support, now, unsafeSwitches{})
+}
+
+func newLeader(cfg Config, support, now time.Duration, unsafe unsafeSwitches) *Leader {
+	l := &Leader{
+		cfg: cfg, start: now, support: support, nextRound: now, unsafe: unsafe,
+		byID: make(map[topology.ServerID]*server), byRef: make(map[topology.ShardRef]*shard),
+	}
+	free := now + Overhang + driftMargin + l.exchangeWait()
+	if l.unsafe.noStartWait {
+		free = now
+	}
+	for _, ref := range cfg.Shards {
+		l.addShard(ref, free, now)
+	}
+	return l
+}
+
+func (l *Leader) addShard(ref topology.ShardRef, free, now time.Duration) *shard {
+	s := &shard{ref: ref, freeAt: free, server: l.cfg.Preferred[ref], down: true, downAt: now}
+	l.byRef[ref] = s
+	l.shards = append(l.shards, s)
+	return s
+}
+
+// exchangeWait is the additional wait before a shard moves away from a server
+// that did not acknowledge and does not check fences.
+func (l *Leader) exchangeWait() time.Duration {
+	if l.cfg.ChecksFences {
+		return 0
+	}
+	return l.cfg.MaxExchange
+}
+
+// SetServers passes the servers of the partition from the host list. A server
+// that is no longer listed is treated as leaving.
+func (l *Leader) SetServers(list []Server) {
+	for _, s := range l.servers {
+		s.listed = false
+	}
+	for _, x := range list {
+		s, ok := l.byID[x.ID]
+		if !ok {
+			s = &server{id: x.ID, open: make(map[uint64]*exchange), due: true}
+			l.byID[x.ID] = s
+			l.servers = append(l.servers, s)
+		}
+		s.listed, s.leaving = true, x.Leaving
+	}
+	l.servers = slices.DeleteFunc(l.servers, func(s *server) bool {
+		if s.listed || s.shards > 0 {
+			return false
+		}
+		delete(l.byID, s.id)
+		return true
+	})
+	slices.SortFunc(l.servers, func(a, b *server) int { return strings.Compare(string(a.id), string(b.id)) })
+}
+
+// SetSupport passes the end of the leader's support after every event of
+// lead.Node. Renewals follow a support round, so that grants outlive a loss of
+// the leader for long enough that its successor can extend them.
+func (l *Leader) SetSupport(until, now time.Duration) {
+	if until <= l.support {
+		return
+	}
+	l.support = until
+	if now >= l.nextRound-roundSlack {
+		l.startRound(now)
+	}
+}
+
+// Continue takes over a new epoch of the same host. It returns false if the
+// support had ended; the runtime then starts a new Leader.
+func (l *Leader) Continue(epoch topology.Fence, until, now time.Duration) bool {
+	if now >= l.support || l.deposed || epoch.Compare(l.cfg.Epoch) < 0 {
+		return false
+	}
+	l.cfg.Epoch = epoch.Epoch()
+	l.SetSupport(until, now)
+	return true
+}
+
+func (l *Leader) startRound(now time.Duration) {
+	l.nextRound = now + RenewInterval
+	for _, s := range l.servers {
+		s.due = true
+	}
+}
+
+// leads reports whether the leader may act.
+func (l *Leader) leads(now time.Duration) bool { return now < l.support && !l.deposed }
+
+func (l *Leader) nextFence() topology.Fence {
+	l.seq++
+	f := l.cfg.Epoch
+	f.Seq = l.seq
+	return f
+}
+
+// Tick advances timers and returns the requests to send. It must be called at
+// least every 10 ms while the host leads.
+func (l *Leader) Tick(now time.Duration) []Outgoing {
+	if !l.leads(now) {
+		l.account(now)
+		return nil
+	}
+	if now >= l.nextRound+roundDelay {
+		l.startRound(now)
+	}
+	l.lapse(now)
+	l.drain(now)
+	l.place(now)
+	l.account(now)
+	var out []Outgoing
+	for _, s := range l.servers {
+		out = l.send(s, now, out)
+	}
+	return out
+}
+
+// account keeps the unavailable intervals.
+func (l *Leader) account(now time.Duration) {
+	for _, s := range l.shards {
+		_, _, ok := l.usable(s, now)
+		switch {
+		case ok && s.down:
+			s.down = false
+			l.counters.Unavailable++
+			l.counters.UnavailableTime += now - s.downAt
+		case !ok && !s.down:
+			s.down, s.downAt = true, now
+		}
+	}
+}
+
+func (l *Leader) usable(s *shard, now time.Duration) (*server, time.Duration, bool) {
+	if s.state != Owned || !l.leads(now) {
+		return nil, 0, false
+	}
+	srv := l.byID[s.server]
+	until := min(srv.sure, l.support)
+	return srv, until, now < until
+}
+
+// Owner returns the server that owns the shard, the fence to send with
+// requests, and until when that is certain. It must be called again before
+// every send.
+func (l *Leader) Owner(ref topology.ShardRef, now time.Duration) (id topology.ServerID, fence topology.Fence, until time.Duration, ok bool) {
+	s, found := l.byRef[ref]
+	if !found {
+		return "", topology.Fence{}, 0, false
+	}
+	srv, until, ok := l.usable(s, now)
+	if !ok {
+		return "", topology.Fence{}, 0, false
+	}
+	return srv.id, s.fence, until, true
+}
+
+// Changes returns the assignments that were acknowledged since the last call.
+func (l *Leader) Changes() []Change {
+	c := l.changes
+	l.changes = nil
+	return c
+}
+
+// Recorded reports changes that were read back from the log.
+func (l *Leader) Recorded(changes []Change) {
+	for _, c := range changes {
+		if s, ok := l.byRef[c.Ref]; ok && s.inPlace.Compare(c.Fence) < 0 {
+			s.inPlace = c.Fence
+		}
+	}
+}
+
+// Counters returns the counters of this leadership.
+func (l *Leader) Counters() Counters { return l.counters }
+
+// Deposed reports whether a server has seen a newer leader.
+func (l *Leader) Deposed() bool { return l.deposed }
+
+// CutOff reports that no server has answered for a while. The runtime then
+// releases the partition (lead.Node.Release), because another member may reach
+// the servers; their grants are still valid at that time.
+func (l *Leader) CutOff(now time.Duration) bool {
+	last := l.start
+	for _, s := range l.servers {
+		if s.answered {
+			last = max(last, s.answeredAt)
+		}
+	}
+	return len(l.servers) > 0 && now-last >= cutOffAfter
+}
+
+// Shards describes all shards.
+func (l *Leader) Shards() []ShardStatus {
+	out := make([]ShardStatus, 0, len(l.shards))
+	for _, s := range l.shards {
+		out = append(out, ShardStatus{
+			Ref: s.ref, State: s.state, Server: s.server, To: s.to, Fence: s.fence, FreeAt: s.freeAt,
+			InPlace: s.state == Owned && s.inPlace == s.fence,
+		})
+	}
+	return out
+}
+
+// Servers describes all servers.
+func (l *Leader) Servers(now time.Duration) []ServerStatus {
+	out := make([]ServerStatus, 0, len(l.servers))
+	for _, s := range l.servers {
+		out = append(out, ServerStatus{
+			ID: s.id, Incarnation: s.inc, Answers: s.answers(now), Leaving: s.leaves(), Shards: s.shards, Load: s.load,
+		})
+	}
+	return out
+}
--- a/internal/serverapi/api.go
+++ b/internal/serverapi/api.go
@@ -49,7 +49,9 @@
 }
 
 // RevokeOrder asks the server to give up a shard. The server acknowledges it
-// when no request of the shard is running.
+// when no request of the shard is running, also if it does not hold the shard.
+// After that it refuses grants with an older fence, so that a delayed copy of
+// an earlier grant has no effect.
 type RevokeOrder struct {
 	Ref   topology.ShardRef `json:"ref"`
 	Fence topology.Fence    `json:"fence"`
@@ -65,7 +67,10 @@
 	// Incarnation must be the server's current one.
 	Incarnation topology.Incarnation `json:"incarnation"`
 	// Tick is a reading of the server's clock from an earlier reply. The lease
-	// ends at Tick + Duration on the server's clock.
+	// ends at Tick + Duration on the server's clock. A request with Duration 0
+	// has no orders and need not name the incarnation: the server takes over
+	// the epoch, which ends the effect of delayed requests of earlier leaders,
+	// and reports its state.
 	Tick     time.Duration `json:"tick"`
 	Duration time.Duration `json:"duration"`
 	Grant    []GrantOrder  `json:"grant,omitempty"`
--- a/internal/serverapi/serverfake/server.go
+++ b/internal/serverapi/serverfake/server.go
@@ -4,8 +4,10 @@
 package serverfake
 
 import (
+	"cmp"
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -91,6 +93,9 @@
 		return r, nil
 	}
 	s.epoch = req.Epoch
+	if req.Duration == 0 {
+		return s.reply(req.WithHeld), nil
+	}
 	var refusals []serverapi.Refusal
 	var revoked []topology.ShardRef
 	for _, o := range req.Revoke {
@@ -113,10 +118,12 @@
 
 func (s *Server) refuseAll(req serverapi.LeaseRequest) serverapi.RefusalCode {
 	switch {
-	case req.Incarnation != s.opts.Incarnation:
-		return serverapi.RefusedIncarnation
 	case s.opts.ChecksFences && req.Epoch.Compare(s.epoch) < 0:
 		return serverapi.RefusedEpoch
+	case req.Duration == 0:
+		return ""
+	case req.Incarnation != s.opts.Incarnation:
+		return serverapi.RefusedIncarnation
 	case req.Tick+req.Duration <= s.opts.Clock.Now():
 		return serverapi.RefusedExpired
 	}
@@ -124,16 +131,14 @@
 }
 
 func (s *Server) revoke(o serverapi.RevokeOrder) serverapi.RefusalCode {
-	g, ok := s.grants[o.Ref]
 	switch {
-	case !ok:
-		return "" // already given up, or never held
-	case s.opts.ChecksFences && o.Fence.Compare(g.fence) < 0:
+	case s.opts.ChecksFences && o.Fence.Compare(s.newest[o.Ref]) < 0:
 		return serverapi.RefusedFence
 	case s.running[o.Ref] > 0:
 		return serverapi.RefusedBusy
 	}
 	delete(s.grants, o.Ref)
+	s.newest[o.Ref] = o.Fence
 	return ""
 }
 
@@ -185,11 +190,7 @@
 }
 
 func compareRefs(a, b topology.ShardRef) int {
-	switch {
-	case a.String() < b.String():
-		return -1
-	case a.String() > b.String():
-		return 1
-	}
-	return 0
+	return cmp.Or(
+		strings.Compare(string(a.Service), string(b.Service)), cmp.Compare(a.Shard, b.Shard), strings.Compare(a.Key, b.Key),
+	)
 }
