--- a/spec/leadership.pml
+++ b/spec/leadership.pml
@@ -181,17 +181,32 @@
     i = 0
 }
 
+/*
+ * Wait of a leader of a new list. With APPEND_BEFORE_WAIT the wait starts only
+ * at the acknowledgement of an append that the host sent after it read the
+ * list; until then it does not run.
+ */
+#define NOT_STARTED 255
+#ifdef APPEND_BEFORE_WAIT
+#define WAIT NOT_STARTED
+#elif defined(WEAK_WAIT_FROM_SEND)
+/* Counts from the send of a read that took one tick. */
+#define WAIT (L - 1)
+#else
+#define WAIT L
+#endif
+
 /* The host learns that v is the latest list, from a read with rest r of L. */
 inline learn(h, v, r) {
     if
     :: v > known[h] ->
         if
-        :: known[h] < 2 && v >= 2 && (v < V || (memb[v] & BIT(h))) -> wait2[h] = L
+        :: known[h] < 2 && v >= 2 && (v < V || (memb[v] & BIT(h))) -> wait2[h] = WAIT
         :: else
         fi;
 #if V > 2
         if
-        :: known[h] < 3 && v >= 3 && (memb[v] & BIT(h)) -> wait3[h] = L
+        :: known[h] < 3 && v >= 3 && (memb[v] & BIT(h)) -> wait3[h] = WAIT
         :: else
         fi;
 #endif
@@ -299,6 +314,10 @@
     /* A read may miss a record whose append was not acknowledged. */
     :: d_step { cur > 1 && !acked[cur] && known[me] < cur && rd[me] < L -> learn(me, cur-1, L) }
 #endif
+#ifdef APPEND_BEFORE_WAIT
+    /* An acknowledged append makes every earlier record visible to later reads. */
+    :: d_step { wait2[me] == NOT_STARTED -> wait2[me] = L; acked[cur] = true }
+#endif
 #ifdef RELAY
     :: d_step { relv == 0 && known[me] < V && rd[me] > 0 -> relv = known[me]; relr = rd[me] }
     :: d_step { relv > 0 && relr > 0 -> learn(me, relv, relr); relv = 0; relr = 0 }
@@ -389,7 +408,7 @@
             :: i < H ->
                 rd[i] = (rd[i] > 0 -> rd[i]-1 : 0);
                 pr[i] = (pr[i] > 0 -> pr[i]-1 : 0);
-                wait2[i] = (wait2[i] > 0 -> wait2[i]-1 : 0);
+                wait2[i] = ((wait2[i] > 0 && wait2[i] != NOT_STARTED) -> wait2[i]-1 : wait2[i]);
                 ct[i] = (SUPSET(i) -> ct[i] : 0);
 #if V > 2
                 wait3[i] = (wait3[i] > 0 -> wait3[i]-1 : 0);
