--- a/internal/serverapi/api.go
+++ b/internal/serverapi/api.go
@@ -33,6 +33,10 @@
 	HeaderNotAfter = "Lyr-Not-After"
 	// HeaderVerdict is set by the server: "not-run" or "ran".
 	HeaderVerdict = "Lyr-Verdict"
+	// HeaderExchange is an id that the router chooses for each exchange and that
+	// the server repeats in its answer, so that an answer cannot be taken for
+	// that of another request.
+	HeaderExchange = "Lyr-Exchange"
 	// HeaderError is the server's error code with verdict "not-run".
 	HeaderError = "Lyr-Error"
 )
--- a/internal/serverapi/serverfake/run.go
+++ b/internal/serverapi/serverfake/run.go
@@ -94,6 +94,7 @@
 
 func (s *Server) runHandler(app http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(serverapi.HeaderExchange, r.Header.Get(serverapi.HeaderExchange))
 		ref, err1 := topology.ParseShardRef(r.Header.Get(serverapi.HeaderShard))
 		fence, err2 := topology.ParseFence(r.Header.Get(serverapi.HeaderFence))
 		if err1 != nil || err2 != nil {
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -105,6 +105,12 @@
 	// RetryAfter is the earliest useful time for another attempt; zero if the
 	// caller should not expect a better result.
 	RetryAfter time.Duration
+	// Leader is the peer address of the host that leads the partition, if an
+	// error with CodeNotLeader knows it.
+	Leader string
+	// ServerLost is true if the connection to the server ended during the
+	// exchange. The server may have died.
+	ServerLost bool
 }
 
 // New returns an Error with a formatted message.
