Run requests at most once, in fair queues, with a quarantine

Cause: the leader host sent each request at once. Nothing kept a repeat from running again, limited the requests at a server, or stopped a request that crashes each server that runs it.

Change: - dedup remembers request ids for 120 s with a digest of the content and the outcome, and answers up to 4 KiB. It holds 480,000 ids (about 120 MB) and 64 MiB of answers, and refuses further ids as overload. Export closes it, so that a request that was not exported cannot be sent any more. - quarantine counts crashes per content and blocks at two within 10 min. - admission has the slots of a server, a queue by deadline with weighted fair shares per customer and class, early refusal, a ramp for cold servers and the retry budget. - execute combines them, holds requests while a shard has no owner, and checks owner, leadership and quarantine after the wait. - serverfake counts the runs of each id.

Ids dated ahead of the leader's wall clock wait until their date. Without this the guard of 500 ms after the start of a leadership is too short by the difference of the wall clocks of two hosts.

Ruled out: an estimate of the service time by its mean. Slots are then spent on requests that end at their deadline; the estimate includes three mean deviations.

--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,278 @@
+package admission_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lycheerudder/lycheerudder/internal/admission"
+	"github.com/lycheerudder/lycheerudder/internal/clock"
+	"github.com/lycheerudder/lycheerudder/internal/request"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+	"github.com/lycheerudder/lycheerudder/internal/verdict"
+)
+
+const (
+	work    = 10 * time.Millisecond // mean service time
+	timeout = 500 * time.Millisecond
+)
+
+func newQueue(slots int) *admission.Queue {
+	return admission.NewQueue(admission.Options{Clock: clock.NewProcess(), Slots: slots})
+}
+
+func flow(customer string) admission.Flow {
+	return admission.Flow{Customer: topology.Customer(customer), Class: request.Interactive}
+}
+
+// load is one customer's arrivals: a Poisson process.
+type load struct {
+	customer string
+	rate     float64 // requests per second
+	good     atomic.Int64
+}
+
+// offer runs the loads against a queue for some virtual time. The server stops
+// a request at its deadline; only requests that complete before it are good.
+func offer(t *testing.T, seed uint64, exponential bool, loads ...*load) {
+	q := newQueue(2)
+	const duration = 30 * time.Second
+	var most, busy atomic.Int64
+	for i, l := range loads {
+		go func() {
+			rng := rand.New(rand.NewPCG(seed, uint64(i)))
+			for start := time.Now(); time.Since(start) < duration; {
+				time.Sleep(time.Duration(rng.ExpFloat64() / l.rate * float64(time.Second)))
+				took := work
+				if exponential {
+					took = time.Duration(rng.ExpFloat64() * float64(work))
+				}
+				go func() {
+					ctx, cancel := context.WithTimeout(t.Context(), timeout)
+					defer cancel()
+					s, err := q.Acquire(ctx, flow(l.customer))
+					if err != nil {
+						return
+					}
+					if n := busy.Add(1); n > most.Load() {
+						most.Store(n)
+					}
+					select {
+					case <-time.After(took):
+						l.good.Add(1)
+					case <-ctx.Done():
+					}
+					busy.Add(-1)
+					s.Release(true)
+				}()
+			}
+		}()
+	}
+	time.Sleep(duration + time.Minute)
+	NewWithT(t).Expect(most.Load()).To(BeEquivalentTo(2))
+}
+
+// Guards against goodput that collapses under overload, where slots are spent
+// on requests that miss their deadline. Target: over 90% of that at capacity.
+func TestGoodputUnderOverload(t *testing.T) {
+	for _, exponential := range []bool{false, true} {
+		for seed := range uint64(3) {
+			synctest.Test(t, func(t *testing.T) {
+				at, over := &load{customer: "a", rate: 200}, &load{customer: "a", rate: 400}
+				offer(t, seed, exponential, at)
+				offer(t, seed, exponential, over)
+				ratio := float64(over.good.Load()) / float64(at.good.Load())
+				t.Logf("exponential %t, seed %d: goodput at twice the capacity is %.1f%% of that at capacity", exponential, seed, 100*ratio)
+				NewWithT(t).Expect(ratio).To(BeNumerically(">", 0.9))
+			})
+		}
+	}
+}
+
+// Guards against a customer that takes the slots of others. Four customers use
+// 90% of the capacity; then one of them sends ten times its share. Target: the
+// others lose under 10% of their goodput.
+func TestFairShare(t *testing.T) {
+	for seed := range uint64(3) {
+		synctest.Test(t, func(t *testing.T) {
+			var before, after int64
+			for _, factor := range []float64{1, 10} {
+				loads := []*load{{customer: "a", rate: 45 * factor}, {customer: "b", rate: 45}, {customer: "c", rate: 45}, {customer: "d", rate: 45}}
+				offer(t, seed, true, loads...)
+				before = after
+				after = 0
+				for _, l := range loads[1:] {
+					after += l.good.Load()
+				}
+			}
+			ratio := float64(after) / float64(before)
+			t.Logf("seed %d: the others keep %.1f%% of their goodput", seed, 100*ratio)
+			NewWithT(t).Expect(ratio).To(BeNumerically(">", 0.9))
+		})
+	}
+}
+
+// fill takes all slots and measures the service time once.
+func fill(t *testing.T, q *admission.Queue, slots int) []*admission.Slot {
+	s, err := q.Acquire(t.Context(), flow("x"))
+	NewWithT(t).Expect(err).To(BeNil())
+	time.Sleep(work)
+	s.Release(true)
+	var taken []*admission.Slot
+	for range slots {
+		s, err := q.Acquire(t.Context(), flow("x"))
+		NewWithT(t).Expect(err).To(BeNil())
+		taken = append(taken, s)
+	}
+	return taken
+}
+
+// Guards against the order in which requests with different deadlines, classes
+// and shares are served.
+func TestOrder(t *testing.T) {
+	type arrival struct {
+		name    string
+		flow    admission.Flow
+		timeout time.Duration
+	}
+	background := admission.Flow{Customer: "a", Class: request.Background}
+	for _, c := range []struct {
+		name     string
+		arrivals []arrival
+		want     []string
+	}{
+		{"earliest deadline first", []arrival{{"late", flow("a"), 9 * time.Second}, {"early", flow("a"), 5 * time.Second}}, []string{"early", "late"}},
+		{"customers in turn", []arrival{{"a1", flow("a"), time.Second}, {"a2", flow("a"), 2 * time.Second}, {"b1", flow("b"), 9 * time.Second}}, []string{"a1", "b1", "a2"}},
+		{"interactive four times as often", []arrival{
+			{"b1", background, time.Second}, {"b2", background, time.Second}, {"i1", flow("a"), 4 * time.Second}, {"i2", flow("a"), 5 * time.Second}, {"i3", flow("a"), 6 * time.Second},
+		}, []string{"b1", "i1", "i2", "i3", "b2"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				q := newQueue(1)
+				taken := fill(t, q, 1)
+				served := make(chan string, 9)
+				for _, a := range c.arrivals {
+					go func() {
+						ctx, cancel := context.WithTimeout(t.Context(), a.timeout)
+						defer cancel()
+						s, err := q.Acquire(ctx, a.flow)
+						if err != nil {
+							served <- err.Error()
+							return
+						}
+						served <- a.name
+						time.Sleep(work)
+						s.Release(true)
+					}()
+					synctest.Wait()
+				}
+				taken[0].Release(false)
+				for _, want := range c.want {
+					NewWithT(t).Expect(<-served).To(Equal(want))
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// Guards against slots that are lost or given twice when a wait ends early, and
+// against a wrong verdict of a request that was never sent.
+func TestRefusals(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		timeout time.Duration
+		cancel  bool
+		code    verdict.Code
+	}{
+		{"wait does not fit", 15 * time.Millisecond, false, verdict.CodeOverload},
+		{"deadline in the queue", time.Second, false, verdict.CodeDeadline},
+		{"cancelled in the queue", time.Second, true, verdict.CodeCancelled},
+		{"deadline has passed", -time.Second, false, verdict.CodeDeadline},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				q := newQueue(2)
+				taken := fill(t, q, 2)
+				ctx, cancel := context.WithTimeout(t.Context(), c.timeout)
+				defer cancel()
+				if c.cancel {
+					time.AfterFunc(time.Millisecond, cancel)
+				}
+				_, err := q.Acquire(ctx, flow("a"))
+				g.Expect(err.Code).To(Equal(c.code))
+				g.Expect(err.Verdict).To(Equal(verdict.NotRun))
+				for _, s := range taken {
+					s.Release(false)
+					s.Release(false) // the second call has no effect
+				}
+				busy, waiting := q.InUse()
+				g.Expect([]int{busy, waiting}).To(Equal([]int{0, 0}))
+			})
+		})
+	}
+}
+
+// Guards against full load on a cold server, and against a slot that is free
+// while its server may still run an abandoned request.
+func TestSlotLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		q := newQueue(4)
+		q.Cold()
+		for _, want := range []int{1, 2, 3, 4} {
+			var held []*admission.Slot
+			for {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+				s, err := q.Acquire(ctx, flow("a"))
+				cancel()
+				if err != nil {
+					break
+				}
+				held = append(held, s)
+			}
+			g.Expect(held).To(HaveLen(want))
+			for _, s := range held {
+				s.Release(false)
+			}
+			time.Sleep(2500 * time.Millisecond)
+		}
+		s, _ := q.Acquire(t.Context(), flow("a"))
+		s.ReleaseAfter(time.Second)
+		time.Sleep(time.Second - 1)
+		busy, _ := q.InUse()
+		g.Expect(busy).To(Equal(1))
+		time.Sleep(time.Nanosecond)
+		synctest.Wait()
+		busy, _ = q.InUse()
+		g.Expect(busy).To(Equal(0))
+	})
+}
+
+// Guards against a storm of retries: 10% of the requests of 10 s.
+func TestBudget(t *testing.T) {
+	g := NewWithT(t)
+	clk := &clock.Manual{}
+	b := admission.NewBudget(clk)
+	g.Expect(b.Retry("s")).To(BeFalse())
+	allowed := 0
+	for i := range 990 { // all within the window of ten buckets
+		clk.Advance(10 * time.Millisecond)
+		b.Request("s")
+		if b.Retry("s") {
+			allowed++
+		}
+		g.Expect(allowed * 10).To(BeNumerically("<=", i+1))
+	}
+	g.Expect(allowed).To(Equal(99))
+	g.Expect(b.Retry("other")).To(BeFalse())
+	clk.Advance(11 * time.Second)
+	g.Expect(b.Retry("s")).To(BeFalse(), "old requests do not count")
+}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -23,6 +23,7 @@
 	servers map[topology.ServerID]*serverState
 	owners  map[topology.ShardRef]ownership
 	seq     uint64
+	since   time.Time // start of the leadership
 }
 
 type serverState struct {
@@ -85,7 +86,7 @@
 	id := topology.PartitionName(service, c.opts.DataCentre, 0)
 	l, ok := c.leaders[id]
 	if !ok {
-		l = &leader{servers: make(map[topology.ServerID]*serverState), owners: make(map[topology.ShardRef]ownership)}
+		l = &leader{servers: make(map[topology.ServerID]*serverState), owners: make(map[topology.ShardRef]ownership), since: time.Now()}
 		c.leaders[id] = l
 	}
 	epoch := topology.Fence{List: c.lists[c.opts.DataCentre].Version}
@@ -207,7 +208,7 @@
 	if !ok || time.Now().After(l.servers[o.server].until) {
 		return exchange.Target{}, verdict.New(verdict.CodeNoOwner, verdict.NotRun, "shard %s has no owner", ref).WithRetry(renewInterval)
 	}
-	return exchange.Target{Server: o.server, Base: "http://" + l.servers[o.server].host.Address, Ref: ref, Fence: o.fence}, nil
+	return exchange.Target{Server: o.server, Base: "http://" + l.servers[o.server].host.Address, Ref: ref, Fence: o.fence, Partition: id, Since: l.since}, nil
 }
 
 // Route implements dispatch.Routes.
--- /dev/null
+++ b/internal/dedup/handover.go
@@ -0,0 +1,78 @@
+package dedup
+
+import (
+	"cmp"
+	"encoding/hex"
+	"slices"
+	"time"
+
+	"github.com/lycheerudder/lycheerudder/internal/request"
+	"github.com/lycheerudder/lycheerudder/internal/verdict"
+)
+
+// Record is one id in a hand-over.
+type Record struct {
+	// ID is the id with its scope, in hexadecimal.
+	ID      string
+	Digest  request.Digest
+	Outcome Outcome
+	// Age is the time since the id was claimed.
+	Age time.Duration
+}
+
+// HandOver is the content of a Memory. It must reach the next leader as a
+// whole.
+type HandOver struct {
+	// Since is the start of the knowledge: ids that were created earlier and
+	// are not in Records may have run.
+	Since   time.Time
+	Records []Record
+}
+
+// Export closes the memory and returns its content: no request is sent from
+// here afterwards. A request in flight that was sent is exported as may have
+// run; one that still waits is left out and will end as not run.
+func (m *Memory) Export() HandOver {
+	now := m.opts.Clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expire(now)
+	m.closed = true
+	h := HandOver{Since: m.since}
+	for _, e := range m.order {
+		if e.gone || !e.finished() && !e.sent {
+			continue
+		}
+		r := Record{ID: e.key.String(), Digest: e.digest, Age: now - (e.expires - keepFor)}
+		if e.finished() {
+			r.Outcome = e.outcome
+		}
+		h.Records = append(h.Records, r)
+	}
+	return h
+}
+
+// Import returns a Memory that continues from h. Records with a malformed id
+// make the whole hand-over void, which is reported as false: the caller then
+// starts with New.
+func Import(opts Options, h HandOver) (*Memory, bool) {
+	m := New(opts, h.Since)
+	now := m.opts.Clock.Now()
+	done := make(chan struct{})
+	close(done)
+	for _, r := range h.Records {
+		raw, err := hex.DecodeString(r.ID)
+		if err != nil || len(raw) != len(key{}) {
+			return nil, false
+		}
+		e := &entry{key: key(raw), digest: r.Digest, expires: now + keepFor - r.Age, done: done, sent: true}
+		if r.Outcome.Verdict == verdict.NotRun {
+			return nil, false // such ids are never recorded
+		}
+		m.store(e, r.Outcome)
+		m.entries[e.key] = e
+		m.order = append(m.order, e)
+	}
+	slices.SortStableFunc(m.order, func(a, b *entry) int { return cmp.Compare(a.expires, b.expires) })
+	return m, true
+}
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -35,6 +35,9 @@
 	// Since is the wall clock time at which this host began to lead the
 	// partition in the term of Fence; zero if it is not known.
 	Since time.Time
+	// Term identifies the leader term, if the grants of one term can have
+	// fences of several epochs; zero stands for the epoch of Fence.
+	Term topology.Fence
 	// Slots is the number of requests that the server runs at the same time;
 	// zero selects the default.
 	Slots int
--- /dev/null
+++ b/internal/execute/execute_test.go
@@ -0,0 +1,185 @@
+package execute_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lycheerudder/lycheerudder/internal/request"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+	"github.com/lycheerudder/lycheerudder/internal/verdict"
+)
+
+const work = 10 * time.Millisecond
+
+// single is a world with one leader host and one server.
+func single(t *testing.T, app http.HandlerFunc) (*host, *server) {
+	s := newServer(t, "s1", app)
+	h := newHost(t, s)
+	h.lead(1, time.Now().Add(-time.Hour), s)
+	return h, s
+}
+
+// Guards against a second run when a repeat meets the first run in flight or
+// finished, and against a lost answer of a small first run.
+func TestRepeats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h, s := single(t, count())
+		id := newID()
+		results := make(chan result, 3)
+		for range 3 {
+			go func() { results <- call(t.Context(), h.svc, id, "a") }()
+		}
+		for range 3 {
+			g.Expect(<-results).To(Equal(result{verdict: verdict.Ran, body: "run 1"}))
+		}
+		g.Expect(call(t.Context(), h.svc, id, "b").code).To(Equal(verdict.CodeIDReused))
+		g.Expect(s.fake.Runs(id)).To(Equal(1))
+
+		slow := newID()
+		go call(t.Context(), h.svc, slow, "a")
+		synctest.Wait()
+		r := within(t, time.Millisecond, func(ctx context.Context) result { return call(ctx, h.svc, slow, "a") })
+		g.Expect(r).To(Equal(result{code: verdict.CodeDuplicate, verdict: verdict.MayHaveRun}))
+		time.Sleep(time.Second)
+	})
+}
+
+// Guards against an id that is dated in the future and runs before its date,
+// which the next leader could not tell from a new one.
+func TestFutureID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h, s := single(t, count())
+		id, err := request.ParseID(newID())
+		g.Expect(err).NotTo(HaveOccurred())
+		start := time.Now()
+		later := dated(id, 300*time.Millisecond)
+		r := within(t, 200*time.Millisecond, func(ctx context.Context) result { return call(ctx, h.svc, later, "a") })
+		g.Expect(r).To(Equal(result{code: verdict.CodeClock, verdict: verdict.NotRun}))
+		g.Expect(call(t.Context(), h.svc, later, "a").verdict).To(Equal(verdict.Ran))
+		g.Expect(time.Since(start)).To(BeNumerically(">=", 300*time.Millisecond))
+		g.Expect(s.fake.Runs(later)).To(Equal(1))
+	})
+}
+
+// Guards against failed requests during a planned move, and against a request
+// that is sent to the old owner after its wait.
+func TestMove(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		before func(h *host, other *server) // while the request waits
+		want   result
+		runs   int // at the new server
+	}{
+		{"moved while queued", func(h *host, other *server) { h.lead(1, time.Time{}, other) }, result{verdict: verdict.Ran, body: "run 1"}, 1},
+		{"held during the move", func(h *host, other *server) {
+			h.lead(1, time.Time{}, nil)
+			time.AfterFunc(300*time.Millisecond, func() { h.lead(1, time.Time{}, other) })
+		}, result{verdict: verdict.Ran, body: "run 1"}, 1},
+		{"no owner until the deadline", func(h *host, _ *server) { h.lead(1, time.Time{}, nil) }, result{code: verdict.CodeNoOwner, verdict: verdict.NotRun}, 0},
+		{"leadership lost", func(h *host, _ *server) { h.stop() }, result{code: verdict.CodeNotLeader, verdict: verdict.NotRun}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				s1, s2 := newServer(t, "s1", count()), newServer(t, "s2", count())
+				h := newHost(t, s1, s2)
+				h.lead(1, time.Time{}, s1)
+				for range 2 { // take both slots
+					go call(t.Context(), h.svc, "", "busy")
+				}
+				synctest.Wait()
+				time.AfterFunc(work/2, func() { c.before(h, s2) })
+				r := within(t, time.Second, func(ctx context.Context) result { return call(ctx, h.svc, "", "moved") })
+				g.Expect(r).To(Equal(c.want))
+				g.Expect(s1.fake.Total()).To(Equal(2))
+				g.Expect(s2.fake.Total()).To(Equal(c.runs))
+			})
+		})
+	}
+}
+
+// Guards against a request that takes down server after server: after two
+// crashes it is refused, and a request that only shared a server once is not.
+func TestCrashingRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var servers []*server
+		for _, id := range []string{"s1", "s2", "s3"} {
+			var s *server
+			s = newServer(t, topology.ServerID(id), func(_ http.ResponseWriter, r *http.Request) {
+				body, _ := io.ReadAll(r.Body)
+				time.Sleep(work)
+				if strings.Contains(string(body), "crash") {
+					go s.kill()
+					time.Sleep(time.Second)
+				}
+			})
+			servers = append(servers, s)
+		}
+		h := newHost(t, servers...)
+		for i, s := range servers[:2] {
+			h.lead(1, time.Time{}, s)
+			if i == 0 {
+				go call(t.Context(), h.svc, "", "crash") // the same content in both slots
+			}
+			g.Expect(call(t.Context(), h.svc, "", "crash")).To(Equal(result{code: verdict.CodeServerFailed, verdict: verdict.MayHaveRun}))
+			synctest.Wait()
+			if i == 1 {
+				h.svc.ServerDied(s.id) // the control path sees the death as well
+			}
+		}
+		h.lead(1, time.Time{}, servers[2])
+		g.Expect(call(t.Context(), h.svc, "", "crash")).To(Equal(result{code: verdict.CodeQuarantined, verdict: verdict.NotRun}))
+		g.Expect(call(t.Context(), h.svc, "", "harmless").verdict).To(Equal(verdict.Ran))
+		g.Expect(h.svc.Quarantine().Export()).To(HaveLen(2))
+
+		next := newHost(t, servers...)
+		next.lead(1, time.Time{}, servers[2])
+		next.svc.Quarantine().Import(h.svc.Quarantine().Export())
+		g.Expect(call(t.Context(), next.svc, "", "crash").code).To(Equal(verdict.CodeQuarantined))
+		time.Sleep(11 * time.Minute)
+		g.Expect(h.svc.Quarantine().Blocked(request.Digest{})).To(BeZero())
+	})
+}
+
+// Guards against a caller that reads slowly and holds a slot of the server with
+// a small answer, and against a large answer that is not streamed.
+func TestLargeAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		size int
+		held bool // the slot is in use until the answer is read
+	}{{"64 KiB", 64 << 10, false}, {"1 MiB", 1 << 20, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				h, s := single(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, strings.Repeat("x", c.size)) })
+				req := &request.Request{Service: "booking", Customer: "pewright", Key: "k", ID: newID(), Method: http.MethodGet, Path: "/x"}
+				ans, err := h.svc.Do(t.Context(), req)
+				g.Expect(err).NotTo(HaveOccurred())
+				synctest.Wait()
+				reply, _ := s.fake.Lease(t.Context())
+				g.Expect(reply.Load.InFlight == 1).To(Equal(c.held))
+				body, err := io.ReadAll(ans.Body)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(body).To(HaveLen(c.size))
+				synctest.Wait()
+				repeat := call(t.Context(), h.svc, req.ID, "")
+				g.Expect(repeat.code).To(Equal(verdict.CodeIDReused)) // call uses POST
+				again := &request.Request{Service: "booking", Customer: "pewright", Key: "k", ID: req.ID, Method: http.MethodGet, Path: "/x"}
+				_, err = h.svc.Do(t.Context(), again)
+				g.Expect(verdict.From(err).Code).To(Equal(verdict.CodeDuplicate))
+				g.Expect(verdict.From(err).Verdict).To(Equal(verdict.Ran))
+			})
+		})
+	}
+}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -66,6 +66,12 @@
 	Timing Timing
 }
 
+// WithBody replaces the body by complete content and returns the answer.
+func (a *Answer) WithBody(body []byte) *Answer {
+	a.Body, a.Size = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+	return a
+}
+
 // Doer executes a request. Its error is always a *verdict.Error; with a nil
 // error the caller must close the answer's body.
 type Doer interface {
--- a/internal/serverapi/serverfake/run.go
+++ b/internal/serverapi/serverfake/run.go
@@ -51,6 +51,30 @@
 	}
 }
 
+// count records that a request took effect.
+func (s *Server) count(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.total++
+	if s.opts.CountRuns {
+		s.runs[id]++
+	}
+}
+
+// Runs returns how often the request with the id took effect.
+func (s *Server) Runs(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[id]
+}
+
+// Total returns the number of requests that took effect.
+func (s *Server) Total() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.total
+}
+
 func (s *Server) checkGrant(ref topology.ShardRef, key string, fence topology.Fence) *verdict.Error {
 	s.dropExpired()
 	g, ok := s.grants[ref]
@@ -115,6 +139,7 @@
 			refuse(w, err)
 			return
 		}
+		s.count(r.Header.Get(serverapi.HeaderRequest))
 		w.Header().Set(serverapi.HeaderVerdict, verdict.Ran.String())
 		app.ServeHTTP(w, r)
 	})
--- a/internal/serverapi/serverfake/server.go
+++ b/internal/serverapi/serverfake/server.go
@@ -23,6 +23,8 @@
 	// Slots is the number of requests that run at the same time.
 	Slots int
 	Clock clock.Clock
+	// CountRuns keeps the number of runs of each request id, without bound.
+	CountRuns bool
 }
 
 type held struct {
@@ -40,6 +42,8 @@
 	grants   map[topology.ShardRef]held
 	newest   map[topology.ShardRef]topology.Fence
 	running  map[topology.ShardRef]int
+	runs     map[string]int
+	total    int
 	inFlight int
 	draining bool
 	load     *serverapi.LoadReport // overrides the true report if set
@@ -55,6 +59,7 @@
 		grants:  make(map[topology.ShardRef]held),
 		newest:  make(map[topology.ShardRef]topology.Fence),
 		running: make(map[topology.ShardRef]int),
+		runs:    make(map[string]int),
 	}
 }
 
