Validate requests and bound what the caller interface holds

Cause: headers with unknown values, paths with relative segments and request ids of any form were passed on. A path such as /v1/booking/../lease reached other parts of a server's interface, and an escaped slash or question mark changed its meaning. The mux redirected some paths without a verdict.

Change: each header is checked with its own message; a request that is refused here is answered as not run. Request ids must be UUIDv7 and at most 500 ms ahead. The whole body is read before the request goes on, with the deadline of the request and within 256 MiB per host; answers are streamed. The Doer is wrapped as a go-kit endpoint, so that metrics can be added as middleware. NewServer returns an HTTP server with the limits of the interface.

Ruled out: streaming request bodies. The digest of at-most-once execution and a retry at another host need the whole body, and a body that breaks off is then known to have run nowhere.

Conclusion: a truncated answer always ends the caller's connection.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -1,5 +1,7 @@
 // Package frontend is the caller interface: HTTP requests of the form
-// /v1/{service}/{path} with the headers below.
+// /v1/{service}/{path} with the headers below. Every answer that the handler
+// sends has the headers Lyr-Verdict and Lyr-Time. An answer that breaks off ends
+// the caller's connection.
 package frontend
 
 import (
@@ -8,11 +10,12 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
+	"sync/atomic"
 	"time"
 
+	"github.com/go-kit/kit/endpoint"
+
 	"github.com/lycheerudder/lycheerudder/internal/request"
-	"github.com/lycheerudder/lycheerudder/internal/topology"
 	"github.com/lycheerudder/lycheerudder/internal/verdict"
 )
 
@@ -35,73 +38,132 @@
 	HeaderTiming = "Lyr-Timing"
 )
 
-const defaultTimeout = 5 * time.Second
+const (
+	defaultTimeout    = 5 * time.Second
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	// net/http refuses larger heads with status 431 and without a verdict. The
+	// value is above request.MaxHeaderBytes, so that the handler can answer
+	// most heads that are too large itself.
+	maxHeadBytes = 4 * request.MaxHeaderBytes
+	// maxBodies bounds the request bodies that one host holds.
+	maxBodies = 256 << 20
+	// writeGrace is the time after the deadline in which a caller may read the
+	// rest of a large answer.
+	writeGrace = time.Second
+	// Larger answers can fill the socket buffer of a caller that does not read.
+	largeAnswer = 64 << 10
+)
+
+// Options configure the handler.
+type Options struct {
+	// Middleware wraps the execution of requests, the first one outermost. The
+	// request is a *request.Request and the response a *request.Answer.
+	Middleware []endpoint.Middleware
+	// Wall is the clock that dates of request ids are compared with; the
+	// default is time.Now.
+	Wall func() time.Time
+}
+
+type handler struct {
+	run    endpoint.Endpoint
+	wall   func() time.Time
+	bodies atomic.Int64 // bytes of request bodies, as announced
+}
 
 // Handler returns the caller interface in front of next.
-func Handler(next request.Doer) http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("/v1/{service}/{path...}", func(w http.ResponseWriter, r *http.Request) {
-		serve(next, w, r)
-	})
-	return mux
+func Handler(next request.Doer) http.Handler { return HandlerWith(next, Options{}) }
+
+// HandlerWith returns the caller interface in front of next.
+func HandlerWith(next request.Doer, opts Options) http.Handler {
+	h := &handler{wall: opts.Wall, run: MakeEndpoint(next)}
+	if h.wall == nil {
+		h.wall = time.Now
+	}
+	if len(opts.Middleware) > 0 {
+		h.run = endpoint.Chain(opts.Middleware[0], opts.Middleware[1:]...)(h.run)
+	}
+	return h
+}
+
+// MakeEndpoint returns next as an endpoint.
+func MakeEndpoint(next request.Doer) endpoint.Endpoint {
+	return func(ctx context.Context, req any) (any, error) { return next.Do(ctx, req.(*request.Request)) }
+}
+
+// Observe returns a middleware that reports the end of each request. The time
+// is that until the head of the answer.
+func Observe(report func(req *request.Request, err error, took time.Duration)) endpoint.Middleware {
+	return func(next endpoint.Endpoint) endpoint.Endpoint {
+		return func(ctx context.Context, req any) (any, error) {
+			start := time.Now()
+			ans, err := next(ctx, req)
+			report(req.(*request.Request), err, time.Since(start))
+			return ans, err
+		}
+	}
 }
 
-func serve(next request.Doer, w http.ResponseWriter, r *http.Request) {
-	start := time.Now()
+// NewServer returns an HTTP server with the limits of the caller interface.
+func NewServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes,
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	start := h.wall()
 	w.Header().Set(HeaderTime, strconv.FormatInt(start.UnixMilli(), 10))
-	req, timeout, err := parse(r)
+	req, timeout, err := parse(r, start)
 	if err != nil {
 		writeError(w, err)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), timeout)
+	deadline := time.Now().Add(timeout)
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
-	ans, err := next.Do(ctx, req)
+	release, err := h.readBody(w, req, deadline)
+	defer release()
 	if err != nil {
 		writeError(w, err)
 		return
 	}
-	writeAnswer(w, ans, time.Since(start))
-}
-
-func parse(r *http.Request) (*request.Request, time.Duration, error) {
-	h := r.Header
-	req := &request.Request{
-		Service: topology.Service(r.PathValue("service")), Customer: topology.Customer(h.Get(HeaderCustomer)),
-		Key: h.Get(HeaderKey), Class: request.Class(h.Get(HeaderClass)), ID: h.Get(HeaderRequestID),
-		Repeatable: h.Get(HeaderRepeatable) == "true", Method: r.Method,
-		Path: serverPath(r), ContentType: h.Get("Content-Type"), Body: r.Body, Size: r.ContentLength,
-	}
-	if req.Class == "" {
-		req.Class = request.Interactive
-	}
-	if req.Customer == "" || req.Key == "" {
-		return nil, 0, verdict.New(verdict.CodeBadRequest, verdict.NotRun, "headers %s and %s are required", HeaderCustomer, HeaderKey)
-	}
-	if !req.Repeatable && req.ID == "" {
-		return nil, 0, verdict.New(verdict.CodeBadRequest, verdict.NotRun, "a request that is not repeatable needs %s", HeaderRequestID)
+	ans, err := h.run(ctx, req)
+	if err != nil {
+		writeError(w, err)
+		return
 	}
-	timeout, err := parseTimeout(h.Get(HeaderTimeout))
-	return req, timeout, err
+	writeAnswer(w, ans.(*request.Answer), deadline, timeout-time.Until(deadline))
 }
 
-func serverPath(r *http.Request) string {
-	p := "/" + strings.TrimPrefix(r.PathValue("path"), "/")
-	if r.URL.RawQuery != "" {
-		p += "?" + r.URL.RawQuery
+// readBody reads the whole body before the request goes on: a body that breaks
+// off has not been run, and a request that was not run can be sent again.
+func (h *handler) readBody(w http.ResponseWriter, req *request.Request, deadline time.Time) (release func(), err error) {
+	size := req.Size
+	if size == 0 {
+		req.SetBody(nil)
+		return func() {}, nil
 	}
-	return p
-}
-
-func parseTimeout(s string) (time.Duration, error) {
-	if s == "" {
-		return defaultTimeout, nil
+	if size < 0 {
+		size = request.MaxBodyBytes
+	}
+	release = func() { h.bodies.Add(-size) }
+	if h.bodies.Add(size) > maxBodies {
+		return release, verdict.New(verdict.CodeOverload, verdict.NotRun, "host holds too many request bodies").WithRetry(time.Second)
 	}
-	ms, err := strconv.ParseInt(s, 10, 64)
-	if err != nil || ms <= 0 || time.Duration(ms)*time.Millisecond > request.MaxTimeout {
-		return 0, verdict.New(verdict.CodeBadRequest, verdict.NotRun, "%s must be 1 to %d ms, not %q", HeaderTimeout, request.MaxTimeout.Milliseconds(), s)
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(deadline) // not supported by recorders of tests
+	if _, err := req.ReadBody(); err != nil {
+		if !time.Now().Before(deadline) {
+			err = verdict.New(verdict.CodeDeadline, verdict.NotRun, "deadline passed before the request body was complete")
+		}
+		return release, err
 	}
-	return time.Duration(ms) * time.Millisecond, nil
+	// From here on the server watches the connection, and a read deadline would
+	// look like a caller that went away.
+	_ = rc.SetReadDeadline(time.Time{})
+	return release, nil
 }
 
 // ErrorBody is the JSON body of a failed request.
@@ -123,27 +185,41 @@
 	})
 }
 
-func writeAnswer(w http.ResponseWriter, ans *request.Answer, total time.Duration) {
+func writeAnswer(w http.ResponseWriter, ans *request.Answer, deadline time.Time, took time.Duration) {
 	defer func() { _ = ans.Body.Close() }()
 	h := w.Header()
 	if ans.ContentType != "" {
 		h.Set("Content-Type", ans.ContentType)
+	} else {
+		h["Content-Type"] = nil // the server did not say, so do not guess
 	}
 	h.Set(HeaderVerdict, verdict.Ran.String())
 	h.Set(HeaderServer, string(ans.Server))
 	h.Set(HeaderFence, ans.Fence.String())
-	h.Set(HeaderTiming, timing(ans.Timing, total))
+	h.Set(HeaderTiming, timing(ans.Timing, took))
 	if ans.Size >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(ans.Size, 10))
 	}
+	large := ans.Size < 0 || ans.Size > largeAnswer
+	rc := http.NewResponseController(w)
+	if large {
+		_ = rc.SetWriteDeadline(deadline.Add(writeGrace))
+	}
 	w.WriteHeader(ans.Status)
 	if _, err := io.Copy(w, ans.Body); err != nil {
 		// Breaking the connection is the only way to show the caller that an
 		// answer whose head was sent is incomplete.
 		panic(http.ErrAbortHandler)
 	}
+	if large {
+		_ = rc.SetWriteDeadline(time.Time{})
+	}
 }
 
 func timing(t request.Timing, total time.Duration) string {
-	return "total=" + total.String() + " queue=" + t.Queue.String() + " server=" + t.Server.String()
+	b := make([]byte, 0, 64)
+	b = append(append(b, "total="...), total.String()...)
+	b = append(append(b, " queue="...), t.Queue.String()...)
+	b = append(append(b, " server="...), t.Server.String()...)
+	return string(b)
 }
--- /dev/null
+++ b/internal/frontend/frontend_test.go
@@ -0,0 +1,268 @@
+package frontend_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	. "github.com/onsi/gomega"
+
+	"github.com/lycheerudder/lycheerudder/internal/frontend"
+	"github.com/lycheerudder/lycheerudder/internal/request"
+	"github.com/lycheerudder/lycheerudder/internal/verdict"
+)
+
+var now = time.UnixMilli(1_700_000_000_000)
+
+// idAt returns a UUIDv7 that is dated at now plus ahead.
+func idAt(ahead time.Duration) string {
+	u := uuid.UUID{6: 0x70, 8: 0x80}
+	ms := now.Add(ahead).UnixMilli()
+	for i := 5; i >= 0; i-- {
+		u[i] = byte(ms)
+		ms >>= 8
+	}
+	return u.String()
+}
+
+// handler runs next behind the caller interface and records the request.
+func handler(got **request.Request, next request.DoerFunc) http.Handler {
+	return frontend.HandlerWith(request.DoerFunc(func(ctx context.Context, req *request.Request) (*request.Answer, error) {
+		*got = req
+		if next != nil {
+			return next(ctx, req)
+		}
+		return (&request.Answer{Status: 200, Server: "s1"}).WithBody([]byte("ok")), nil
+	}), frontend.Options{Wall: func() time.Time { return now }})
+}
+
+func headers(extra ...string) http.Header {
+	h := http.Header{"Lyr-Customer": {"pewright"}, "Lyr-Key": {"job 7 ü"}, "Lyr-Request-Id": {idAt(0)}}
+	for i := 0; i < len(extra); i += 2 {
+		h.Del(extra[i])
+		if extra[i+1] != "" {
+			h.Set(extra[i], extra[i+1])
+		}
+	}
+	return h
+}
+
+// Guards against invalid requests that reach a server, and against refusals
+// that do not say that the request was not run.
+func TestValidation(t *testing.T) {
+	twice := headers()
+	twice["Lyr-Key"] = []string{"a", "b"}
+	for _, c := range []struct {
+		name   string
+		path   string
+		header http.Header
+		body   string
+		code   verdict.Code // empty: accepted
+		says   string       // part of the message
+	}{
+		{name: "complete"},
+		{name: "no customer", header: headers("Lyr-Customer", ""), code: verdict.CodeBadRequest, says: "Lyr-Customer"},
+		{name: "customer with other characters", header: headers("Lyr-Customer", "a/b"), code: verdict.CodeBadRequest, says: "Lyr-Customer"},
+		{name: "no key", header: headers("Lyr-Key", ""), code: verdict.CodeBadRequest, says: "Lyr-Key"},
+		{name: "key twice", header: twice, code: verdict.CodeBadRequest, says: "once"},
+		{name: "key too long", header: headers("Lyr-Key", strings.Repeat("k", 513)), code: verdict.CodeBadRequest, says: "512"},
+		{name: "key is not UTF-8", header: headers("Lyr-Key", "\xff"), code: verdict.CodeBadRequest, says: "UTF-8"},
+		{name: "key with control character", header: headers("Lyr-Key", "a\x01"), code: verdict.CodeBadRequest, says: "printable"},
+		{name: "class", header: headers("Lyr-Class", "background")},
+		{name: "unknown class", header: headers("Lyr-Class", "urgent"), code: verdict.CodeBadRequest, says: "interactive or background"},
+		{name: "unknown repeatable", header: headers("Lyr-Repeatable", "yes"), code: verdict.CodeBadRequest, says: "false or true"},
+		{name: "timeout not a number", header: headers("Lyr-Timeout", "1s"), code: verdict.CodeBadRequest, says: "30000"},
+		{name: "timeout zero", header: headers("Lyr-Timeout", "0"), code: verdict.CodeBadRequest, says: "30000"},
+		{name: "timeout negative", header: headers("Lyr-Timeout", "-5"), code: verdict.CodeBadRequest, says: "30000"},
+		{name: "timeout at the limit", header: headers("Lyr-Timeout", "30000")},
+		{name: "timeout over the limit", header: headers("Lyr-Timeout", "30001"), code: verdict.CodeBadRequest, says: "30000"},
+		{name: "no id", header: headers("Lyr-Request-Id", ""), code: verdict.CodeBadRequest, says: "not repeatable"},
+		{name: "no id, repeatable", header: headers("Lyr-Request-Id", "", "Lyr-Repeatable", "true")},
+		{name: "id is not a UUID", header: headers("Lyr-Request-Id", strings.Repeat("z", 36)), code: verdict.CodeBadRequest, says: "not a UUID"},
+		{name: "id in another form", header: headers("Lyr-Request-Id", "{"+idAt(0)+"}"), code: verdict.CodeBadRequest, says: "36 characters"},
+		{name: "id of version 4", header: headers("Lyr-Request-Id", uuid.NewString()), code: verdict.CodeBadRequest, says: "version 7"},
+		{name: "invalid id of a repeatable request", header: headers("Lyr-Request-Id", "x", "Lyr-Repeatable", "true"), code: verdict.CodeBadRequest, says: "Lyr-Request-Id"},
+		{name: "id 500 ms ahead", header: headers("Lyr-Request-Id", idAt(500*time.Millisecond))},
+		{name: "id 501 ms ahead", header: headers("Lyr-Request-Id", idAt(501*time.Millisecond)), code: verdict.CodeClock, says: "501ms"},
+		{name: "content type too long", header: headers("Content-Type", strings.Repeat("x", 257)), code: verdict.CodeBadRequest, says: "Content-Type"},
+		{name: "head at the limit", header: headers("X-Fill", strings.Repeat("x", 15<<10))},
+		{name: "head over the limit", header: headers("X-Fill", strings.Repeat("x", 16<<10)), code: verdict.CodeTooLarge, says: "head"},
+		{name: "body at the limit", body: strings.Repeat("x", 1<<20)},
+		{name: "body over the limit", body: strings.Repeat("x", 1<<20+1), code: verdict.CodeTooLarge, says: "body"},
+		{name: "other path", path: "/v2/booking/x", code: verdict.CodeBadRequest, says: "/v1/"},
+		{name: "no service", path: "/v1//x", code: verdict.CodeBadRequest, says: "/v1/"},
+		{name: "no path", path: "/v1/booking", code: verdict.CodeBadRequest, says: "/v1/"},
+		{name: "relative path", path: "/v1/booking/../../v1/lease", code: verdict.CodeBadRequest, says: "segment"},
+		{name: "escaped relative path", path: "/v1/booking/%2e%2e/lease", code: verdict.CodeBadRequest, says: "segment"},
+		{name: "empty segment", path: "/v1/booking/a//b", code: verdict.CodeBadRequest, says: "segment"},
+		{name: "escaped slash and query", path: "/v1/booking/a%2Fb%3Fc/?d=e%20f"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			var got *request.Request
+			if c.path == "" {
+				c.path = "/v1/booking/sheet"
+			}
+			if c.header == nil {
+				c.header = headers()
+			}
+			r := httptest.NewRequest(http.MethodPost, c.path, strings.NewReader(c.body))
+			r.Header = c.header
+			w := httptest.NewRecorder()
+			handler(&got, nil).ServeHTTP(w, r)
+			g.Expect(w.Header().Get("Lyr-Time")).To(Equal("1700000000000"))
+			if c.code == "" {
+				g.Expect(w.Code).To(Equal(200), w.Body.String())
+				g.Expect(got.Path).To(Equal(strings.TrimPrefix(c.path, "/v1/booking")))
+				g.Expect(got.Size).To(BeEquivalentTo(len(c.body)))
+				return
+			}
+			g.Expect(got).To(BeNil())
+			expectError(g, w.Result(), c.code, verdict.NotRun, c.says)
+		})
+	}
+}
+
+func expectError(g *WithT, resp *http.Response, code verdict.Code, v verdict.Verdict, says string) {
+	var body frontend.ErrorBody
+	g.Expect(json.NewDecoder(resp.Body).Decode(&body)).To(Succeed())
+	g.Expect(body.Code).To(Equal(code))
+	g.Expect(body.Verdict).To(Equal(v.String()))
+	g.Expect(body.Message).To(ContainSubstring(says))
+	g.Expect(resp.Header.Get("Lyr-Error")).To(Equal(string(code)))
+	g.Expect(resp.Header.Get("Lyr-Verdict")).To(Equal(v.String()))
+	g.Expect(resp.StatusCode).To(Equal(verdict.New(code, v, "").Status()))
+}
+
+// Guards against errors of the path that lose their code or verdict on the way
+// to the caller.
+func TestErrors(t *testing.T) {
+	for _, c := range []struct {
+		err     error
+		code    verdict.Code
+		verdict verdict.Verdict
+	}{
+		{verdict.New(verdict.CodeUnknownService, verdict.NotRun, "x"), verdict.CodeUnknownService, verdict.NotRun},
+		{verdict.New(verdict.CodeUnknownCustomer, verdict.NotRun, "x"), verdict.CodeUnknownCustomer, verdict.NotRun},
+		{verdict.New(verdict.CodeAnswerBroken, verdict.Ran, "x"), verdict.CodeAnswerBroken, verdict.Ran},
+		{verdict.New(verdict.CodeDeadline, verdict.MayHaveRun, "x"), verdict.CodeDeadline, verdict.MayHaveRun},
+		{fmt.Errorf("wrapped: %w", verdict.New(verdict.CodeFence, verdict.NotRun, "x")), verdict.CodeFence, verdict.NotRun},
+		{errors.New("x"), verdict.CodeInternal, verdict.MayHaveRun},
+	} {
+		t.Run(string(c.code), func(t *testing.T) {
+			var got *request.Request
+			r := httptest.NewRequest(http.MethodGet, "/v1/booking/sheet", nil)
+			r.Header = headers()
+			w := httptest.NewRecorder()
+			handler(&got, func(context.Context, *request.Request) (*request.Answer, error) { return nil, c.err }).ServeHTTP(w, r)
+			expectError(NewWithT(t), w.Result(), c.code, c.verdict, "x")
+		})
+	}
+}
+
+// failing is an answer body that ends with an error.
+type failing struct{ io.Reader }
+
+func (f failing) Read(p []byte) (int, error) {
+	n, err := f.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = verdict.New(verdict.CodeAnswerBroken, verdict.Ran, "truncated")
+	}
+	return n, err
+}
+
+// Guards against a truncated answer that looks complete to the caller, and
+// against an answer that is not streamed.
+func TestAnswers(t *testing.T) {
+	large := strings.Repeat("x", 300<<10)
+	for _, c := range []struct {
+		name   string
+		answer *request.Answer
+		broken bool
+	}{
+		{"with length", &request.Answer{Body: io.NopCloser(strings.NewReader("hello")), Size: 5}, false},
+		{"without length", &request.Answer{Body: io.NopCloser(strings.NewReader("hello")), Size: -1}, false},
+		{"truncated, with length", &request.Answer{Body: io.NopCloser(failing{strings.NewReader("hel")}), Size: 5}, true},
+		{"truncated, without length", &request.Answer{Body: io.NopCloser(failing{strings.NewReader("hello")}), Size: -1}, true},
+		{"truncated, large", &request.Answer{Body: io.NopCloser(failing{strings.NewReader(large)}), Size: -1}, true},
+		{"shorter than its length", &request.Answer{Body: io.NopCloser(strings.NewReader("hel")), Size: 5}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			var got *request.Request
+			c.answer.Status = 200
+			srv := httptest.NewServer(handler(&got, func(context.Context, *request.Request) (*request.Answer, error) { return c.answer, nil }))
+			defer srv.Close()
+			resp, err := do(t.Context(), srv.URL, nil)
+			if err == nil {
+				defer func() { _ = resp.Body.Close() }()
+				_, err = io.ReadAll(resp.Body)
+			}
+			g.Expect(err != nil).To(Equal(c.broken), "%v", err)
+		})
+	}
+}
+
+func do(ctx context.Context, base string, body io.Reader, extra ...string) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/v1/booking/sheet", body)
+	if err != nil {
+		return nil, err
+	}
+	r.Header = headers(extra...)
+	return http.DefaultClient.Do(r)
+}
+
+// Guards against a caller's deadline or cancellation that does not reach the
+// request, and against a body that breaks off and is run.
+func TestEndOfCaller(t *testing.T) {
+	g := NewWithT(t)
+	var got *request.Request
+	ended := make(chan error, 1)
+	started := make(chan struct{}, 1)
+	srv := httptest.NewServer(handler(&got, func(ctx context.Context, _ *request.Request) (*request.Answer, error) {
+		started <- struct{}{}
+		<-ctx.Done()
+		ended <- ctx.Err()
+		return nil, verdict.New(verdict.CodeDeadline, verdict.MayHaveRun, "%v", ctx.Err())
+	}))
+	defer srv.Close()
+
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-started
+		cancel()
+	}()
+	resp, err := do(ctx, srv.URL, strings.NewReader("body"), "Lyr-Timeout", "30000")
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+	g.Expect(err).To(MatchError(context.Canceled))
+	g.Expect(<-ended).To(MatchError(context.Canceled))
+
+	resp, err = do(t.Context(), srv.URL, strings.NewReader("body"), "Lyr-Timeout", "1")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(<-ended).To(MatchError(context.DeadlineExceeded))
+	expectError(g, resp, verdict.CodeDeadline, verdict.MayHaveRun, "")
+	_ = resp.Body.Close()
+
+	got = nil
+	conn, err := net.Dial("tcp", strings.TrimPrefix(srv.URL, "http://"))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(conn, "POST /v1/booking/x HTTP/1.1\r\nHost: x\r\nLyr-Customer: c\r\nLyr-Key: k\r\nLyr-Request-Id: %s\r\nLyr-Timeout: 1\r\nContent-Length: 9\r\n\r\nbody", idAt(0))
+	resp, err = http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	expectError(g, resp, verdict.CodeDeadline, verdict.NotRun, "body")
+	_ = resp.Body.Close()
+	g.Expect(got).To(BeNil())
+}
