Forward large bodies as streams and repeat only what was not run

Cause: a forwarded request failed at once when the leader had changed, the verdict of a failed connection was always "may have run", and large bodies went in one message.

Change: - peer: bodies over 64 KiB go through DoStream. A call waits for a ready connection first, so a failure to connect is answered as not run; all later failures may have run. Not-leader answers carry the leader's address. Unknown verdict numbers are read as may have run (257 was read as not run). - dispatch: repeats only requests with verdict not run and one of the codes not-leader, no-leader, no-owner, fence, shutting-down, until the deadline, with a jittered backoff of 2 to 100 ms. Sending to a host that has refused the request, or that only a hint named, needs the retry budget of 10%; going to a new leader in the routes does not.

Ruled out: failing a request whose budget is used up. It waits for the routes instead, because in a failover all requests of a partition need another attempt.

Conclusion: requests are held during moves and failovers and never repeated unless they were not run.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -1,16 +1,33 @@
-// Package dispatch passes a request to the host that leads its partition.
+// Package dispatch passes a request to the host that leads its partition. It
+// repeats only requests that were not run, and holds requests while a
+// partition has no leader.
 package dispatch
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
+	"time"
 
+	"github.com/lycheerudder/lycheerudder/internal/admission"
+	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/peer"
 	"github.com/lycheerudder/lycheerudder/internal/request"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 	"github.com/lycheerudder/lycheerudder/internal/verdict"
 )
 
+const (
+	// A failover takes up to 0.91 s; a stale route is corrected within a few ms.
+	minBackoff = 2 * time.Millisecond
+	maxBackoff = 100 * time.Millisecond
+	// maxHeld bounds the requests that wait between attempts.
+	maxHeld = 4096
+)
+
 // Route says where a request goes.
 type Route struct {
 	// Local is true if this host leads the partition.
@@ -25,47 +42,208 @@
 	Route(req *request.Request) (Route, error)
 }
 
+// Peer forwards requests to one host.
+type Peer interface {
+	request.Doer
+	Close() error
+}
+
+// Options configure a Dispatcher. Routes and Local are required.
+type Options struct {
+	Routes Routes
+	// Local executes the requests of partitions that this host leads.
+	Local request.Doer
+	// Dial returns the client of a host; the default is peer.Dial.
+	Dial func(address string) (Peer, error)
+	// Clock is the clock of the retry budget; the default is clock.Boot.
+	Clock clock.Clock
+}
+
 // Dispatcher implements request.Doer for requests of callers.
 type Dispatcher struct {
-	self   topology.HostID
-	routes Routes
-	local  request.Doer
+	opts   Options
+	budget *admission.Budget
+	held   atomic.Int64
 
 	mu    sync.Mutex
-	peers map[string]*peer.Client
+	peers map[string]Peer
 }
 
 // New returns a Dispatcher that executes local requests with local.
-func New(self topology.HostID, routes Routes, local request.Doer) *Dispatcher {
-	return &Dispatcher{self: self, routes: routes, local: local, peers: make(map[string]*peer.Client)}
+func New(_ topology.HostID, routes Routes, local request.Doer) *Dispatcher {
+	return NewWith(Options{Routes: routes, Local: local})
+}
+
+// NewWith returns a Dispatcher.
+func NewWith(opts Options) *Dispatcher {
+	if opts.Clock == nil {
+		opts.Clock = clock.Boot{}
+	}
+	if opts.Dial == nil {
+		opts.Dial = func(address string) (Peer, error) { return peer.Dial(address) }
+	}
+	return &Dispatcher{opts: opts, budget: admission.NewBudget(opts.Clock), peers: make(map[string]Peer)}
+}
+
+// Close closes the connections to other hosts.
+func (d *Dispatcher) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for address, p := range d.peers {
+		_ = p.Close()
+		delete(d.peers, address)
+	}
+}
+
+// attempts is the state of one request between its attempts.
+type attempts struct {
+	body []byte
+	// refused holds the addresses of hosts that refused an attempt.
+	refused []string
+	// hint is the leader that the refusal named. Only the first one is followed
+	// without a wait, because two hosts can name each other.
+	hint   string
+	hinted bool
+	// last is the reason why the request has not been run yet.
+	last *verdict.Error
 }
 
 // Do implements request.Doer.
 func (d *Dispatcher) Do(ctx context.Context, req *request.Request) (*request.Answer, error) {
-	route, err := d.routes.Route(req)
+	body, err := req.ReadBody()
 	if err != nil {
 		return nil, err
 	}
+	d.budget.Request(req.Service)
+	a := &attempts{body: body}
+	for wait := minBackoff; ; wait = min(2*wait, maxBackoff) {
+		ans, done, err := d.try(ctx, req, a)
+		if done {
+			return ans, err
+		}
+		if a.hint != "" && !a.hinted {
+			a.hinted = true
+			continue // the refusal named the leader, so there is nothing to wait for
+		}
+		if err := d.hold(ctx, wait/2+rand.N(wait), a); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// try makes one attempt if there is a host to send to. It returns done unless
+// the request has not been run and another attempt may help.
+func (d *Dispatcher) try(ctx context.Context, req *request.Request, a *attempts) (ans *request.Answer, done bool, err error) {
+	route, send, err := d.route(req, a)
+	if err != nil {
+		return nil, true, err
+	}
+	if !send {
+		return nil, false, nil
+	}
+	req.SetBody(a.body)
 	if route.Local {
-		return d.local.Do(ctx, req)
+		ans, err = d.opts.Local.Do(ctx, req)
+	} else {
+		ans, err = d.forward(ctx, route.Address, req)
+	}
+	if err == nil {
+		return ans, true, nil
+	}
+	e := verdict.From(err)
+	if !repeatable(e) {
+		return nil, true, e
+	}
+	a.last, a.hint = e, ""
+	if e.Code != verdict.CodeNoLeader { // which means no connection to the host
+		a.refused = append(a.refused, route.Address)
+	}
+	if e.Leader != route.Address {
+		a.hint = e.Leader
+	}
+	return nil, false, nil
+}
+
+// route chooses the host of the next attempt; send is false if there is none
+// yet. A new leader in the routes ends the wait for a move or failover. Sending
+// to a host that refused already, or to a host that only the refusal named, is
+// a retry and needs budget.
+func (d *Dispatcher) route(req *request.Request, a *attempts) (r Route, send bool, err error) {
+	if hint := a.hint; hint != "" {
+		a.hint = ""
+		if d.budget.Retry(req.Service) {
+			return Route{Address: hint}, true, nil
+		}
+	}
+	r, err = d.opts.Routes.Route(req)
+	if err != nil {
+		e := verdict.From(err)
+		if e.Verdict != verdict.NotRun { // nothing was sent
+			e = verdict.New(e.Code, verdict.NotRun, "%s", e.Message)
+		}
+		a.last = e
+		if repeatable(e) {
+			return r, false, nil
+		}
+		return r, false, e
+	}
+	if !r.Local && slices.Contains(a.refused, r.Address) && !d.budget.Retry(req.Service) {
+		return r, false, nil
 	}
-	c, err := d.client(route.Address)
+	return r, true, nil
+}
+
+// repeatable reports whether another attempt can succeed and is safe.
+func repeatable(e *verdict.Error) bool {
+	if e.Verdict != verdict.NotRun {
+		return false
+	}
+	switch e.Code {
+	case verdict.CodeNotLeader, verdict.CodeNoLeader, verdict.CodeNoOwner, verdict.CodeFence, verdict.CodeShuttingDown:
+		return true
+	}
+	return false
+}
+
+// hold waits before the next attempt. It returns the reason of the last failure
+// if the deadline passes.
+func (d *Dispatcher) hold(ctx context.Context, wait time.Duration, a *attempts) error {
+	if d.held.Add(1) > maxHeld {
+		d.held.Add(-1)
+		return verdict.New(verdict.CodeOverload, verdict.NotRun, "too many requests wait for a leader").WithRetry(time.Second)
+	}
+	defer d.held.Add(-1)
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return verdict.New(verdict.CodeCancelled, verdict.NotRun, "cancelled while the request waited: %s", a.last.Message)
+	}
+	return a.last
+}
+
+func (d *Dispatcher) forward(ctx context.Context, address string, req *request.Request) (*request.Answer, error) {
+	p, err := d.peer(address)
 	if err != nil {
-		return nil, verdict.New(verdict.CodeNoLeader, verdict.NotRun, "leader host %s: %v", route.Address, err)
+		return nil, verdict.New(verdict.CodeNoLeader, verdict.NotRun, "leader host %s: %v", address, err)
 	}
-	return c.Do(ctx, req)
+	return p.Do(ctx, req)
 }
 
-func (d *Dispatcher) client(address string) (*peer.Client, error) {
+func (d *Dispatcher) peer(address string) (Peer, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if c, ok := d.peers[address]; ok {
-		return c, nil
+	if p, ok := d.peers[address]; ok {
+		return p, nil
 	}
-	c, err := peer.Dial(address)
+	p, err := d.opts.Dial(address)
 	if err != nil {
 		return nil, err
 	}
-	d.peers[address] = c
-	return c, nil
+	d.peers[address] = p
+	return p, nil
 }
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,168 @@
+package dispatch_test
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lycheerudder/lycheerudder/internal/clock"
+	"github.com/lycheerudder/lycheerudder/internal/dispatch"
+	"github.com/lycheerudder/lycheerudder/internal/request"
+	"github.com/lycheerudder/lycheerudder/internal/verdict"
+)
+
+// step is the answer of a host or of the routes; an empty code is success.
+type step struct {
+	code    verdict.Code
+	verdict verdict.Verdict
+	leader  string
+}
+
+func (s step) err() error {
+	if s.code == "" {
+		return nil
+	}
+	e := verdict.New(s.code, s.verdict, "step")
+	e.Leader = s.leader
+	return e
+}
+
+// cluster is what one entry host sees of the others. The first entries of
+// routes are used one by one, the last one for good; so are the steps of hosts.
+type cluster struct {
+	routes []any // string: address of the leader, "" for this host; step: error
+	hosts  map[string][]step
+	calls  []string
+	bodies []string
+}
+
+func (c *cluster) Route(*request.Request) (dispatch.Route, error) {
+	next := c.routes[0]
+	if len(c.routes) > 1 {
+		c.routes = c.routes[1:]
+	}
+	switch r := next.(type) {
+	case step:
+		return dispatch.Route{}, r.err()
+	case error:
+		return dispatch.Route{}, r
+	default:
+		return dispatch.Route{Local: r == "", Address: r.(string)}, nil
+	}
+}
+
+type host struct {
+	c       *cluster
+	address string
+}
+
+func (h host) Close() error { return nil }
+func (h host) Do(_ context.Context, req *request.Request) (*request.Answer, error) {
+	body, _ := io.ReadAll(req.Body)
+	h.c.calls, h.c.bodies = append(h.c.calls, cmp.Or(h.address, "-")), append(h.c.bodies, string(body))
+	steps := h.c.hosts[h.address]
+	if len(steps) > 1 {
+		h.c.hosts[h.address] = steps[1:]
+	}
+	if err := steps[0].err(); err != nil {
+		return nil, err
+	}
+	return &request.Answer{Status: 200}, nil
+}
+
+func (c *cluster) dispatcher(requests int) *dispatch.Dispatcher {
+	d := dispatch.NewWith(dispatch.Options{
+		Routes: c, Local: host{c, ""}, Clock: clock.NewProcess(),
+		Dial: func(address string) (dispatch.Peer, error) { return host{c, address}, nil },
+	})
+	// Earlier requests of the service give the retry budget.
+	routes := c.routes
+	c.routes = []any{"ok"}
+	for range requests - 1 {
+		_, _ = d.Do(context.Background(), &request.Request{Service: "booking"})
+	}
+	c.routes, c.calls, c.bodies = routes, nil, nil
+	return d
+}
+
+const (
+	notRun    = verdict.NotRun
+	noLeader  = verdict.CodeNoLeader
+	notLeader = verdict.CodeNotLeader
+)
+
+// Guards against a repetition of a request that may have run, against requests
+// that fail during a move or failover, and against retries beyond the budget.
+func TestAttempts(t *testing.T) {
+	ok := []step{{}}
+	for _, c := range []struct {
+		name     string
+		requests int // of the service so far, this one included
+		routes   []any
+		hosts    map[string][]step
+		calls    string // addresses in order; "-" is this host
+		code     verdict.Code
+		verdict  verdict.Verdict
+		cancel   bool
+	}{
+		{name: "local", routes: []any{""}, hosts: map[string][]step{"": ok}, calls: "-"},
+		{name: "remote", routes: []any{"a"}, hosts: map[string][]step{"a": ok}, calls: "a"},
+		{name: "no leader for a while", routes: []any{step{noLeader, notRun, ""}, step{noLeader, notRun, ""}, "a"}, hosts: map[string][]step{"a": ok}, calls: "a"},
+		{name: "no leader until the deadline", routes: []any{step{noLeader, notRun, ""}}, code: noLeader, verdict: notRun},
+		{name: "cancelled while it waits", routes: []any{step{noLeader, notRun, ""}}, cancel: true, code: verdict.CodeCancelled, verdict: notRun},
+		{name: "unknown service", routes: []any{step{verdict.CodeUnknownService, notRun, ""}}, code: verdict.CodeUnknownService, verdict: notRun},
+		{name: "route error without verdict", routes: []any{errors.New("x")}, code: verdict.CodeInternal, verdict: notRun},
+		{name: "leader changes to another host", routes: []any{"a", "b"}, hosts: map[string][]step{"a": {{notLeader, notRun, ""}}, "b": ok}, calls: "a b"},
+		{name: "leader changes to this host", routes: []any{"a", ""}, hosts: map[string][]step{"a": {{notLeader, notRun, ""}}, "": ok}, calls: "a -"},
+		{name: "this host lost the leadership", routes: []any{"", "a"}, hosts: map[string][]step{"": {{notLeader, notRun, ""}}, "a": ok}, calls: "- a"},
+		{name: "hint with budget", requests: 10, routes: []any{"a"}, hosts: map[string][]step{"a": {{notLeader, notRun, "b"}}, "b": ok}, calls: "a b"},
+		{name: "hint without budget waits for the routes", routes: []any{"a", "a", "a", "b"}, hosts: map[string][]step{"a": {{notLeader, notRun, "b"}}, "b": ok}, calls: "a b"},
+		{name: "hosts name each other", requests: 30, routes: []any{"a"}, hosts: map[string][]step{"a": {{notLeader, notRun, "b"}}, "b": {{notLeader, notRun, "a"}}}, calls: "a b a b", code: notLeader, verdict: notRun},
+		{name: "same host again with budget", requests: 10, routes: []any{"a"}, hosts: map[string][]step{"a": {{verdict.CodeFence, notRun, ""}, {}}}, calls: "a a"},
+		{name: "same host again without budget", routes: []any{"a"}, hosts: map[string][]step{"a": {{verdict.CodeFence, notRun, ""}, {}}}, calls: "a", code: verdict.CodeFence, verdict: notRun},
+		{name: "host cannot be reached for a while", routes: []any{"a"}, hosts: map[string][]step{"a": {{noLeader, notRun, ""}, {noLeader, notRun, ""}, {}}}, calls: "a a a"},
+		{name: "host lost in the call", requests: 10, routes: []any{"a"}, hosts: map[string][]step{"a": {{noLeader, verdict.MayHaveRun, ""}}}, calls: "a", code: noLeader, verdict: verdict.MayHaveRun},
+		{name: "shutting down", routes: []any{"a", "b"}, hosts: map[string][]step{"a": {{verdict.CodeShuttingDown, notRun, ""}}, "b": ok}, calls: "a b"},
+		{name: "fence, may have run", requests: 10, routes: []any{"a"}, hosts: map[string][]step{"a": {{verdict.CodeFence, verdict.MayHaveRun, ""}}}, calls: "a", code: verdict.CodeFence, verdict: verdict.MayHaveRun},
+		{name: "overload is not repeated", requests: 10, routes: []any{"a"}, hosts: map[string][]step{"a": {{verdict.CodeOverload, notRun, ""}}}, calls: "a", code: verdict.CodeOverload, verdict: notRun},
+		{name: "quarantined is not repeated", requests: 10, routes: []any{"a"}, hosts: map[string][]step{"a": {{verdict.CodeQuarantined, notRun, ""}}}, calls: "a", code: verdict.CodeQuarantined, verdict: notRun},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				if c.hosts == nil {
+					c.hosts = make(map[string][]step)
+				}
+				c.hosts["ok"] = ok
+				cl := &cluster{routes: c.routes, hosts: c.hosts}
+				d := cl.dispatcher(max(1, c.requests))
+				defer d.Close()
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				if c.cancel {
+					time.AfterFunc(50*time.Millisecond, cancel)
+				}
+				req := &request.Request{Service: "booking", Size: -1, Body: strings.NewReader("body")}
+				_, err := d.Do(ctx, req)
+				calls := strings.Join(cl.calls, " ")
+				g.Expect(calls).To(Equal(c.calls))
+				for _, b := range cl.bodies {
+					g.Expect(b).To(Equal("body"), "each attempt has the whole body")
+				}
+				if c.code == "" {
+					g.Expect(err).NotTo(HaveOccurred())
+					return
+				}
+				g.Expect(verdict.From(err).Code).To(Equal(c.code))
+				g.Expect(verdict.From(err).Verdict).To(Equal(c.verdict))
+			})
+		})
+	}
+}
--- a/internal/execute/hold.go
+++ b/internal/execute/hold.go
@@ -24,7 +24,7 @@
 // owner returns the owner of the key. While the shard moves it waits until the
 // deadline.
 func (s *Service) owner(ctx context.Context, req *request.Request) (exchange.Target, error) {
-	t, err := s.opts.Owners.Owner(req)
+	t, err := s.lookUp(req)
 	if err == nil || verdict.From(err).Code != verdict.CodeNoOwner {
 		return t, err
 	}
@@ -37,13 +37,26 @@
 		if !sleep(ctx, wait/2+rand.N(wait)) {
 			return t, err
 		}
-		t, err = s.opts.Owners.Owner(req)
+		t, err = s.lookUp(req)
 		if err == nil || verdict.From(err).Code != verdict.CodeNoOwner {
 			return t, err
 		}
 	}
 }
 
+// lookUp asks for the owner once. Whatever the error, nothing has been sent.
+func (s *Service) lookUp(req *request.Request) (exchange.Target, error) {
+	t, err := s.opts.Owners.Owner(req)
+	if err == nil {
+		return t, nil
+	}
+	e := verdict.From(err)
+	if e.Verdict != verdict.NotRun {
+		e = verdict.New(e.Code, verdict.NotRun, "%s", e.Message)
+	}
+	return t, e
+}
+
 // sleep waits for d. It returns false if the context ended first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -2,8 +2,6 @@
 package peer
 
 import (
-	"bytes"
-	"io"
 	"time"
 
 	"github.com/lycheerudder/lycheerudder/internal/peer/peerpb"
@@ -21,13 +19,13 @@
 	}
 }
 
-func decodeRequest(p *peerpb.Request) *request.Request {
+func decodeRequest(p *peerpb.Request, body []byte) *request.Request {
 	req := &request.Request{
 		Service: topology.Service(p.Service), Customer: topology.Customer(p.Customer), Key: p.Key,
 		Class: request.Class(p.Class), ID: p.RequestId, Repeatable: p.Repeatable,
 		Method: p.Method, Path: p.Path, ContentType: p.ContentType,
 	}
-	req.SetBody(p.Body)
+	req.SetBody(body)
 	return req
 }
 
@@ -35,7 +33,7 @@
 	e := verdict.From(err)
 	return &peerpb.Response{
 		Verdict: uint32(e.Verdict), Code: string(e.Code), Message: e.Message,
-		RetryAfterMs: e.RetryAfter.Milliseconds(),
+		RetryAfterMs: e.RetryAfter.Milliseconds(), LeaderHint: e.Leader,
 	}
 }
 
@@ -47,22 +45,38 @@
 	}
 }
 
+// decodeVerdict reads any unknown number as MayHaveRun.
+func decodeVerdict(n uint32) verdict.Verdict {
+	switch n {
+	case uint32(verdict.NotRun):
+		return verdict.NotRun
+	case uint32(verdict.Ran):
+		return verdict.Ran
+	}
+	return verdict.MayHaveRun
+}
+
+// decodeResponse returns the answer with the body of p.
 func decodeResponse(p *peerpb.Response) (*request.Answer, error) {
-	if p.Code != "" || verdict.Verdict(p.Verdict) != verdict.Ran {
-		return nil, verdict.New(verdict.Code(p.Code), verdict.Verdict(p.Verdict), "%s", p.Message).
-			WithRetry(time.Duration(p.RetryAfterMs) * time.Millisecond)
+	v := decodeVerdict(p.Verdict)
+	if p.Code == "" && v != verdict.Ran {
+		return nil, verdict.New(verdict.CodeInternal, verdict.MayHaveRun, "leader host sent neither an answer nor an error")
+	}
+	if p.Code != "" {
+		e := verdict.New(verdict.Code(p.Code), v, "%s", p.Message)
+		e.RetryAfter, e.Leader = time.Duration(p.RetryAfterMs)*time.Millisecond, p.LeaderHint
+		return nil, e
 	}
 	fence, err := topology.ParseFence(p.Fence)
 	if err != nil {
-		return nil, verdict.New(verdict.CodeInternal, verdict.Ran, "peer sent %v", err)
+		return nil, verdict.New(verdict.CodeInternal, verdict.Ran, "leader host sent %v", err)
 	}
-	return &request.Answer{
-		Status: int(p.Status), ContentType: p.ContentType,
-		Body: io.NopCloser(bytes.NewReader(p.Body)), Size: int64(len(p.Body)),
-		Server: topology.ServerID(p.Server), Fence: fence,
+	ans := &request.Answer{
+		Status: int(p.Status), ContentType: p.ContentType, Server: topology.ServerID(p.Server), Fence: fence,
 		Timing: request.Timing{
 			Queue:  time.Duration(p.QueueUs) * time.Microsecond,
 			Server: time.Duration(p.ServerUs) * time.Microsecond,
 		},
-	}, nil
+	}
+	return ans.WithBody(p.Body), nil
 }
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -5,8 +5,11 @@
 	"io"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
@@ -15,6 +18,16 @@
 	"github.com/lycheerudder/lycheerudder/internal/verdict"
 )
 
+const (
+	// Requests with larger bodies go through DoStream.
+	maxUnaryBody = 64 << 10
+	chunkBytes   = 64 << 10
+	// A host that restarts is back within a second.
+	minReconnect   = 50 * time.Millisecond
+	maxReconnect   = time.Second
+	connectTimeout = time.Second
+)
+
 // Server is the receiving side of the peer interface.
 type Server struct {
 	peerpb.UnimplementedPeerServer
@@ -26,20 +39,56 @@
 
 // Do implements the unary forward call.
 func (s *Server) Do(ctx context.Context, p *peerpb.Request) (*peerpb.Response, error) {
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(p.TimeoutUs)*time.Microsecond)
+	ctx, cancel := bound(ctx, p)
 	defer cancel()
-	ans, err := s.doer.Do(ctx, decodeRequest(p))
+	ans, err := s.doer.Do(ctx, decodeRequest(p, p.Body))
 	if err != nil {
 		return encodeError(err), nil
 	}
 	defer func() { _ = ans.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(ans.Body, request.MaxAnswerBytes+1))
-	if err != nil || len(body) > request.MaxAnswerBytes {
-		return encodeError(verdict.New(verdict.CodeAnswerBroken, verdict.Ran, "answer of server %s is broken or too large", ans.Server)), nil
+	body, err := readAnswer(ans)
+	if err != nil {
+		return encodeError(err), nil
 	}
 	return encodeAnswer(ans, body), nil
 }
 
+// bound applies the deadline of a request. It usually arrives as the deadline
+// of the call.
+func bound(ctx context.Context, p *peerpb.Request) (context.Context, context.CancelFunc) {
+	if _, ok := ctx.Deadline(); ok {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, time.Duration(p.TimeoutUs)*time.Microsecond)
+}
+
+func readAnswer(ans *request.Answer) ([]byte, error) {
+	if ans.Size >= 0 && ans.Size <= request.MaxAnswerBytes {
+		body := make([]byte, ans.Size)
+		if _, err := io.ReadFull(ans.Body, body); err != nil {
+			return nil, broken(ans, err)
+		}
+		return body, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(ans.Body, request.MaxAnswerBytes+1))
+	if err == nil && len(body) > request.MaxAnswerBytes {
+		err = eris.New("too large")
+	}
+	if err != nil {
+		return nil, broken(ans, err)
+	}
+	return body, nil
+}
+
+// broken describes an answer that ended with an error. The error of the
+// exchange says more than that of the reader.
+func broken(ans *request.Answer, err error) error {
+	if e := verdict.From(err); e.Code != verdict.CodeInternal {
+		return e
+	}
+	return verdict.New(verdict.CodeAnswerBroken, verdict.Ran, "answer of server %s: %v", ans.Server, err)
+}
+
 // Client is the sending side of the peer interface for one host.
 type Client struct {
 	conn *grpc.ClientConn
@@ -54,9 +103,13 @@
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDisableRetry(),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(request.MaxAnswerBytes+(1<<16))),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: minReconnect, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxReconnect},
+			MinConnectTimeout: connectTimeout,
+		}),
 	)
 	if err != nil {
-		return nil, err
+		return nil, eris.Wrapf(err, "client of host %s", address)
 	}
 	return &Client{conn: conn, rpc: peerpb.NewPeerClient(conn)}, nil
 }
@@ -64,33 +117,61 @@
 // Close closes the connection.
 func (c *Client) Close() error { return c.conn.Close() }
 
-// Do implements request.Doer.
+// Do implements request.Doer. The verdict is not run if no connection to the
+// host was ready, so that nothing was sent, or if the host says so. Every other
+// failure may have run.
 func (c *Client) Do(ctx context.Context, req *request.Request) (*request.Answer, error) {
 	body, err := req.ReadBody()
 	if err != nil {
 		return nil, err
 	}
+	if err := c.ready(ctx); err != nil {
+		return nil, err
+	}
 	timeout := request.MaxTimeout
 	if deadline, ok := ctx.Deadline(); ok {
 		timeout = time.Until(deadline)
 	}
+	if len(body) > maxUnaryBody {
+		return c.stream(ctx, encodeRequest(req, timeout, nil), body)
+	}
 	resp, err := c.rpc.Do(ctx, encodeRequest(req, timeout, body))
 	if err != nil {
-		return nil, callError(err)
+		return nil, callError(err, verdict.MayHaveRun)
 	}
 	return decodeResponse(resp)
 }
 
-// callError maps a failed call. Only a failure to connect proves that the
-// other host did not see the request, and gRPC reports it together with lost
-// connections, so every failure counts as possibly run.
-func callError(err error) error {
+// ready waits until the connection can carry a call. It fails at once while
+// gRPC waits for the next attempt to connect.
+func (c *Client) ready(ctx context.Context) error {
+	for {
+		if err := ctx.Err(); err != nil {
+			return callError(status.FromContextError(err).Err(), verdict.NotRun)
+		}
+		state := c.conn.GetState()
+		switch state {
+		case connectivity.Ready:
+			return nil
+		case connectivity.TransientFailure, connectivity.Shutdown:
+			return verdict.New(verdict.CodeNoLeader, verdict.NotRun, "leader host cannot be reached")
+		case connectivity.Idle:
+			c.conn.Connect()
+		case connectivity.Connecting:
+		}
+		c.conn.WaitForStateChange(ctx, state)
+	}
+}
+
+// callError maps a failed call. gRPC reports calls that were not sent together
+// with lost connections, so the verdict of the stage applies.
+func callError(err error, v verdict.Verdict) error {
 	switch status.Code(err) {
 	case codes.DeadlineExceeded:
-		return verdict.New(verdict.CodeDeadline, verdict.MayHaveRun, "deadline passed at the leader host")
+		return verdict.New(verdict.CodeDeadline, v, "deadline passed at the leader host")
 	case codes.Canceled:
-		return verdict.New(verdict.CodeCancelled, verdict.MayHaveRun, "cancelled at the leader host")
+		return verdict.New(verdict.CodeCancelled, v, "cancelled at the leader host")
 	default:
-		return verdict.New(verdict.CodeNoLeader, verdict.MayHaveRun, "leader host failed: %v", err)
+		return verdict.New(verdict.CodeNoLeader, v, "leader host failed: %v", err)
 	}
 }
