--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -97,7 +97,6 @@
 
 // attempts is the state of one request between its attempts.
 type attempts struct {
-	body []byte
 	// refused holds the addresses of hosts that refused an attempt.
 	refused []string
 	// hint is the leader that the refusal named. Only the first one is followed
@@ -110,12 +109,11 @@
 
 // Do implements request.Doer.
 func (d *Dispatcher) Do(ctx context.Context, req *request.Request) (*request.Answer, error) {
-	body, err := req.ReadBody()
-	if err != nil {
+	if _, err := req.ReadBody(); err != nil { // each attempt needs the whole body
 		return nil, err
 	}
 	d.budget.Request(req.Service)
-	a := &attempts{body: body}
+	a := &attempts{}
 	for wait := minBackoff; ; wait = min(2*wait, maxBackoff) {
 		ans, done, err := d.try(ctx, req, a)
 		if done {
@@ -141,7 +139,6 @@
 	if !send {
 		return nil, false, nil
 	}
-	req.SetBody(a.body)
 	if route.Local {
 		ans, err = d.opts.Local.Do(ctx, req)
 	} else {
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -120,7 +120,7 @@
 	return p
 }
 
-// Do sends the request once. A nil error means that the server ran it and that
+// Do sends the request once, after its body is complete. A nil error means that the server ran it and that
 // the head of the answer arrived; a broken body is reported by the reader as a
 // *verdict.Error.
 func (c *Client) Do(ctx context.Context, t Target, req *request.Request) (*request.Answer, error) {
@@ -128,9 +128,12 @@
 		return nil, ended(ctx, t, verdict.NotRun)
 	}
 	id := strconv.FormatUint(c.ids.Add(1), 36)
-	hreq, err := newRequest(ctx, t, req, id)
+	if !valid(req) || !plain(t.Ref.String(), false) {
+		return nil, verdict.New(verdict.CodeBadRequest, verdict.NotRun, "request has control characters")
+	}
+	body, err := req.ReadBody()
 	if err != nil {
-		return nil, verdict.New(verdict.CodeBadRequest, verdict.NotRun, "request cannot be built: %v", err)
+		return nil, err
 	}
 	p := c.pool(t)
 	conn, err := p.get(ctx)
@@ -142,5 +145,5 @@
 	}
 	ex := &exchange{ctx: ctx, target: t, id: id, pool: p, conn: conn, start: time.Now()}
 	ex.stop = context.AfterFunc(ctx, conn.interrupt)
-	return ex.run(hreq)
+	return ex.run(req, body)
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"os"
-	"strconv"
 	"strings"
 	"time"
 
@@ -25,6 +24,9 @@
 	maxMessage    = 1 << 10
 )
 
+// headRequest tells the parser of answers that no body follows.
+var headRequest = &http.Request{Method: http.MethodHead}
+
 // exchange is one request on one connection.
 type exchange struct {
 	ctx    context.Context
@@ -41,64 +43,34 @@
 	written chan error
 }
 
-func newRequest(ctx context.Context, t Target, req *request.Request, id string) (*http.Request, error) {
-	body := req.Body
-	if req.Size == 0 {
-		body = nil
-	}
-	r, err := http.NewRequestWithContext(ctx, req.Method, t.Base+"/v1/run"+req.Path, body)
-	if err != nil {
-		return nil, err
-	}
-	if body != nil {
-		r.ContentLength = req.Size
-	}
-	h := r.Header
-	if req.ContentType != "" {
-		h.Set("Content-Type", req.ContentType)
-	}
-	h.Set(serverapi.HeaderExchange, id)
-	h.Set(serverapi.HeaderShard, t.Ref.String())
-	h.Set(serverapi.HeaderFence, t.Fence.String())
-	h.Set(serverapi.HeaderKey, req.Key)
-	h.Set(serverapi.HeaderCustomer, string(req.Customer))
-	if req.ID != "" {
-		h.Set(serverapi.HeaderRequest, req.ID)
-	}
-	if deadline, ok := ctx.Deadline(); ok {
-		h.Set(serverapi.HeaderTimeout, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
-	}
-	if !t.NotAfter.IsZero() {
-		h.Set(serverapi.HeaderNotAfter, strconv.FormatInt(t.NotAfter.UnixMilli(), 10))
-	}
-	return r, nil
-}
-
-func (e *exchange) run(hreq *http.Request) (*request.Answer, error) {
-	if hreq.Body != nil && (hreq.ContentLength < 0 || hreq.ContentLength > maxInlineBody) {
+func (e *exchange) run(req *request.Request, body []byte) (*request.Answer, error) {
+	if len(body) > maxInlineBody {
 		e.written = make(chan error, 1)
-		go func() { e.written <- e.write(hreq) }()
-	} else if err := e.write(hreq); err != nil && e.conn.sent.Load() == 0 {
+		go func() { e.written <- e.write(req, body) }()
+	} else if err := e.write(req, body); err != nil && e.conn.sent.Load() == 0 {
 		return nil, e.fail(err)
 	}
 	// After a failed write the server may still have answered, for example
 	// with a refusal that it sent before it read the body.
-	resp, err := e.readHead(hreq) //nolint:bodyclose // the answer's reader ends the exchange
+	resp, err := e.readHead(req.Method) //nolint:bodyclose // the answer's reader ends the exchange
 	if err != nil {
 		return nil, e.fail(err)
 	}
 	return e.answer(resp)
 }
 
-func (e *exchange) write(hreq *http.Request) error {
-	if err := hreq.Write(e.conn.bw); err != nil {
-		return err
-	}
-	return e.conn.bw.Flush()
+func (e *exchange) write(req *request.Request, body []byte) error {
+	e.writeHead(req, len(body))
+	_, _ = e.conn.bw.Write(body)
+	return e.conn.bw.Flush() // returns the first error of all writes
 }
 
 // readHead reads the head of the final answer.
-func (e *exchange) readHead(hreq *http.Request) (*http.Response, error) {
+func (e *exchange) readHead(method string) (*http.Response, error) {
+	var hreq *http.Request // nil stands for GET, which has the same rules as the rest
+	if method == http.MethodHead {
+		hreq = headRequest
+	}
 	for range maxInterim {
 		resp, err := http.ReadResponse(e.conn.br, hreq)
 		if err != nil {
@@ -142,7 +114,7 @@
 		return verdict.New(verdict.CodeAnswerBroken, verdict.Ran, "answer of server %s %s", e.target.Server, reason)
 	}
 	switch {
-	case resp.Request.Method == http.MethodHead || resp.Body == http.NoBody:
+	case resp.Request == headRequest || resp.Body == http.NoBody:
 		size = 0
 	case size > request.MaxAnswerBytes:
 		return nil, broken("is too large")
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -32,11 +32,18 @@
 	unlimited bool
 	head      int
 	idleSince time.Time
+	// raw is nil if the connection has no file descriptor. The check of an idle
+	// connection, peek, stores its result in peeked.
+	raw    syscall.RawConn
+	peeked error
 }
 
 func newConn(nc net.Conn) *conn {
 	c := &conn{Conn: nc}
 	c.br, c.bw = bufio.NewReader(c), bufio.NewWriter(c)
+	if sc, ok := nc.(syscall.Conn); ok {
+		c.raw, _ = sc.SyscallConn()
+	}
 	return c
 }
 
@@ -73,21 +80,17 @@
 // server has neither closed it nor sent anything unasked. Connections without
 // a file descriptor cannot be checked.
 func (c *conn) usable() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	if c.raw == nil {
 		return true
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	var peek error
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, peek = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		return true
-	})
-	return err == nil && errors.Is(peek, unix.EAGAIN)
+	err := c.raw.Read(c.peek)
+	return err == nil && errors.Is(c.peeked, unix.EAGAIN)
+}
+
+func (c *conn) peek(fd uintptr) bool {
+	var b [1]byte
+	_, _, c.peeked = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return true
 }
 
 // pool holds the connections to one server. A connection is open only while it
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -123,7 +124,7 @@
 	deadline := time.Now().Add(timeout)
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
-	release, err := h.readBody(w, req, deadline)
+	release, err := h.readBody(ctx, w, req)
 	defer release()
 	if err != nil {
 		writeError(w, err)
@@ -139,7 +140,7 @@
 
 // readBody reads the whole body before the request goes on: a body that breaks
 // off has not been run, and a request that was not run can be sent again.
-func (h *handler) readBody(w http.ResponseWriter, req *request.Request, deadline time.Time) (release func(), err error) {
+func (h *handler) readBody(ctx context.Context, w http.ResponseWriter, req *request.Request) (release func(), err error) {
 	size := req.Size
 	if size == 0 {
 		req.SetBody(nil)
@@ -152,20 +153,32 @@
 	if h.bodies.Add(size) > maxBodies {
 		return release, verdict.New(verdict.CodeOverload, verdict.NotRun, "host holds too many request bodies").WithRetry(time.Second)
 	}
-	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(deadline) // not supported by recorders of tests
+	defer interruptRead(ctx, w)()
 	if _, err := req.ReadBody(); err != nil {
-		if !time.Now().Before(deadline) {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			err = verdict.New(verdict.CodeDeadline, verdict.NotRun, "deadline passed before the request body was complete")
 		}
 		return release, err
 	}
-	// From here on the server watches the connection, and a read deadline would
-	// look like a caller that went away.
-	_ = rc.SetReadDeadline(time.Time{})
 	return release, nil
 }
 
+// interruptRead ends a read of the body when the context ends. The function that
+// it returns ends the watch: from then on the HTTP server reads from the
+// connection to notice that the caller goes away, and must not be interrupted.
+func interruptRead(ctx context.Context, w http.ResponseWriter) (end func()) {
+	done := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(done)
+		_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0)) // recorders of tests have none
+	})
+	return func() {
+		if !stop() {
+			<-done
+		}
+	}
+}
+
 // ErrorBody is the JSON body of a failed request.
 type ErrorBody struct {
 	Code         verdict.Code `json:"code"`
@@ -200,6 +213,11 @@
 	if ans.Size >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(ans.Size, 10))
 	}
+	if body, ok := ans.Content(); ok && len(body) <= largeAnswer {
+		w.WriteHeader(ans.Status)
+		_, _ = w.Write(body) // an error means that the caller has gone
+		return
+	}
 	large := ans.Size < 0 || ans.Size > largeAnswer
 	rc := http.NewResponseController(w)
 	if large {
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -26,6 +26,12 @@
 	minReconnect   = 50 * time.Millisecond
 	maxReconnect   = time.Second
 	connectTimeout = time.Second
+	// Fixed windows switch off the estimate of the bandwidth, which sends a ping
+	// with almost every message. The largest answer fits into one window.
+	windowBytes     = request.MaxAnswerBytes + 1<<16
+	connWindowBytes = 4 * windowBytes
+	// Calls beyond this number of concurrent ones get a new goroutine.
+	streamWorkers = 64
 )
 
 // Server is the receiving side of the peer interface.
@@ -37,6 +43,18 @@
 // NewServer returns a server that executes forwarded requests with doer.
 func NewServer(doer request.Doer) *Server { return &Server{doer: doer} }
 
+// NewGRPCServer returns a gRPC server with the peer interface. Its workers keep
+// their stacks between calls; a new goroutine for each call would grow its
+// stack each time.
+func NewGRPCServer(srv peerpb.PeerServer) *grpc.Server {
+	s := grpc.NewServer(
+		grpc.NumStreamWorkers(streamWorkers),
+		grpc.InitialWindowSize(windowBytes), grpc.InitialConnWindowSize(connWindowBytes),
+	)
+	peerpb.RegisterPeerServer(s, srv)
+	return s
+}
+
 // Do implements the unary forward call.
 func (s *Server) Do(ctx context.Context, p *peerpb.Request) (*peerpb.Response, error) {
 	ctx, cancel := bound(ctx, p)
@@ -63,6 +81,9 @@
 }
 
 func readAnswer(ans *request.Answer) ([]byte, error) {
+	if body, ok := ans.Content(); ok {
+		return body, nil
+	}
 	if ans.Size >= 0 && ans.Size <= request.MaxAnswerBytes {
 		body := make([]byte, ans.Size)
 		if _, err := io.ReadFull(ans.Body, body); err != nil {
@@ -102,6 +123,7 @@
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDisableRetry(),
+		grpc.WithInitialWindowSize(windowBytes), grpc.WithInitialConnWindowSize(connWindowBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(request.MaxAnswerBytes+(1<<16))),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: minReconnect, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxReconnect},
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -45,6 +45,9 @@
 	Body io.Reader
 	// Size is the length of Body, or -1 if it is not known.
 	Size int64
+	// content is the body if buffered is true.
+	content  []byte
+	buffered bool
 }
 
 // Timing is the time that a request spent in the parts.
@@ -64,10 +67,18 @@
 	Server topology.ServerID
 	Fence  topology.Fence
 	Timing Timing
+	// content is the complete body if buffered is true.
+	content  []byte
+	buffered bool
 }
 
+// Content returns the body if it is complete in memory. The reader of Body then
+// need not be used.
+func (a *Answer) Content() ([]byte, bool) { return a.content, a.buffered }
+
 // WithBody replaces the body by complete content and returns the answer.
 func (a *Answer) WithBody(body []byte) *Answer {
+	a.content, a.buffered = body, true
 	a.Body, a.Size = io.NopCloser(bytes.NewReader(body)), int64(len(body))
 	return a
 }
@@ -85,23 +96,43 @@
 func (f DoerFunc) Do(ctx context.Context, req *Request) (*Answer, error) { return f(ctx, req) }
 
 // ReadBody returns the whole body, or an error with verdict NotRun if it is
-// broken or larger than MaxBodyBytes.
+// broken or larger than MaxBodyBytes. It can be called again; the body must not
+// be changed.
 func (r *Request) ReadBody() ([]byte, error) {
-	if r.Body == nil {
+	if r.buffered || r.Body == nil {
+		return r.content, nil
+	}
+	if r.Size == 0 {
+		r.SetBody(nil)
 		return nil, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, MaxBodyBytes+1))
+	if r.Size > MaxBodyBytes {
+		return nil, tooLarge()
+	}
+	var body []byte
+	var err error
+	if r.Size >= 0 {
+		body = make([]byte, r.Size)
+		_, err = io.ReadFull(r.Body, body)
+	} else {
+		body, err = io.ReadAll(io.LimitReader(r.Body, MaxBodyBytes+1))
+	}
 	if err != nil {
 		return nil, verdict.New(verdict.CodeBadRequest, verdict.NotRun, "request body is incomplete: %v", err)
 	}
 	if len(body) > MaxBodyBytes {
-		return nil, verdict.New(verdict.CodeTooLarge, verdict.NotRun, "request body exceeds %d bytes", MaxBodyBytes)
+		return nil, tooLarge()
 	}
 	r.SetBody(body)
 	return body, nil
 }
 
-// SetBody replaces the body.
+func tooLarge() error {
+	return verdict.New(verdict.CodeTooLarge, verdict.NotRun, "request body exceeds %d bytes", MaxBodyBytes)
+}
+
+// SetBody replaces the body by content that is complete.
 func (r *Request) SetBody(body []byte) {
+	r.content, r.buffered = body, true
 	r.Body, r.Size = bytes.NewReader(body), int64(len(body))
 }
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -53,7 +53,7 @@
 
 // String returns the form that ParseShardRef accepts.
 func (r ShardRef) String() string {
-	s := fmt.Sprintf("%s/%d", r.Service, r.Shard)
+	s := string(r.Service) + "/" + strconv.FormatUint(uint64(r.Shard), 10)
 	if r.Key != "" {
 		s += "/" + r.Key
 	}
@@ -125,7 +125,11 @@
 
 // String returns the form that ParseFence accepts.
 func (f Fence) String() string {
-	return fmt.Sprintf("%d.%d.%d.%d", f.Home, f.List, f.Term, f.Seq)
+	b := make([]byte, 0, 48)
+	b = append(strconv.AppendUint(b, uint64(f.Home), 10), '.')
+	b = append(strconv.AppendUint(b, uint64(f.List), 10), '.')
+	b = append(strconv.AppendUint(b, uint64(f.Term), 10), '.')
+	return string(strconv.AppendUint(b, f.Seq, 10))
 }
 
 // ParseFence reads the form that Fence.String writes.
