--- a/internal/dedup/dedup_test.go
+++ b/internal/dedup/dedup_test.go
@@ -172,6 +172,9 @@
 	g.Expect(err.Code).To(Equal(verdict.CodeNotLeader))
 	g.Expect(err.Verdict).To(Equal(verdict.NotRun))
 
+	claims[1].Ticket.Finish(answer(10)) // ends after the hand-over
+	g.Expect(m.Len()).To(BeZero())
+
 	n, ok := dedup.Import(next.options(0), h)
 	g.Expect(ok).To(BeTrue())
 	claim, _ := n.Claim(req, id(0, 0), first)
--- a/internal/dedup/handover.go
+++ b/internal/dedup/handover.go
@@ -29,9 +29,9 @@
 	Records []Record
 }
 
-// Export closes the memory and returns its content: no request is sent from
-// here afterwards. A request in flight that was sent is exported as may have
-// run; one that still waits is left out and will end as not run.
+// Export closes the memory, frees it and returns its content: no request is
+// sent from here afterwards. A request in flight that was sent is exported as
+// may have run; one that still waits is left out and will end as not run.
 func (m *Memory) Export() HandOver {
 	now := m.opts.Clock.Now()
 	m.mu.Lock()
@@ -49,6 +49,7 @@
 		}
 		h.Records = append(h.Records, r)
 	}
+	m.entries, m.order, m.bytes = nil, nil, 0
 	return h
 }
 
--- a/internal/execute/execute_test.go
+++ b/internal/execute/execute_test.go
@@ -183,3 +183,22 @@
 		})
 	}
 }
+
+// Guards against more requests at a server than it has slots, and against an
+// order of the connections and slots that refuses requests: all are served.
+func TestSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h, s := single(t, count())
+		results := make(chan result, 100)
+		for range 100 {
+			go func() { results <- call(t.Context(), h.svc, newID(), "a") }()
+		}
+		start := time.Now()
+		for range 100 {
+			g.Expect((<-results).verdict).To(Equal(verdict.Ran))
+		}
+		g.Expect(time.Since(start)).To(Equal(50 * work))
+		g.Expect(s.fake.Total()).To(Equal(100))
+	})
+}
--- a/internal/execute/term.go
+++ b/internal/execute/term.go
@@ -49,7 +49,9 @@
 
 // HandOver closes the memory of ids of a partition and returns its content for
 // the next leader. Requests that have not been sent end as not-leader, not run.
-// It returns false if the partition has no memory in the given term.
+// It returns false if the partition has no memory in the given term. A leader
+// that lost its leadership calls it as well, to free the memory, and drops the
+// result: the next leader may have run requests already.
 func (s *Service) HandOver(partition topology.PartitionID, epoch topology.Fence) (dedup.HandOver, bool) {
 	s.mu.Lock()
 	cur, ok := s.memories[partition]
--- a/internal/hopbench/hopbench_test.go
+++ b/internal/hopbench/hopbench_test.go
@@ -55,13 +55,9 @@
 	entry   string // caller interface of the other host
 }
 
-func newFleet(b *testing.B, keepAlive bool) *fleet {
+func newFleet(b testing.TB, keepAlive bool, app http.HandlerFunc) *fleet {
 	f := &fleet{}
 	since := time.Now().Add(-time.Hour)
-	app := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
-		_, _ = io.WriteString(w, answerBody)
-	})
 	for i := range f.targets {
 		fake := serverfake.New(serverfake.Options{ID: "s", Incarnation: 1, ChecksFences: true, Slots: 2, Clock: clock.Boot{}})
 		ref, fence := topology.ShardRef{Service: "booking", Shard: topology.ShardID(i)}, topology.Fence{Home: 1, List: 2, Term: 3, Seq: 4}
@@ -87,7 +83,12 @@
 	return f
 }
 
-func host(b *testing.B, r route, local request.Doer, keepAlive bool) string {
+func answer(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	_, _ = io.WriteString(w, answerBody)
+}
+
+func host(b testing.TB, r route, local request.Doer, keepAlive bool) string {
 	d := dispatch.NewWith(dispatch.Options{Routes: r, Local: local})
 	b.Cleanup(d.Close)
 	return serveHTTP(b, frontend.NewServer(frontend.Handler(d)), keepAlive)
@@ -106,7 +107,7 @@
 	return &f.targets[xxhash.Sum64String(key)%servers]
 }
 
-func listen(b *testing.B) net.Listener {
+func listen(b testing.TB) net.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
@@ -114,7 +115,7 @@
 	return l
 }
 
-func serveHTTP(b *testing.B, s *http.Server, keepAlive bool) string {
+func serveHTTP(b testing.TB, s *http.Server, keepAlive bool) string {
 	l := listen(b)
 	s.SetKeepAlivesEnabled(keepAlive)
 	go func() { _ = s.Serve(l) }()
@@ -244,7 +245,7 @@
 			name = "new-connections"
 		}
 		b.Run(name, func(b *testing.B) {
-			f := newFleet(b, keepAlive)
+			f := newFleet(b, keepAlive, answer)
 			c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512, DisableKeepAlives: !keepAlive}}
 			sat := saturation(c, f.through(f.entry))
 			for _, way := range []struct {
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -56,7 +56,7 @@
 	return verdict.MayHaveRun
 }
 
-// decodeResponse returns the answer with the body of p.
+// decodeResponse returns the answer without a body.
 func decodeResponse(p *peerpb.Response) (*request.Answer, error) {
 	v := decodeVerdict(p.Verdict)
 	if p.Code == "" && v != verdict.Ran {
@@ -71,12 +71,11 @@
 	if err != nil {
 		return nil, verdict.New(verdict.CodeInternal, verdict.Ran, "leader host sent %v", err)
 	}
-	ans := &request.Answer{
+	return &request.Answer{
 		Status: int(p.Status), ContentType: p.ContentType, Server: topology.ServerID(p.Server), Fence: fence,
 		Timing: request.Timing{
 			Queue:  time.Duration(p.QueueUs) * time.Microsecond,
 			Server: time.Duration(p.ServerUs) * time.Microsecond,
 		},
-	}
-	return ans.WithBody(p.Body), nil
+	}, nil
 }
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -161,7 +161,11 @@
 	if err != nil {
 		return nil, callError(err, verdict.MayHaveRun)
 	}
-	return decodeResponse(resp)
+	ans, err := decodeResponse(resp)
+	if err != nil {
+		return nil, err
+	}
+	return ans.WithBody(resp.Body), nil
 }
 
 // ready waits until the connection can carry a call. It fails at once while
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -105,6 +105,9 @@
 				}
 				var body []byte
 				if err == nil {
+					if content, ok := ans.Content(); ok {
+						g.Expect(content).To(HaveLen(c.answer))
+					}
 					body, err = io.ReadAll(ans.Body)
 					_ = ans.Body.Close()
 				}
