Move the stand-ins of the request path out of the tests

Change: serverfake.Start runs a server behind in-memory connections with faults (refuse, cut, delay), for tests in virtual time of any package. Package hopbench exports the fleet and the load generator that its benchmark uses.

Ruled out: shortening the tables. Each row guards against a fault of its own.

Conclusion: no test changed its meaning.

--- a/internal/execute/atmostonce_test.go
+++ b/internal/execute/atmostonce_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -11,56 +10,16 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"golang.org/x/sys/unix"
 
+	"github.com/lycheerudder/lycheerudder/internal/serverapi/serverfake"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 	"github.com/lycheerudder/lycheerudder/internal/verdict"
 )
 
-// brokenConn ends a connection after it passed a number of bytes in one
-// direction, or delays what it reads.
-type brokenConn struct {
-	net.Conn
-	writes, reads int // bytes until the end; -1: no limit
-	delay         time.Duration
-}
-
-func (c *brokenConn) Write(p []byte) (int, error) {
-	if c.writes < 0 {
-		return c.Conn.Write(p)
-	}
-	n, _ := c.Conn.Write(p[:min(len(p), c.writes)])
-	if c.writes -= n; c.writes == 0 {
-		_ = c.Close()
-		return n, unix.ECONNRESET
-	}
-	return n, nil
-}
-
-func (c *brokenConn) Read(p []byte) (int, error) {
-	time.Sleep(c.delay)
-	if c.reads < 0 {
-		return c.Conn.Read(p)
-	}
-	if c.reads == 0 {
-		// The server's answer is awaited first: the request has taken effect.
-		_, _ = c.Conn.Read(make([]byte, 1))
-		_ = c.Close()
-		return 0, unix.ECONNRESET
-	}
-	n, err := c.Conn.Read(p[:min(len(p), c.reads)])
-	c.reads -= n
-	return n, err
-}
-
-func cut(writes, reads int) func(net.Conn) (net.Conn, error) {
-	return func(c net.Conn) (net.Conn, error) { return &brokenConn{Conn: c, writes: writes, reads: reads}, nil }
-}
-
 // exchangeFault is a fault in the first attempt.
 type exchangeFault struct {
 	name string
-	conn func(net.Conn) (net.Conn, error)
+	conn serverfake.Fault
 	// busy fills the slots, so that the attempt ends in the queue.
 	busy bool
 	// cancel ends the caller's context after this time.
@@ -73,16 +32,14 @@
 
 var exchangeFaults = []exchangeFault{
 	{name: "none"},
-	{name: "dial refused", conn: func(net.Conn) (net.Conn, error) { return nil, unix.ECONNREFUSED }},
-	{name: "broken before the write", conn: cut(0, -1)},
-	{name: "broken in the head", conn: cut(30, -1)},
-	{name: "broken in the body", conn: cut(450, -1)},
-	{name: "broken before the answer", conn: cut(-1, 0)},
-	{name: "broken in the head of the answer", conn: cut(-1, 40)},
-	{name: "broken in the body of the answer", conn: cut(-1, 230)},
-	{name: "answer late", conn: func(c net.Conn) (net.Conn, error) {
-		return &brokenConn{Conn: c, writes: -1, reads: -1, delay: 3 * time.Second}, nil
-	}},
+	{name: "dial refused", conn: serverfake.Refuse},
+	{name: "broken before the write", conn: serverfake.Cut(0, -1)},
+	{name: "broken in the head", conn: serverfake.Cut(30, -1)},
+	{name: "broken in the body", conn: serverfake.Cut(450, -1)},
+	{name: "broken before the answer", conn: serverfake.Cut(-1, 0)},
+	{name: "broken in the head of the answer", conn: serverfake.Cut(-1, 40)},
+	{name: "broken in the body of the answer", conn: serverfake.Cut(-1, 230)},
+	{name: "answer late", conn: serverfake.Delay(3 * time.Second)},
 	{name: "server frozen over the deadline", freeze: 2 * time.Second},
 	{name: "no verdict", noVerdict: true},
 	{name: "no owner", noOwner: true},
@@ -119,7 +76,7 @@
 	t      *testing.T
 	fault  exchangeFault
 	leader leadership
-	server *server
+	server *serverfake.Instance
 	hosts  [2]*host
 	term   uint32
 	id     string
@@ -158,7 +115,7 @@
 		}
 		synctest.Wait()
 	}
-	tr.server.fault = tr.fault.conn
+	tr.server.FailNext(tr.fault.conn)
 	tr.id = newID()
 	if tr.leader.during {
 		time.AfterFunc(2*time.Millisecond, tr.change)
@@ -170,12 +127,12 @@
 	}
 	for range 3 {
 		for at := range tr.hosts { // the same host and another
-			before := tr.server.fake.Runs(tr.id)
+			before := tr.server.Runs(tr.id)
 			tr.check(g, before, tr.attempt(at))
 		}
 	}
 	time.Sleep(time.Minute)
-	g.Expect(tr.server.fake.Runs(tr.id)).To(BeNumerically("<=", 1))
+	g.Expect(tr.server.Runs(tr.id)).To(BeNumerically("<=", 1))
 }
 
 // attempt sends the request to one host, and from there to the leader as the
@@ -200,7 +157,7 @@
 	tr.faulty = false
 	tr.mu.Unlock()
 	time.Sleep(5 * time.Second)
-	runs := tr.server.fake.Runs(tr.id)
+	runs := tr.server.Runs(tr.id)
 	g.Expect(runs).To(BeNumerically("<=", 1))
 	switch r.verdict {
 	case verdict.NotRun:
@@ -222,7 +179,7 @@
 			time.Sleep(time.Second)
 			tr.id = newID()
 		}
-		before := tr.server.fake.Runs(tr.id)
+		before := tr.server.Runs(tr.id)
 		tr.check(NewWithT(tr.t), before, tr.attempt(1))
 		tr.pass(1, 0, tr.leader.handOverBack)
 	}
--- a/internal/execute/execute_test.go
+++ b/internal/execute/execute_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lycheerudder/lycheerudder/internal/request"
+	"github.com/lycheerudder/lycheerudder/internal/serverapi/serverfake"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 	"github.com/lycheerudder/lycheerudder/internal/verdict"
 )
@@ -19,7 +20,7 @@
 const work = 10 * time.Millisecond
 
 // single is a world with one leader host and one server.
-func single(t *testing.T, app http.HandlerFunc) (*host, *server) {
+func single(t *testing.T, app http.HandlerFunc) (*host, *serverfake.Instance) {
 	s := newServer(t, "s1", app)
 	h := newHost(t, s)
 	h.lead(1, time.Now().Add(-time.Hour), s)
@@ -41,7 +42,7 @@
 			g.Expect(<-results).To(Equal(result{verdict: verdict.Ran, body: "run 1"}))
 		}
 		g.Expect(call(t.Context(), h.svc, id, "b").code).To(Equal(verdict.CodeIDReused))
-		g.Expect(s.fake.Runs(id)).To(Equal(1))
+		g.Expect(s.Runs(id)).To(Equal(1))
 
 		slow := newID()
 		go call(t.Context(), h.svc, slow, "a")
@@ -66,7 +67,7 @@
 		g.Expect(r).To(Equal(result{code: verdict.CodeClock, verdict: verdict.NotRun}))
 		g.Expect(call(t.Context(), h.svc, later, "a").verdict).To(Equal(verdict.Ran))
 		g.Expect(time.Since(start)).To(BeNumerically(">=", 300*time.Millisecond))
-		g.Expect(s.fake.Runs(later)).To(Equal(1))
+		g.Expect(s.Runs(later)).To(Equal(1))
 	})
 }
 
@@ -75,17 +76,17 @@
 func TestMove(t *testing.T) {
 	for _, c := range []struct {
 		name   string
-		before func(h *host, other *server) // while the request waits
+		before func(h *host, other *serverfake.Instance) // while the request waits
 		want   result
 		runs   int // at the new server
 	}{
-		{"moved while queued", func(h *host, other *server) { h.lead(1, time.Time{}, other) }, result{verdict: verdict.Ran, body: "run 1"}, 1},
-		{"held during the move", func(h *host, other *server) {
+		{"moved while queued", func(h *host, other *serverfake.Instance) { h.lead(1, time.Time{}, other) }, result{verdict: verdict.Ran, body: "run 1"}, 1},
+		{"held during the move", func(h *host, other *serverfake.Instance) {
 			h.lead(1, time.Time{}, nil)
 			time.AfterFunc(300*time.Millisecond, func() { h.lead(1, time.Time{}, other) })
 		}, result{verdict: verdict.Ran, body: "run 1"}, 1},
-		{"no owner until the deadline", func(h *host, _ *server) { h.lead(1, time.Time{}, nil) }, result{code: verdict.CodeNoOwner, verdict: verdict.NotRun}, 0},
-		{"leadership lost", func(h *host, _ *server) { h.stop() }, result{code: verdict.CodeNotLeader, verdict: verdict.NotRun}, 0},
+		{"no owner until the deadline", func(h *host, _ *serverfake.Instance) { h.lead(1, time.Time{}, nil) }, result{code: verdict.CodeNoOwner, verdict: verdict.NotRun}, 0},
+		{"leadership lost", func(h *host, _ *serverfake.Instance) { h.stop() }, result{code: verdict.CodeNotLeader, verdict: verdict.NotRun}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -100,8 +101,8 @@
 				time.AfterFunc(work/2, func() { c.before(h, s2) })
 				r := within(t, time.Second, func(ctx context.Context) result { return call(ctx, h.svc, "", "moved") })
 				g.Expect(r).To(Equal(c.want))
-				g.Expect(s1.fake.Total()).To(Equal(2))
-				g.Expect(s2.fake.Total()).To(Equal(c.runs))
+				g.Expect(s1.Total()).To(Equal(2))
+				g.Expect(s2.Total()).To(Equal(c.runs))
 			})
 		})
 	}
@@ -112,14 +113,14 @@
 func TestCrashingRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		var servers []*server
+		var servers []*serverfake.Instance
 		for _, id := range []string{"s1", "s2", "s3"} {
-			var s *server
+			var s *serverfake.Instance
 			s = newServer(t, topology.ServerID(id), func(_ http.ResponseWriter, r *http.Request) {
 				body, _ := io.ReadAll(r.Body)
 				time.Sleep(work)
 				if strings.Contains(string(body), "crash") {
-					go s.kill()
+					go s.Kill()
 					time.Sleep(time.Second)
 				}
 			})
@@ -134,7 +135,7 @@
 			g.Expect(call(t.Context(), h.svc, "", "crash")).To(Equal(result{code: verdict.CodeServerFailed, verdict: verdict.MayHaveRun}))
 			synctest.Wait()
 			if i == 1 {
-				h.svc.ServerDied(s.id) // the control path sees the death as well
+				h.svc.ServerDied(s.ID()) // the control path sees the death as well
 			}
 		}
 		h.lead(1, time.Time{}, servers[2])
@@ -167,7 +168,7 @@
 				ans, err := h.svc.Do(t.Context(), req)
 				g.Expect(err).NotTo(HaveOccurred())
 				synctest.Wait()
-				reply, _ := s.fake.Lease(t.Context())
+				reply, _ := s.Lease(t.Context())
 				g.Expect(reply.Load.InFlight == 1).To(Equal(c.held))
 				body, err := io.ReadAll(ans.Body)
 				g.Expect(err).NotTo(HaveOccurred())
@@ -199,6 +200,6 @@
 			g.Expect((<-results).verdict).To(Equal(verdict.Ran))
 		}
 		g.Expect(time.Since(start)).To(Equal(50 * work))
-		g.Expect(s.fake.Total()).To(Equal(100))
+		g.Expect(s.Total()).To(Equal(100))
 	})
 }
--- a/internal/execute/world_test.go
+++ b/internal/execute/world_test.go
@@ -13,13 +13,11 @@
 	"time"
 
 	"github.com/google/uuid"
-	"golang.org/x/sys/unix"
 
 	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/exchange"
 	"github.com/lycheerudder/lycheerudder/internal/execute"
 	"github.com/lycheerudder/lycheerudder/internal/request"
-	"github.com/lycheerudder/lycheerudder/internal/serverapi"
 	"github.com/lycheerudder/lycheerudder/internal/serverapi/serverfake"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 	"github.com/lycheerudder/lycheerudder/internal/verdict"
@@ -29,80 +27,12 @@
 
 var ref = topology.ShardRef{Service: "booking"}
 
-// pipeListener accepts connections of net.Pipe, so that servers run in virtual
-// time.
-type pipeListener struct {
-	conns  chan net.Conn
-	closed chan struct{}
-	once   sync.Once
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-func (l *pipeListener) Close() error   { l.once.Do(func() { close(l.closed) }); return nil }
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
-// server is a backend server in the bubble of a test.
-type server struct {
-	id   topology.ServerID
-	fake *serverfake.Server
-	http *http.Server
-	l    *pipeListener
-	// fault wraps the next connection of the router; nil after its use.
-	fault func(net.Conn) (net.Conn, error)
-	mu    sync.Mutex
-}
-
-func newServer(t *testing.T, id topology.ServerID, app http.HandlerFunc) *server {
-	s := &server{id: id, l: &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}}
-	s.fake = serverfake.New(serverfake.Options{ID: id, Incarnation: 1, ChecksFences: true, Slots: 2, Clock: clock.NewProcess(), CountRuns: true})
-	s.http = &http.Server{Handler: s.fake.Handler(app)}
-	go func() { _ = s.http.Serve(s.l) }()
-	t.Cleanup(s.kill)
+func newServer(t *testing.T, id topology.ServerID, app http.HandlerFunc) *serverfake.Instance {
+	s := serverfake.Start(serverfake.Options{ID: id, Incarnation: 1, ChecksFences: true, Slots: 2, Clock: clock.NewProcess(), CountRuns: true}, app)
+	t.Cleanup(s.Kill)
 	return s
 }
 
-// kill ends the server as a crash does: connections break and new ones are
-// refused.
-func (s *server) kill() { _ = s.http.Close() }
-
-// grant gives the shard to the server for a long time.
-func (s *server) grant(fence topology.Fence) {
-	_, _ = s.fake.UpdateLease(context.Background(), serverapi.LeaseRequest{
-		Epoch: fence.Epoch(), Incarnation: 1, Duration: 10 * time.Hour, Grant: []serverapi.GrantOrder{{Ref: ref, Fence: fence}},
-	})
-}
-
-func (s *server) dial(ctx context.Context) (net.Conn, error) {
-	s.mu.Lock()
-	fault := s.fault
-	s.fault = nil
-	s.mu.Unlock()
-	ours, theirs := net.Pipe()
-	conn := ours
-	if fault != nil {
-		c, err := fault(ours)
-		if err != nil {
-			return nil, err
-		}
-		conn = c
-	}
-	select {
-	case s.l.conns <- theirs:
-		return conn, nil
-	case <-s.l.closed:
-		return nil, unix.ECONNREFUSED
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
 // host is a leader host with its own view of the ownership.
 type host struct {
 	svc    *execute.Service
@@ -112,12 +42,12 @@
 	calls  atomic.Int32
 }
 
-func newHost(t *testing.T, servers ...*server) *host {
+func newHost(t *testing.T, servers ...*serverfake.Instance) *host {
 	h := &host{err: verdict.New(verdict.CodeNotLeader, verdict.NotRun, "not the leader")}
 	client := exchange.NewClientWith(45, func(ctx context.Context, _, address string) (net.Conn, error) {
 		for _, s := range servers {
-			if string(s.id) == address {
-				return s.dial(ctx)
+			if string(s.ID()) == address {
+				return s.Dial(ctx)
 			}
 		}
 		return nil, errors.New("unknown server")
@@ -139,7 +69,7 @@
 
 // lead makes the host lead the partition with the shard at s; a nil server is a
 // shard without an owner.
-func (h *host) lead(term uint32, since time.Time, s *server) {
+func (h *host) lead(term uint32, since time.Time, s *serverfake.Instance) {
 	fence := topology.Fence{List: 1, Term: term, Seq: 1}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -147,9 +77,9 @@
 		h.err = verdict.New(verdict.CodeNoOwner, verdict.NotRun, "shard has no owner")
 		return
 	}
-	s.grant(fence)
+	s.Own(ref, fence)
 	h.err = nil
-	h.target = exchange.Target{Server: s.id, Base: "http://" + string(s.id), Ref: ref, Fence: fence, Partition: partition, Since: since}
+	h.target = exchange.Target{Server: s.ID(), Base: "http://" + string(s.ID()), Ref: ref, Fence: fence, Partition: partition, Since: since}
 }
 
 func (h *host) stop() {
--- a/internal/hopbench/path_test.go
+++ b/internal/hopbench/path_test.go
@@ -35,8 +35,10 @@
 // the whole way: caller, entry host, leader host and server over sockets, with
 // each encoding of bodies.
 func TestWholePath(t *testing.T) {
-	f := newFleet(t, true, echo)
-	for _, base := range []string{f.leader, f.entry} {
+	f, err := NewFleet(true, http.HandlerFunc(echo))
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	defer f.Close()
+	for _, base := range []string{f.Leader, f.Entry} {
 		for _, c := range []struct {
 			method  string
 			query   string
