--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -26,6 +26,10 @@
 	minReconnect   = 50 * time.Millisecond
 	maxReconnect   = time.Second
 	connectTimeout = time.Second
+	// 4 KiB of answer for each of 10,000 ids fit into one hand-over.
+	maxHandOverBytes = 64 << 20
+	// Calls beyond this number of concurrent ones get a new goroutine.
+	streamWorkers = 64
 )
 
 // Server is the receiving side of the peer interface.
@@ -62,6 +66,19 @@
 	return s
 }
 
+// NewGRPCServer returns a gRPC server with the peer interface. Its workers keep
+// their stacks between calls; a new goroutine for each call would grow its
+// stack each time.
+func NewGRPCServer(srv peerpb.PeerServer) *grpc.Server {
+	s := grpc.NewServer(
+		grpc.NumStreamWorkers(streamWorkers),
+		grpc.StaticStreamWindowSize(streamWindowBytes), grpc.StaticConnWindowSize(connWindowBytes),
+		grpc.MaxRecvMsgSize(maxHandOverBytes),
+	)
+	peerpb.RegisterPeerServer(s, srv)
+	return s
+}
+
 // Do implements the unary forward call.
 func (s *Server) Do(ctx context.Context, p *peerpb.Request) (*peerpb.Response, error) {
 	ctx, cancel := bound(ctx, p)
@@ -88,6 +105,9 @@
 }
 
 func readAnswer(ans *request.Answer) ([]byte, error) {
+	if body, ok := ans.Content(); ok {
+		return body, nil
+	}
 	if ans.Size >= 0 && ans.Size <= request.MaxAnswerBytes {
 		body := make([]byte, ans.Size)
 		if _, err := io.ReadFull(ans.Body, body); err != nil {
@@ -180,7 +200,11 @@
 	if err != nil {
 		return nil, callError(err, verdict.MayHaveRun)
 	}
-	return decodeResponse(resp)
+	ans, err := decodeResponse(resp)
+	if err != nil {
+		return nil, err
+	}
+	return ans.WithBody(resp.Body), nil
 }
 
 // ready waits until the connection can carry a call. It fails at once while
