--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -11,11 +11,14 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/config"
+	"github.com/lycheerudder/lycheerudder/internal/follow"
 	"github.com/lycheerudder/lycheerudder/internal/hostlist"
 	"github.com/lycheerudder/lycheerudder/internal/logging"
 	"github.com/lycheerudder/lycheerudder/internal/platformlog"
 	"github.com/lycheerudder/lycheerudder/internal/record"
+	"github.com/lycheerudder/lycheerudder/internal/state"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
 
@@ -69,19 +72,21 @@
 }
 
 func (c *Controller) followConfig(ctx context.Context) {
-	c.follow(ctx, record.StreamConfig, func(e record.Envelope) {
-		if e.Kind != record.KindConfig {
-			return
-		}
-		var doc config.Document
-		if err := json.Unmarshal(e.Body, &doc); err != nil {
-			c.log.Error("Configuration record is invalid.", err)
-			return
-		}
+	fold := state.NewConfig()
+	stream := follow.NewStream(fold.Fold, clock.Boot{}, follow.SlowWait)
+	go follow.NewFollower(c.opts.Log, stream).Run(ctx)
+	for ctx.Err() == nil {
+		changed := stream.Changed()
+		var doc *config.Document
+		stream.View(func(*state.Fold) { doc, _ = fold.Document() })
 		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.config = &doc
-	})
+		c.config = doc
+		c.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
 }
 
 func (c *Controller) followMembers(ctx context.Context) {
