--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -30,6 +30,8 @@
 type Follower struct {
 	log    platformlog.Log
 	stream *Stream
+	// readBack, if set, confirms the state by markers instead of plain reads.
+	readBack *marker
 	// scan is the offset from which the search for a snapshot goes on while
 	// records are missing.
 	scan int64
@@ -41,6 +43,9 @@
 // Run reads until the context ends. Failed reads are retried after a random
 // delay that doubles up to 2 s.
 func (f *Follower) Run(ctx context.Context) {
+	if f.readBack != nil {
+		go f.appendMarkers(ctx)
+	}
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		if err := f.Poll(ctx); err != nil && ctx.Err() == nil {
@@ -75,7 +80,9 @@
 	switch {
 	case after == b.Next:
 		f.scan = 0
-		f.stream.Confirm(b.Next, sent)
+		if f.readBack == nil {
+			f.stream.Confirm(b.Next, sent)
+		}
 	case after >= b.First:
 		f.scan = 0 // contiguous, or restored with all later records kept
 	case used > 0:
--- a/internal/follow/snapshot.go
+++ b/internal/follow/snapshot.go
@@ -15,6 +15,9 @@
 
 const (
 	snapshotCheck = 10 * time.Second
+	// markersPerRecord is the number of markers that count like one record. A
+	// host appends one per second, and each only costs reading time.
+	markersPerRecord = 10
 	// snapshotJitter is the time over which the readers of the log spread
 	// their snapshots. The first one to append makes the others skip theirs.
 	snapshotJitter = 30 * time.Second
@@ -80,7 +83,7 @@
 	if unknown > 0 {
 		records, period = records+records/2, period+period/2
 	}
-	return info.Since >= records || time.Since(p.base) >= period
+	return info.Since+info.Markers/markersPerRecord >= records || time.Since(p.base) >= period
 }
 
 // observe notes a new snapshot. Its written time counts only if it is earlier
--- a/internal/follow/stream.go
+++ b/internal/follow/stream.go
@@ -42,6 +42,7 @@
 	parts       record.Collector
 	started     time.Duration
 	wait        time.Duration
+	markers     []sentMarker
 }
 
 // Long-poll times. Without new records the age of the last confirmed read grows
@@ -141,6 +142,9 @@
 				s.keepRecent(r)
 			}
 			s.resolve(out)
+			if out.Kind == state.MarkerSeen {
+				s.markerSeen(out.ID, out.Offset)
+			}
 		}
 	}
 	return len(records)
@@ -185,6 +189,10 @@
 func (s *Stream) Confirm(next int64, sent time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.confirm(next, sent)
+}
+
+func (s *Stream) confirm(next int64, sent time.Duration) {
 	if next > s.fold.Next() || s.isConfirmed && sent <= s.confirmed {
 		return
 	}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -52,6 +52,7 @@
 	KindCrashes      Kind = "crashes"       // Crashes, quarantine
 	KindQuarantine   Kind = "quarantine"    // Quarantine, quarantine
 	KindSnapshot     Kind = "snapshot"      // SnapshotPart, every stream
+	KindMarker       Kind = "marker"        // Marker, every stream
 )
 
 // ErrUnknownVersion reports an envelope that a later release wrote. The
--- a/internal/record/snapshot.go
+++ b/internal/record/snapshot.go
@@ -84,6 +84,10 @@
 	return records, nil
 }
 
+// Marker is the body of a KindMarker record. It changes nothing. Its writer
+// reads it back to confirm that a read shows all earlier appends.
+type Marker struct{}
+
 type openSnapshot struct {
 	key   string
 	parts [][]byte
--- a/internal/state/fold.go
+++ b/internal/state/fold.go
@@ -108,6 +108,8 @@
 	WrittenAt int64
 	// Since counts the records after Next, without the parts of snapshots.
 	Since int64
+	// Markers counts the markers after Next.
+	Markers int64
 }
 
 func newFold(stream string, m machine) *Fold {
@@ -138,6 +140,12 @@
 	if isSnapshot {
 		return f.applySnapshot(out, e, false)
 	}
+	if err == nil && e.Kind == record.KindMarker {
+		// Markers are frequent and have no effect, so their ids are not kept.
+		f.snapshots.Markers++
+		out.Kind = MarkerSeen
+		return out
+	}
 	f.snapshots.Since++
 	switch {
 	case errors.Is(err, record.ErrUnknownVersion):
--- a/internal/state/outcome.go
+++ b/internal/state/outcome.go
@@ -29,9 +29,11 @@
 	// Restored means that the record completed a snapshot that replaced the
 	// state.
 	Restored
+	// MarkerSeen is a marker. It changes nothing.
+	MarkerSeen
 )
 
-var kindNames = [...]string{"none", "applied", "duplicate", "rejected", "unknown", "snapshot", "seen", "gap", "restored"}
+var kindNames = [...]string{"none", "applied", "duplicate", "rejected", "unknown", "snapshot", "seen", "gap", "restored", "marker"}
 
 // String returns the name of the result.
 func (k Kind) String() string {
