--- /dev/null
+++ b/internal/control/handover.go
@@ -0,0 +1,125 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/lycheerudder/lycheerudder/internal/lead"
+	"github.com/lycheerudder/lycheerudder/internal/peer"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+)
+
+const (
+	handOverTimeout = time.Second
+	// handOverKept is the time for which a hand-over waits for the start of
+	// the next term.
+	handOverKept = 5 * time.Second
+	// leavePoll and leaveTimeout bound the wait for a list without this host.
+	leavePoll    = 20 * time.Millisecond
+	leaveTimeout = 3 * time.Second
+)
+
+type pendingHandOver struct {
+	peer.HandOver
+	received time.Duration
+}
+
+// HandOver implements peer.Control. The hand-over is used when this host
+// starts the term that directly follows.
+func (c *Controller) HandOver(h peer.HandOver) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.partitions[h.Partition]
+	if !ok || p.leader != nil {
+		return false
+	}
+	p.handOver = &pendingHandOver{HandOver: h, received: c.clock.Now()}
+	return true
+}
+
+// acceptHandOver uses a hand-over of the directly preceding term. Another
+// host can have run requests in between otherwise, and the memory of ids would
+// be incomplete.
+func (c *Controller) acceptHandOver(p *partition, epoch topology.Fence) {
+	h := p.handOver
+	p.handOver = nil
+	if h == nil || c.clock.Now()-h.received > handOverKept {
+		return
+	}
+	next := h.Epoch
+	next.Term++
+	if next != epoch {
+		return
+	}
+	c.exec.Quarantine().Import(h.Crashes)
+	if !c.exec.TakeOver(p.id, epoch, h.IDs) {
+		c.log.With("partition", p.id).Warn("Hand-over cannot be used.")
+	}
+}
+
+// Leave hands all partitions of this host over and takes the host off its
+// cell's list. It returns when that is done or the context ends.
+func (c *Controller) Leave(ctx context.Context) {
+	c.closing.Store(true)
+	for _, p := range c.ledPartitions() {
+		c.handOver(ctx, p)
+	}
+	c.step(ctx, func(now time.Duration) lead.Actions {
+		c.node.Leave(now)
+		return lead.Actions{}
+	})
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	for c.isMember() && ctx.Err() == nil {
+		sleep(ctx, leavePoll)
+	}
+}
+
+func (c *Controller) isMember() bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.node.Status(c.clock.Now()).Member
+}
+
+func (c *Controller) ledPartitions() []*partition {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	var led []*partition
+	for _, p := range c.partitions {
+		if p.leader != nil {
+			led = append(led, p)
+		}
+	}
+	return led
+}
+
+// handOver closes the memory of ids, sends it to the leader of the next term
+// and releases the partition. The host stops to act before it releases.
+func (c *Controller) handOver(ctx context.Context, p *partition) {
+	c.mu.Lock()
+	if p.leader == nil {
+		c.mu.Unlock()
+		return
+	}
+	epoch := p.epoch
+	list := c.node.Status(c.clock.Now()).List
+	next := list.Leader(slotOf(p.id), epoch.Term+1)
+	c.mu.Unlock()
+
+	ids, ok := c.exec.HandOver(p.id, epoch)
+	if client, known := c.peerOf(next.Host); ok && known && next != c.opts.Self {
+		call, cancel := context.WithTimeout(ctx, handOverTimeout)
+		_, err := client.HandOver(call, peer.HandOver{Partition: p.id, Epoch: epoch, IDs: ids, Crashes: c.exec.Quarantine().Export()})
+		cancel()
+		if err != nil {
+			c.log.With("partition", p.id).Error("Memory of request ids cannot be handed over.", err)
+		}
+	}
+	c.step(ctx, func(now time.Duration) lead.Actions {
+		if p.leader != nil && p.epoch == epoch {
+			c.endLeadership(p, "Leadership is handed over.")
+			c.node.Release(slotOf(p.id), now)
+		}
+		return lead.Actions{}
+	})
+}
--- /dev/null
+++ b/internal/control/status.go
@@ -0,0 +1,133 @@
+package control
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lycheerudder/lycheerudder/internal/admin"
+	"github.com/lycheerudder/lycheerudder/internal/follow"
+	"github.com/lycheerudder/lycheerudder/internal/grant"
+	"github.com/lycheerudder/lycheerudder/internal/quarantine"
+	"github.com/lycheerudder/lycheerudder/internal/settings"
+	"github.com/lycheerudder/lycheerudder/internal/state"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+)
+
+var (
+	errNotConfigured = errors.New("configuration is not known yet")
+	errShuttingDown  = errors.New("host is shutting down")
+)
+
+// Ready implements admin.Source.
+func (c *Controller) Ready() error {
+	switch {
+	case c.closing.Load():
+		return errShuttingDown
+	case !c.ready.Load():
+		return errNotConfigured
+	}
+	return nil
+}
+
+// Close makes the host report that it is not ready.
+func (c *Controller) Close() { c.closing.Store(true) }
+
+// Status implements admin.Source.
+func (c *Controller) Status(time.Time) admin.Status {
+	unknown := c.unknownRecords()
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	now := c.clock.Now()
+	n := c.node.Status(now)
+	s := admin.Status{
+		Host: c.opts.Self.Host, Incarnation: c.opts.Self.Incarnation, DataCentre: c.opts.DataCentre, Cell: c.opts.Cell,
+		Version: settings.Version, Ready: c.Ready() == nil, ConfigRevision: c.revision,
+		LogAgeMS: n.LogAge.Milliseconds(), Mode: n.Mode.String(), List: n.List.Version, Members: n.List.Members, UnknownRecords: unknown,
+	}
+	if n.LogAge < 0 {
+		s.LogAgeMS = -1
+	}
+	for _, p := range c.partitions {
+		if p.leader != nil {
+			s.Partitions = append(s.Partitions, p.status(now))
+		}
+	}
+	slices.SortFunc(s.Partitions, func(a, b admin.Partition) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	s.Quarantined = quarantined(c.exec.Quarantine())
+	return s
+}
+
+func (p *partition) status(now time.Duration) admin.Partition {
+	out := admin.Partition{ID: p.id, Epoch: p.epoch.String(), LeadMS: (p.until - now).Milliseconds()}
+	for _, s := range p.leader.Servers(now) {
+		out.Servers = append(out.Servers, admin.Server{
+			ID: s.ID, Shards: s.Shards, LeaseMS: s.LeaseLeft.Milliseconds(), InFlight: s.Load.InFlight, Draining: s.Leaving,
+		})
+	}
+	return out
+}
+
+func quarantined(t *quarantine.Table) []admin.Quarantined {
+	counts := make(map[string]*admin.Quarantined)
+	var out []admin.Quarantined
+	for _, cr := range t.Export() {
+		fp := cr.Content.String()
+		q, ok := counts[fp]
+		if !ok {
+			q = &admin.Quarantined{Fingerprint: fp, LeftMS: t.Blocked(cr.Content).Milliseconds()}
+			counts[fp] = q
+		}
+		q.Crashes++
+	}
+	for _, q := range counts {
+		if q.LeftMS > 0 {
+			out = append(out, *q)
+		}
+	}
+	slices.SortFunc(out, func(a, b admin.Quarantined) int { return strings.Compare(a.Fingerprint, b.Fingerprint) })
+	return out
+}
+
+func (c *Controller) unknownRecords() int64 {
+	var total int64
+	for _, s := range c.streams.all() {
+		s.View(func(f *state.Fold) {
+			_, n := f.Unknown()
+			total += n
+		})
+	}
+	return total
+}
+
+// Explain implements admin.Source.
+func (c *Controller) Explain(service topology.Service, customer topology.Customer, key string) (admin.Explanation, error) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	l, err := c.locate(service, customer, key)
+	if err != nil {
+		return admin.Explanation{}, err
+	}
+	e := admin.Explanation{Shard: l.ref.String(), Partition: l.partition, DataCentre: l.dc}
+	e.Leader, _ = c.leaderOf(l)
+	p, ok := c.partitions[l.partition]
+	if !ok || p.leader == nil {
+		return e, nil
+	}
+	e.Leader = c.opts.Self.Host
+	i := slices.IndexFunc(p.leader.Shards(), func(s grant.ShardStatus) bool { return s.Ref == l.ref })
+	if i < 0 {
+		return e, nil
+	}
+	s := p.leader.Shards()[i]
+	e.Server, e.Fence, e.State, e.InPlace = s.Server, s.Fence.String(), s.State.String(), s.InPlace
+	if at, ok := p.placing.since[l.ref]; ok {
+		e.SinceMS = (c.clock.Now() - at).Milliseconds()
+	}
+	e.Reason = p.placing.reason(l.ref)
+	return e, nil
+}
+
+// Streams returns this host's copies of the streams that it relays.
+func (c *Controller) Streams() []*follow.Stream { return c.streams.all() }
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -27,8 +27,8 @@
 	// Incarnation is the server's process; zero if it is not known.
 	Incarnation topology.Incarnation
 	Base        string
-	Ref    topology.ShardRef
-	Fence  topology.Fence
+	Ref         topology.ShardRef
+	Fence       topology.Fence
 	// NotAfter is the wall clock time after which the server must not start
 	// the request; zero if the service checks fences.
 	NotAfter time.Time
