Add the placement policy

Change: package placement with Decide, which maps assignments with their stay, measured loads, server states, settings and a seed to moves, splits and joins. Forced changes (no live owner, leaving server) come first and are not limited. Planned changes share one limit per interval; each has to be worth its price in churn and unavailable key-seconds. A server's weight is the leader's own measurement of its speed; the median of at least three fresh reports changes it by at most 25%, and by less the more work the leader has measured. Apply carries out a plan on a list of assignments.

Ruled out: max/mean as the decision measure. A move away from the second most loaded server does not change it, so it gives no direction when two servers are overloaded. The squared deviation decreases with every accepted move by at least the price of churn, which bounds the number of moves under constant load; settings without a price of churn are therefore invalid.

The settings of the two deployments are first values; they are to be replaced by measured ones.

Conclusion: the policy keeps its limits in the tested inputs. It is not yet called by the leader.

--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,182 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lycheerudder/lycheerudder/internal/placement"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+)
+
+func TestPlacement(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "placement")
+}
+
+const warm = time.Hour
+
+func shard(n int) topology.ShardRef {
+	return topology.ShardRef{Service: "booking", Shard: topology.ShardID(n)}
+}
+
+func key(n int) topology.ShardRef {
+	r := shard(n)
+	r.Key = "hot"
+	return r
+}
+
+func server(id string) placement.Server {
+	return placement.Server{ID: topology.ServerID(id), Since: warm, Slots: 2, Work: 1, Busy: 1}
+}
+
+// input has servers a, b and c of which each owns four shards of load 0.25.
+func input() placement.Input {
+	in := placement.Input{Settings: placement.HrJadran(), Seed: 1}
+	for i, id := range []string{"a", "b", "c"} {
+		in.Servers = append(in.Servers, server(id))
+		for s := range 4 {
+			in.Assignments = append(in.Assignments, placement.Assignment{
+				Ref: shard(4*i + s), Server: topology.ServerID(id), Held: warm, Load: 0.25,
+			})
+		}
+	}
+	return in
+}
+
+func loads(as []placement.Assignment) map[topology.ServerID]float64 {
+	sum := make(map[topology.ServerID]float64)
+	for _, a := range as {
+		sum[a.Server] += a.Load
+	}
+	return sum
+}
+
+var _ = DescribeTable("rules",
+	func(change func(*placement.Input), check func(placement.Input, placement.Plan)) {
+		in := input()
+		change(&in)
+		Expect(in.Settings.Validate()).To(Succeed())
+		check(in, placement.Decide(in))
+	},
+	Entry("balanced load: churn without benefit", func(*placement.Input) {}, func(_ placement.Input, p placement.Plan) {
+		Expect(p).To(Equal(placement.Plan{}))
+	}),
+	Entry("no live server: a placement that nobody can serve", func(in *placement.Input) {
+		for i := range in.Servers {
+			in.Servers[i].State = placement.Lost
+		}
+	}, func(_ placement.Input, p placement.Plan) { Expect(p).To(Equal(placement.Plan{})) }),
+	Entry("lost server: shards that wait for the move limit", func(in *placement.Input) {
+		in.Servers[0].State = placement.Lost
+		in.Recent = in.Settings.MaxMoves
+	}, func(in placement.Input, p placement.Plan) {
+		Expect(p.Moves).To(HaveLen(4))
+		Expect(loads(placement.Apply(in.Assignments, p))).To(Equal(map[topology.ServerID]float64{"b": 1.5, "c": 1.5}))
+	}),
+	Entry("leaving server: work that goes on for more than the drain time", func(in *placement.Input) {
+		in.Servers[0].State = placement.Leaving
+		in.Servers[0].Since = 2 * time.Second
+		in.Recent = in.Settings.MaxMoves
+	}, func(in placement.Input, p placement.Plan) {
+		Expect(p.Moves).To(HaveEach(HaveField("Reason", placement.ReasonLeaving)))
+		Expect(loads(placement.Apply(in.Assignments, p))).NotTo(HaveKey(topology.ServerID("a")))
+	}),
+	Entry("leaving server: all shards unavailable in the same tick", func(in *placement.Input) {
+		in.Servers[0].State, in.Servers[0].Since = placement.Leaving, 0
+	}, func(_ placement.Input, p placement.Plan) { Expect(p.Moves).To(HaveLen(2)) }),
+	Entry("cold server: more load than its ramp allows", func(in *placement.Input) {
+		in.Servers = append(in.Servers, server("d"))
+		in.Servers[3].Since = 4 * time.Second
+	}, func(in placement.Input, p placement.Plan) {
+		// Half of the weight of one in 3.5 servers, of a load of 3.
+		Expect(loads(placement.Apply(in.Assignments, p))["d"]).To(And(BeNumerically(">", 0), BeNumerically("<=", 0.5*3/3.5)))
+	}),
+	Entry("recently moved shards: moved again before their minimum stay", func(in *placement.Input) {
+		for i := range in.Assignments {
+			in.Assignments[i].Server, in.Assignments[i].Held = "a", time.Second
+		}
+	}, func(_ placement.Input, p placement.Plan) { Expect(p).To(Equal(placement.Plan{})) }),
+	Entry("small imbalance: moves within the hysteresis", func(in *placement.Input) {
+		in.Settings.Enter = 0.3
+		in.Assignments[0].Load += 0.25
+	}, func(_ placement.Input, p placement.Plan) { Expect(p).To(Equal(placement.Plan{})) }),
+	Entry("key hotter than a fair share: server that stays overloaded", func(in *placement.Input) {
+		in.Assignments[0].Load = 2
+		in.HotKeys = []placement.HotKey{{Ref: key(0), Load: 2, Error: 0.25}}
+	}, func(in placement.Input, p placement.Plan) {
+		Expect(p.Splits).To(ConsistOf(placement.Split{Key: key(0), From: "a", To: p.Splits[0].To, Load: 1.75}))
+		for _, l := range loads(placement.Apply(in.Assignments, p)) {
+			Expect(l).To(BeNumerically("<=", 2))
+		}
+	}),
+	Entry("uncertain key: split on an estimate that may be all error", func(in *placement.Input) {
+		in.HotKeys = []placement.HotKey{{Ref: key(0), Load: 3, Error: 3}}
+	}, func(_ placement.Input, p placement.Plan) { Expect(p.Splits).To(BeEmpty()) }),
+	Entry("split key that is still hot: split a second time", func(in *placement.Input) {
+		in.Assignments[0].Ref = key(1)
+		in.HotKeys = []placement.HotKey{{Ref: key(1), Load: 9}}
+	}, func(_ placement.Input, p placement.Plan) { Expect(p.Splits).To(BeEmpty()) }),
+	Entry("cooled key: a split that stays for ever", func(in *placement.Input) {
+		in.Assignments[0].Ref, in.Assignments[0].Load = key(5), 0.001
+	}, func(in placement.Input, p placement.Plan) {
+		Expect(p.Joins).To(ConsistOf(placement.Join{Key: key(5), From: "a", To: "b"}))
+		Expect(placement.Apply(in.Assignments, p)).To(HaveLen(11))
+	}),
+)
+
+// Guards against a server that steers placement by its reports.
+var _ = DescribeTable("weight",
+	func(work, busy float64, reports []float64, age time.Duration, lowest, highest float64) {
+		s := server("a")
+		s.Work, s.Busy = work, busy
+		for _, r := range reports {
+			s.Reports = append(s.Reports, placement.Report{Busy: r, Age: age})
+		}
+		w := placement.Weight(s, placement.Common())
+		Expect(w).To(And(BeNumerically(">=", lowest-1e-9), BeNumerically("<=", highest+1e-9)))
+	},
+	Entry("nominal speed", 1.0, 1.0, nil, time.Second, 2.0, 2.0),
+	Entry("a slow server is worth less", 0.5, 1.5, nil, time.Second, 0.9, 1.1),
+	Entry("one misleading report has no effect", 1.0, 1.0, []float64{1, 0, 1}, time.Second, 2.0, 2.0),
+	Entry("a single report has no effect", 1.0, 1.0, []float64{0}, time.Second, 2.0, 2.0),
+	Entry("lagging reports have no effect", 1.0, 1.0, []float64{0, 0, 0}, time.Minute, 2.0, 2.0),
+	Entry("a server that always claims to be idle gains less than 25%", 0.5, 0.5, []float64{0, 0, 0}, time.Second, 2.25, 2.25),
+	Entry("a server that always claims to be full loses at most 25%", 0.0, 0.0, []float64{99, 99, 99}, time.Second, 1.5, 1.5),
+	Entry("a report adds less to a measurement of much work", 1.0, 1.0, []float64{99, 99, 99}, time.Second, 1.8, 1.9),
+)
+
+var _ = DescribeTable("cold ramp", func(since time.Duration, share float64) {
+	Expect(placement.Ramp(since, 10*time.Second)).To(Equal(share))
+},
+	Entry("first step", time.Duration(0), 0.1),
+	Entry("half way", 5*time.Second, 0.6),
+	Entry("end", 10*time.Second, 1.0),
+)
+
+// Guards against published settings that void the guarantees of Decide.
+var _ = DescribeTable("invalid settings", func(change func(*placement.Settings)) {
+	s := placement.Kingston()
+	Expect(s.Validate()).To(Succeed())
+	change(&s)
+	Expect(s.Validate()).NotTo(Succeed())
+},
+	Entry("report bound over 25%", func(s *placement.Settings) { s.ReportBound = 0.3 }),
+	Entry("moves for free", func(s *placement.Settings) { s.Weights.Churn = 0 }),
+	Entry("inverted hysteresis", func(s *placement.Settings) { s.Exit = s.Enter + 1 }),
+	Entry("join close to split", func(s *placement.Settings) { s.JoinShare = s.SplitShare }),
+	Entry("negative limit", func(s *placement.Settings) { s.MaxMoves = -1 }),
+	Entry("drain shorter than a tick", func(s *placement.Settings) { s.DrainWithin = 0 }),
+)
+
+func ExampleDecide() {
+	in := input()
+	in.Assignments[0].Load = 0.75
+	for _, m := range placement.Decide(in).Moves {
+		fmt.Println(m.Ref, m.From, m.Reason)
+	}
+	// Output: booking/1 a balance
+}
--- /dev/null
+++ b/internal/placement/property_test.go
@@ -0,0 +1,183 @@
+package placement_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/lycheerudder/lycheerudder/internal/placement"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+)
+
+// checkSeeded runs a property with a fixed seed, so that a run can be
+// repeated.
+func checkSeeded(t *testing.T, prop func(*rapid.T)) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rapid.Check(t, prop)
+}
+
+func drawServers(t *rapid.T, states ...placement.State) []placement.Server {
+	servers := make([]placement.Server, rapid.IntRange(1, 8).Draw(t, "servers"))
+	for i := range servers {
+		servers[i] = placement.Server{
+			ID: topology.ServerID(fmt.Sprint("s", i)), Slots: 2,
+			State: rapid.SampledFrom(states).Draw(t, "state"),
+			Since: time.Duration(rapid.IntRange(0, 15000).Draw(t, "since")) * time.Millisecond,
+			Work:  rapid.Float64Range(0, 2).Draw(t, "work"),
+			Busy:  rapid.Float64Range(0, 2).Draw(t, "busy"),
+		}
+		for _, b := range rapid.SliceOfN(rapid.Float64Range(0, 5), 0, 4).Draw(t, "reports") {
+			servers[i].Reports = append(servers[i].Reports, placement.Report{Busy: b})
+		}
+	}
+	return servers
+}
+
+func drawInput(t *rapid.T, states ...placement.State) placement.Input {
+	in := placement.Input{
+		Servers: drawServers(t, states...),
+		Recent:  rapid.IntRange(0, 20).Draw(t, "recent"),
+		Seed:    rapid.Uint64().Draw(t, "seed"),
+		Settings: rapid.SampledFrom([]placement.Settings{
+			placement.Kingston(), placement.HrJadran(),
+		}).Draw(t, "settings"),
+	}
+	owner := rapid.IntRange(-1, len(in.Servers)-1)
+	for i := range rapid.IntRange(1, 64).Draw(t, "shards") {
+		for _, ref := range []topology.ShardRef{shard(i), key(i)} {
+			if ref.Key != "" && !rapid.Bool().Draw(t, "split") {
+				continue
+			}
+			a := placement.Assignment{
+				Ref: ref, Load: rapid.Float64Range(0, 0.5).Draw(t, "load"),
+				Held: time.Duration(rapid.IntRange(0, 60).Draw(t, "held")) * time.Second,
+			}
+			if o := owner.Draw(t, "owner"); o >= 0 {
+				a.Server = in.Servers[o].ID
+			}
+			in.Assignments = append(in.Assignments, a)
+		}
+		if rapid.Bool().Draw(t, "hot") {
+			hot := placement.HotKey{Ref: key(i), Load: rapid.Float64Range(0, 2).Draw(t, "hot load")}
+			hot.Error = rapid.Float64Range(0, hot.Load).Draw(t, "hot error")
+			in.HotKeys = append(in.HotKeys, hot)
+		}
+	}
+	return in
+}
+
+// changes lists the refs that a plan changes, with their new servers.
+func changes(p placement.Plan) (refs []topology.ShardRef, to []topology.ServerID) {
+	for _, m := range p.Moves {
+		refs, to = append(refs, m.Ref), append(to, m.To)
+	}
+	for _, s := range p.Splits {
+		refs, to = append(refs, s.Key), append(to, s.To)
+	}
+	for _, j := range p.Joins {
+		refs, to = append(refs, j.Key), append(to, j.To)
+	}
+	return refs, to
+}
+
+// Guards against plans that break the limits whatever the state is: targets
+// that may not own shards, changes over the limit, shards with two owners,
+// shards without an owner, and plans that differ between two runs.
+func TestDecideKeepsLimits(t *testing.T) {
+	checkSeeded(t, func(t *rapid.T) {
+		in := drawInput(t, placement.Live, placement.Live, placement.Leaving, placement.Lost)
+		p := placement.Decide(in)
+		if again := placement.Decide(in); fmt.Sprint(again) != fmt.Sprint(p) {
+			t.Fatalf("plans differ: %v and %v", p, again)
+		}
+		if n, limit := p.Planned(), max(0, in.Settings.MaxMoves-in.Recent); n > limit {
+			t.Fatalf("%d planned changes, limit %d", n, limit)
+		}
+		state := make(map[topology.ServerID]placement.State)
+		live := 0
+		for _, s := range in.Servers {
+			state[s.ID] = s.State
+			if s.State == placement.Live {
+				live++
+			}
+		}
+		refs, to := changes(p)
+		seen := make(map[topology.ShardRef]bool)
+		for i, ref := range refs {
+			if seen[ref] || state[to[i]] != placement.Live {
+				t.Fatalf("%s goes to %s, state %d, twice: %t", ref, to[i], state[to[i]], seen[ref])
+			}
+			seen[ref] = true
+		}
+		placed := make(map[topology.ShardRef]bool)
+		for _, a := range placement.Apply(in.Assignments, p) {
+			if placed[a.Ref] {
+				t.Fatalf("%s is placed twice", a.Ref)
+			}
+			placed[a.Ref] = true
+			if s, ok := state[a.Server]; live > 0 && (!ok || s == placement.Lost) {
+				t.Fatalf("%s has no live owner", a.Ref)
+			}
+		}
+	})
+}
+
+// Guards against a cold server that is filled over its ramp while warm
+// servers exist.
+func TestDecideKeepsRamp(t *testing.T) {
+	checkSeeded(t, func(t *rapid.T) {
+		in := drawInput(t, placement.Live)
+		in.Servers[0].Since = warm
+		before := loads(in.Assignments)
+		after := loads(placement.Apply(in.Assignments, placement.Decide(in)))
+		var total, weights float64
+		weight := make(map[topology.ServerID]float64)
+		for _, s := range in.Servers {
+			weight[s.ID] = placement.Weight(s, in.Settings) * placement.Ramp(s.Since, in.Settings.ColdRamp)
+			weights += weight[s.ID]
+		}
+		for _, l := range before {
+			total += l
+		}
+		for _, s := range in.Servers {
+			limit := weight[s.ID] * total / weights
+			if s.Since < in.Settings.ColdRamp && after[s.ID] > limit+1e-9 && after[s.ID] > before[s.ID]+1e-9 {
+				t.Fatalf("cold server %s went from %g to %g, ramp %g", s.ID, before[s.ID], after[s.ID], limit)
+			}
+		}
+	})
+}
+
+// Guards against oscillation: under constant load the policy has to come to
+// rest, and stay there.
+func TestDecideConverges(t *testing.T) {
+	const ticks, quiet = 600, 120
+	checkSeeded(t, func(t *rapid.T) {
+		in := drawInput(t, placement.Live)
+		var moved []int
+		for tick := range ticks {
+			for i := range in.Servers {
+				in.Servers[i].Since += placement.Tick
+			}
+			for i := range in.Assignments {
+				in.Assignments[i].Held += placement.Tick
+			}
+			p := placement.Decide(in)
+			if refs, _ := changes(p); len(refs) > 0 {
+				moved = append(moved, tick)
+			}
+			in.Recent = p.Planned()
+			in.Assignments = placement.Apply(in.Assignments, p)
+		}
+		if n := len(moved); n > 0 && moved[n-1] >= ticks-quiet {
+			t.Fatalf("changes at ticks %v", moved)
+		}
+	})
+}
--- /dev/null
+++ b/internal/placement/settings.go
@@ -0,0 +1,107 @@
+package placement
+
+import (
+	"fmt"
+	"time"
+)
+
+// Weights are the prices of the three measures. They are relative to each
+// other; only their ratios matter.
+type Weights struct {
+	// Imbalance is the price of one unit of squared relative deviation from
+	// the mean utilisation for one second.
+	Imbalance float64 `json:"imbalance"`
+	// Churn is the price of one change of ownership. It must be positive:
+	// balancing ends because every change has to be worth at least this.
+	Churn float64 `json:"churn"`
+	// Unavailable is the price of one key that cannot be used for one second.
+	Unavailable float64 `json:"unavailable"`
+}
+
+// Settings control the policy of one deployment.
+type Settings struct {
+	Weights Weights `json:"weights"`
+	// Horizon is the time for which a better balance is credited to a move.
+	Horizon time.Duration `json:"horizon_ns"`
+	// MaxMoves limits the planned changes per Interval. Moves away from lost
+	// and leaving servers are not limited by it.
+	MaxMoves int           `json:"max_moves"`
+	Interval time.Duration `json:"interval_ns"`
+	// Enter and Exit are the hysteresis: balancing begins when the most and
+	// the least utilised server differ by more than Enter times the mean, and
+	// goes on, while there were recent changes, down to Exit.
+	Enter float64 `json:"enter"`
+	Exit  float64 `json:"exit"`
+	// MinHeld is the shortest stay of a shard between two planned moves.
+	MinHeld time.Duration `json:"min_held_ns"`
+	// ReportBound is the largest relative change that reports make to a
+	// server's weight. It is at most MaxReportBound.
+	ReportBound float64 `json:"report_bound"`
+	// ColdRamp is the time over which a started server takes load in steps.
+	ColdRamp time.Duration `json:"cold_ramp_ns"`
+	// DrainWithin is the time in which a leaving server is emptied.
+	DrainWithin time.Duration `json:"drain_within_ns"`
+	// SplitShare and JoinShare are loads of a key relative to the fair share
+	// of a server. Above SplitShare a key may be split off to balance, below
+	// JoinShare it is joined again.
+	SplitShare float64 `json:"split_share"`
+	JoinShare  float64 `json:"join_share"`
+	// MaxSplit limits the number of split-off keys of a partition.
+	MaxSplit int `json:"max_split"`
+	// KeysPerShard and MoveTime give the cost of a planned move: that many
+	// keys are unavailable for MoveTime.
+	KeysPerShard float64       `json:"keys_per_shard"`
+	MoveTime     time.Duration `json:"move_time_ns"`
+}
+
+// MaxReportBound is the design's limit on the influence of reports.
+const MaxReportBound = 0.25
+
+// Common returns the settings that do not depend on the deployment.
+func Common() Settings {
+	return Settings{
+		Horizon: time.Minute, Interval: 10 * time.Second, MinHeld: 30 * time.Second,
+		ReportBound: MaxReportBound, ColdRamp: 10 * time.Second, DrainWithin: 3 * time.Second,
+		SplitShare: 0.1, JoinShare: 0.02, MaxSplit: 64,
+		// A planned move takes about 10 ms for revoke and grant and about one
+		// service time to drain.
+		KeysPerShard: 200, MoveTime: 20 * time.Millisecond,
+	}
+}
+
+// Kingston returns the settings of the deployment that weighs unavailable
+// time most.
+func Kingston() Settings {
+	s := Common()
+	s.Weights = Weights{Imbalance: 1, Churn: 0.02, Unavailable: 0.5}
+	s.MaxMoves, s.Enter, s.Exit = 4, 0.5, 0.25
+	return s
+}
+
+// HrJadran returns the settings of the deployment that weighs imbalance most.
+func HrJadran() Settings {
+	s := Common()
+	s.Weights = Weights{Imbalance: 10, Churn: 0.02, Unavailable: 0.02}
+	s.MaxMoves, s.Enter, s.Exit = 16, 0.1, 0.05
+	return s
+}
+
+// Validate returns an error if a value contradicts the guarantees of Decide.
+func (s Settings) Validate() error {
+	switch {
+	case s.Weights.Imbalance < 0 || s.Weights.Churn <= 0 || s.Weights.Unavailable < 0:
+		return fmt.Errorf("placement weights must not be negative and the weight of churn must be positive")
+	case s.ReportBound < 0 || s.ReportBound > MaxReportBound:
+		return fmt.Errorf("report bound %g is not between 0 and %g", s.ReportBound, MaxReportBound)
+	case s.Exit < 0 || s.Enter < s.Exit:
+		return fmt.Errorf("hysteresis needs 0 <= exit (%g) <= enter (%g)", s.Exit, s.Enter)
+	case s.JoinShare < 0 || s.SplitShare < 2*s.JoinShare:
+		// A smaller distance would split and join a key on measurement noise.
+		return fmt.Errorf("split share %g is not at least twice the join share %g", s.SplitShare, s.JoinShare)
+	case s.MaxMoves < 0 || s.MaxSplit < 0:
+		return fmt.Errorf("limits on moves and splits must not be negative")
+	case s.Interval < Tick || s.DrainWithin < Tick:
+		return fmt.Errorf("interval and drain time must be at least one tick")
+	}
+	return nil
+}
