--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -104,6 +104,14 @@
 		in.Settings.Enter = 0.3
 		in.Assignments[0].Load += 0.25
 	}, func(_ placement.Input, p placement.Plan) { Expect(p).To(Equal(placement.Plan{})) }),
+	Entry("costly moves: benefit smaller than the unavailable time of a shard", func(in *placement.Input) {
+		in.Settings.Weights.Unavailable = 100
+		in.Assignments[0].Load = 1
+		in.HotKeys = []placement.HotKey{{Ref: key(0), Load: 0.5}}
+	}, func(_ placement.Input, p placement.Plan) {
+		Expect(p.Moves).To(BeEmpty())
+		Expect(p.Splits).To(HaveLen(1), "one key costs less than its shard")
+	}),
 	Entry("key hotter than a fair share: server that stays overloaded", func(in *placement.Input) {
 		in.Assignments[0].Load = 2
 		in.HotKeys = []placement.HotKey{{Ref: key(0), Load: 2, Error: 0.25}}
@@ -113,6 +121,14 @@
 			Expect(l).To(BeNumerically("<=", 2))
 		}
 	}),
+	Entry("hot key of a moving shard: split at a server that does not own it", func(in *placement.Input) {
+		in.Servers[0].State = placement.Leaving
+		in.Assignments[0].Load = 5
+		in.HotKeys = []placement.HotKey{{Ref: key(0), Load: 5}}
+	}, func(_ placement.Input, p placement.Plan) {
+		Expect(p.Moves).To(ContainElement(HaveField("Ref", shard(0))))
+		Expect(p.Splits).To(BeEmpty())
+	}),
 	Entry("uncertain key: split on an estimate that may be all error", func(in *placement.Input) {
 		in.HotKeys = []placement.HotKey{{Ref: key(0), Load: 3, Error: 3}}
 	}, func(_ placement.Input, p placement.Plan) { Expect(p.Splits).To(BeEmpty()) }),
--- a/internal/placement/property_test.go
+++ b/internal/placement/property_test.go
@@ -56,7 +56,7 @@
 				continue
 			}
 			a := placement.Assignment{
-				Ref: ref, Load: rapid.Float64Range(0, 0.5).Draw(t, "load"),
+				Ref: ref, Load: rapid.Float64Range(0, 0.5).Draw(t, "load") * rapid.SampledFrom([]float64{1, 1, 1, 20}).Draw(t, "factor"),
 				Held: time.Duration(rapid.IntRange(0, 60).Draw(t, "held")) * time.Second,
 			}
 			if o := owner.Draw(t, "owner"); o >= 0 {
@@ -65,7 +65,7 @@
 			in.Assignments = append(in.Assignments, a)
 		}
 		if rapid.Bool().Draw(t, "hot") {
-			hot := placement.HotKey{Ref: key(i), Load: rapid.Float64Range(0, 2).Draw(t, "hot load")}
+			hot := placement.HotKey{Ref: key(i), Load: rapid.Float64Range(0, 10).Draw(t, "hot load")}
 			hot.Error = rapid.Float64Range(0, hot.Load).Draw(t, "hot error")
 			in.HotKeys = append(in.HotKeys, hot)
 		}
@@ -87,6 +87,30 @@
 	return refs, to
 }
 
+// checkOwners fails if a change starts anywhere else than at the present owner,
+// as a change of a shard that already moves in the same plan would.
+func checkOwners(t *rapid.T, in placement.Input, p placement.Plan) {
+	owner := make(map[topology.ShardRef]topology.ServerID)
+	for _, a := range in.Assignments {
+		owner[a.Ref] = a.Server
+	}
+	for _, m := range p.Moves {
+		if m.From != owner[m.Ref] {
+			t.Fatalf("move %v does not start at %s", m, owner[m.Ref])
+		}
+	}
+	for _, s := range p.Splits {
+		if o := owner[shard(int(s.Key.Shard))]; s.From != o {
+			t.Fatalf("split %v does not start at %s", s, o)
+		}
+	}
+	for _, j := range p.Joins {
+		if o := owner[shard(int(j.Key.Shard))]; j.From != owner[j.Key] || j.To != o {
+			t.Fatalf("join %v does not go from %s to %s", j, owner[j.Key], o)
+		}
+	}
+}
+
 // Guards against plans that break the limits whatever the state is: targets
 // that may not own shards, changes over the limit, shards with two owners,
 // shards without an owner, and plans that differ between two runs.
@@ -100,6 +124,7 @@
 		if n, limit := p.Planned(), max(0, in.Settings.MaxMoves-in.Recent); n > limit {
 			t.Fatalf("%d planned changes, limit %d", n, limit)
 		}
+		checkOwners(t, in, p)
 		state := make(map[topology.ServerID]placement.State)
 		live := 0
 		for _, s := range in.Servers {
