Bound moves by released leaderships and requests in flight

Grants of a leadership that was released early outlive the start of the next term by up to the rest of its support: members now remember the original end of a released promise and report it with their support. Services without fence checks could run a request after a planned or acknowledged move: the next owner now waits until the not-after time of every earlier request has passed.

--- /dev/null
+++ b/internal/control/place.go
@@ -0,0 +1,162 @@
+package control
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"github.com/lycheerudder/lycheerudder/internal/config"
+	"github.com/lycheerudder/lycheerudder/internal/grant"
+	"github.com/lycheerudder/lycheerudder/internal/placement"
+	"github.com/lycheerudder/lycheerudder/internal/request"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+)
+
+// placementState is what the placement of one leadership remembers.
+type placementState struct {
+	ticks uint64
+	// loads are smoothed loads of shards in busy slots.
+	loads   map[topology.ShardRef]float64
+	since   map[topology.ShardRef]time.Duration // acknowledgement of the grant
+	reasons map[topology.ShardRef]string
+	recent  []time.Duration // times of planned moves
+	started map[topology.ServerID]time.Duration
+}
+
+func (s *placementState) moved(ref topology.ShardRef, now time.Duration) {
+	if s.since == nil {
+		s.since = make(map[topology.ShardRef]time.Duration)
+	}
+	s.since[ref] = now
+}
+
+func (s *placementState) reason(ref topology.ShardRef) string {
+	if r, ok := s.reasons[ref]; ok {
+		return r
+	}
+	return "placed by the leader"
+}
+
+// Served measures a completed request of a partition that this host leads.
+func (c *Controller) Served(req *request.Request, ans *request.Answer) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	l, err := c.locate(req.Service, req.Customer, req.Key)
+	if err != nil {
+		return
+	}
+	if p, ok := c.partitions[l.partition]; ok && p.load != nil {
+		p.load.add(l.ref, ans.Server, ans.Timing.Server)
+	}
+}
+
+// place runs the placement policy once per tick for each partition that this
+// host leads.
+func (c *Controller) place(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, placement.Tick)
+		c.mu.Lock()
+		for _, p := range c.partitions {
+			if p.leader != nil {
+				c.placePartition(p)
+				c.count(p)
+			}
+		}
+		c.mu.Unlock()
+	}
+}
+
+func (c *Controller) placePartition(p *partition) {
+	now := c.clock.Now()
+	s := &p.placing
+	s.ticks++
+	in := placement.Input{Settings: placementSettings(c.config, p, c.opts.DataCentre), Seed: s.ticks}
+	shards, servers := p.load.read()
+	s.smooth(shards, servers, in.Settings.Smoothing)
+	for len(s.recent) > 0 && now-s.recent[0] > in.Settings.Interval {
+		s.recent = s.recent[1:]
+	}
+	in.Recent = len(s.recent)
+	for _, sh := range p.leader.Shards() {
+		if sh.State != grant.Owned {
+			continue // package grant places shards without an owner itself
+		}
+		in.Assignments = append(in.Assignments, placement.Assignment{
+			Ref: sh.Ref, Server: sh.Server, Held: now - s.since[sh.Ref], Load: s.loads[sh.Ref],
+		})
+	}
+	for _, srv := range p.leader.Servers(now) {
+		in.Servers = append(in.Servers, s.server(srv, c.config.Services[p.service], servers[srv.ID], now))
+	}
+	for _, m := range placement.Decide(in).Moves {
+		if m.Reason != placement.ReasonBalance || p.leader.Move(m.Ref, m.To, now) != nil {
+			continue
+		}
+		s.recent = append(s.recent, now)
+		if s.reasons == nil {
+			s.reasons = make(map[topology.ShardRef]string)
+		}
+		s.reasons[m.Ref] = "moved to balance load"
+	}
+}
+
+// smooth updates the loads of shards: the request rate times the mean service
+// time of the partition.
+func (s *placementState) smooth(shards map[topology.ShardRef]float64, servers map[topology.ServerID]*usage, constant time.Duration) {
+	var requests int
+	var busy time.Duration
+	for _, u := range servers {
+		requests += u.requests
+		busy += u.busy
+	}
+	if s.loads == nil {
+		s.loads = make(map[topology.ShardRef]float64)
+	}
+	keep := math.Exp(-placement.Tick.Seconds() / constant.Seconds())
+	for ref := range s.loads {
+		s.loads[ref] *= keep
+	}
+	if requests == 0 {
+		return
+	}
+	mean := busy.Seconds() / float64(requests)
+	for ref, n := range shards {
+		s.loads[ref] += (1 - keep) * n * mean / placement.Tick.Seconds()
+	}
+}
+
+func (s *placementState) server(srv grant.ServerStatus, cfg config.Service, u *usage, now time.Duration) placement.Server {
+	if s.started == nil {
+		s.started = make(map[topology.ServerID]time.Duration)
+	}
+	if _, ok := s.started[srv.ID]; !ok {
+		s.started[srv.ID] = now
+	}
+	out := placement.Server{ID: srv.ID, Slots: cfg.Slots, Since: now - s.started[srv.ID]}
+	switch {
+	case srv.Leaving:
+		out.State = placement.Leaving
+	case !srv.Answers:
+		out.State = placement.Lost
+	}
+	if u != nil {
+		out.Busy = u.busy.Seconds() / placement.Tick.Seconds()
+		out.Work = out.Busy
+	}
+	out.Reports = []placement.Report{{Busy: srv.Load.Utilisation * float64(cfg.Slots)}}
+	return out
+}
+
+// placementSettings returns the settings of a deployment: the common ones with
+// the operators' weights.
+func placementSettings(doc *config.Document, p *partition, dc topology.DataCentre) placement.Settings {
+	fleet := doc.Effective(config.Target{Service: p.service, Partition: p.id, DataCentre: dc}, time.Now()).Fleet
+	s := placement.Kingston()
+	if fleet.WeightImbalance > fleet.WeightUnavailable {
+		s = placement.HrJadran()
+	}
+	if w := (placement.Weights{Imbalance: fleet.WeightImbalance, Churn: fleet.WeightChurn, Unavailable: fleet.WeightUnavailable}); w.Churn > 0 {
+		s.Weights = w
+	}
+	return s
+}
--- a/internal/grant/assign.go
+++ b/internal/grant/assign.go
@@ -51,7 +51,7 @@
 			continue
 		}
 		l.counters.Lapsed++
-		free := max(srv.mayHold, l.start+Overhang+driftMargin) + l.exchangeWait()
+		free := max(srv.mayHold, l.earlierEnd) + l.exchangeWait()
 		if l.unsafe.noGrantWait {
 			free = now
 		}
@@ -76,7 +76,7 @@
 			return
 		}
 		moving[s.server]++
-		l.revoke(s, target.id)
+		l.revoke(s, target.id, now)
 	}
 }
 
@@ -95,12 +95,12 @@
 	if !ok || s.server == to || !target.takes(now) {
 		return ErrTarget
 	}
-	l.revoke(s, to)
+	l.revoke(s, to, now)
 	return nil
 }
 
-func (l *Leader) revoke(s *shard, to topology.ServerID) {
-	s.to, s.nextTry = to, 0
+func (l *Leader) revoke(s *shard, to topology.ServerID, now time.Duration) {
+	s.to, s.nextTry, s.revokedAt = to, 0, now
 	if l.unsafe.noRevoke {
 		l.wait(s, 0)
 		return
--- a/internal/grant/exchange.go
+++ b/internal/grant/exchange.go
@@ -181,7 +181,7 @@
 	}
 	for _, sh := range l.shards {
 		if sh.state != Waiting && sh.server == s.id {
-			l.wait(sh, max(now, l.start+Overhang+driftMargin)+l.exchangeWait())
+			l.wait(sh, max(now, l.earlierEnd)+l.exchangeWait())
 		}
 	}
 	s.inc, s.tick, s.sure, s.mayHold, s.adopted, s.drop = inc, 0, 0, now, s.inc != 0, nil
@@ -230,7 +230,7 @@
 		}
 		if o.revoke {
 			l.counters.Revokes++
-			l.wait(sh, now)
+			l.wait(sh, l.freeAfterRevoke(sh, now))
 			continue
 		}
 		if sh.state == Granting {
--- a/internal/grant/leader.go
+++ b/internal/grant/leader.go
@@ -22,9 +22,11 @@
 	freeAt  time.Duration
 	onlyIf  bool // the grant extends one of an earlier leader
 	nextTry time.Duration
-	acked   time.Duration     // receipt of the acknowledgement
-	holder  topology.ServerID // server of the last acknowledged grant
-	inPlace topology.Fence
+	// revokedAt is the start of the last revoke; no request is sent from then.
+	revokedAt time.Duration
+	acked     time.Duration     // receipt of the acknowledgement
+	holder    topology.ServerID // server of the last acknowledged grant
+	inPlace   topology.Fence
 	// unavailable since downAt, if down.
 	down   bool
 	downAt time.Duration
@@ -79,6 +81,9 @@
 	cfg     Config
 	start   time.Duration
 	support time.Duration
+	// earlierEnd is the time from which on no grant of an earlier leadership
+	// is valid.
+	earlierEnd time.Duration
 	// deposed is true after a server reported a newer epoch.
 	deposed   bool
 	seq       uint64
@@ -113,7 +118,10 @@
 		cfg: cfg, start: now, support: support, nextRound: now, unsafe: unsafe,
 		byID: make(map[topology.ServerID]*server), byRef: make(map[topology.ShardRef]*shard),
 	}
-	free := now + Overhang + driftMargin + l.exchangeWait()
+	// A released leadership ends before its support does, but its grants were
+	// given for the whole of the support.
+	l.earlierEnd = max(now, cfg.EarlierUntil) + Overhang + driftMargin
+	free := l.earlierEnd + l.exchangeWait()
 	if l.unsafe.noStartWait {
 		free = now
 	}
@@ -131,12 +139,25 @@
 }
 
 // exchangeWait is the additional wait before a shard moves away from a server
-// that did not acknowledge and does not check fences.
+// that does not check fences and did not acknowledge: requests that it started
+// before their not-after time end within MaxExchange. The not-after time is not
+// later than the end of the grant, up to the error of the wall clocks.
 func (l *Leader) exchangeWait() time.Duration {
 	if l.cfg.ChecksFences {
 		return 0
 	}
-	return l.cfg.MaxExchange
+	return max(l.cfg.MaxExchange, wallError)
+}
+
+// freeAfterRevoke returns when another server may get a shard whose owner has
+// acknowledged a revoke. Without a fence check the acknowledgement does not
+// stop requests that are still in the network, of this leader or of earlier
+// ones.
+func (l *Leader) freeAfterRevoke(s *shard, now time.Duration) time.Duration {
+	if l.cfg.ChecksFences {
+		return now
+	}
+	return max(now, max(s.revokedAt, l.start)+l.cfg.MaxExchange+wallError)
 }
 
 // SetServers passes the servers of the partition from the host list. A server
@@ -317,7 +338,7 @@
 	out := make([]ServerStatus, 0, len(l.servers))
 	for _, s := range l.servers {
 		out = append(out, ServerStatus{
-			ID: s.id, Incarnation: s.inc, Answers: s.answers(now), Leaving: s.leaves(), Shards: s.shards, Load: s.load,
+			ID: s.id, Incarnation: s.inc, Answers: s.answers(now), Leaving: s.leaves(), Shards: s.shards, LeaseLeft: max(0, s.sure-now), Load: s.load,
 		})
 	}
 	return out
--- a/internal/grant/types.go
+++ b/internal/grant/types.go
@@ -42,6 +42,9 @@
 	busyRetry = 20 * time.Millisecond
 	// driftMargin covers a clock rate error of 0.1% on both sides over MaxGrant.
 	driftMargin = 3 * time.Millisecond
+	// wallError bounds the difference of the wall clocks of a host and a server
+	// that honours the not-after time of requests: 250 ms each.
+	wallError = 500 * time.Millisecond
 	// silentAfter is the time without an answer after which a server gets no
 	// further shards: a missed renewal and a retry.
 	silentAfter = 550 * time.Millisecond
@@ -72,6 +75,9 @@
 	// Preferred are the last known owners, from the assignment stream. They
 	// need not be up to date.
 	Preferred map[topology.ShardRef]topology.ServerID
+	// EarlierUntil is the end of the support of all earlier leaderships, also
+	// of those that were released before that; zero if they ended in time.
+	EarlierUntil time.Duration
 	// ChecksFences and MaxExchange are settings of the service.
 	ChecksFences bool
 	MaxExchange  time.Duration
@@ -132,7 +138,9 @@
 	Answers     bool
 	Leaving     bool
 	Shards      int
-	Load        serverapi.LoadReport
+	// LeaseLeft is the time for which the server surely holds its grants.
+	LeaseLeft time.Duration
+	Load      serverapi.LoadReport
 }
 
 // Change is an acknowledged assignment to append to the assignment stream.
--- a/internal/lead/messages.go
+++ b/internal/lead/messages.go
@@ -70,6 +70,9 @@
 	Term      uint32
 	// Release ends the support. The sender never asks for this term again.
 	Release bool
+	// Led says that the sender led the released term, so that grants which it
+	// gave may outlive the release.
+	Led bool
 }
 
 // SupportRequest is sent to every other member in every round, with no terms
@@ -94,6 +97,9 @@
 	// request. If not granted, it is the remaining time of the promise that
 	// prevents the support.
 	For time.Duration
+	// Bound is the remaining time of the longest promise to another host that
+	// was released. Grants of a released leadership were given for that time.
+	Bound time.Duration
 }
 
 // SupportReply answers a SupportRequest.
--- a/internal/lead/partition.go
+++ b/internal/lead/partition.go
@@ -51,10 +51,15 @@
 	// handedOver is true if lastLeader released its term.
 	handedOver bool
 	quietUntil time.Duration // a leader is supported until then
-	retryAt    time.Duration
+	// bound is the end that released promises to leaders had before the release.
+	// earlierUntil is the latest bound of all supporters.
+	bound, earlierUntil time.Duration
+	retryAt             time.Duration
 
 	lead *ownTerm // may still be of an earlier list
 	cand *ownTerm
+	// ignoreBound is only set by tests that show what the bound is for.
+	ignoreBound bool
 	// granted is, per member, the newest list under which it supported this
 	// host. It has no unexpired promise to another host under earlier lists.
 	granted map[topology.Member]uint32
@@ -168,15 +173,30 @@
 	if p.lead != nil {
 		return
 	}
-	n.releaseTerm(p, c.term, now)
+	n.releaseTerm(p, c.term, false, now)
 }
 
-func (n *Node) releaseTerm(p *partition, term uint32, now time.Duration) {
+func (n *Node) releaseTerm(p *partition, term uint32, led bool, now time.Duration) {
 	p.released = max(p.released, int64(term))
 	if p.promise.to == n.self {
-		p.promise.until = now
+		p.endPromise(led, now)
 	}
-	n.releases = append(n.releases, TermRequest{Partition: p.index, Term: term, Release: true})
+	n.releases = append(n.releases, TermRequest{Partition: p.index, Term: term, Release: true, Led: led})
+}
+
+// endPromise ends a released promise and remembers its original end.
+func (p *partition) endPromise(led bool, now time.Duration) {
+	if led && !p.ignoreBound {
+		p.bound = max(p.bound, p.promise.until)
+	}
+	p.promise.until = now
+}
+
+// EarlierUntil returns the end of the support of all earlier leaderships of a
+// partition that this host leads, including those that were released early.
+func (n *Node) EarlierUntil(partition int, now time.Duration) time.Duration {
+	p := n.parts[partition]
+	return max(now, p.bound, p.earlierUntil)
 }
 
 // Release ends the leadership of a partition at once, so that the next member
@@ -188,7 +208,7 @@
 	p.lead, p.cand = nil, nil
 	p.retryAt = now + releasePause
 	if lead != nil && lead.list == n.list.Version {
-		n.releaseTerm(p, lead.term, now)
+		n.releaseTerm(p, lead.term, true, now)
 		p.quietUntil = now
 	}
 }
@@ -287,24 +307,24 @@
 		return r
 	}
 	if t.Release {
-		n.acceptRelease(p, from, t.Term, now)
+		n.acceptRelease(p, from, t, now)
 		return r
 	}
 	until, ok := n.support(p, from, t.Term, now)
 	r.Granted = ok
-	r.For = max(0, until-now)
+	r.For, r.Bound = max(0, until-now), max(0, p.bound-now)
 	if !ok {
 		r.Supported = uint32(max(0, p.maxTerm))
 	}
 	return r
 }
 
-func (n *Node) acceptRelease(p *partition, from topology.Member, term uint32, now time.Duration) {
-	p.released = max(p.released, int64(term))
-	if p.promise.to != from || p.promise.list != n.list.Version || p.promise.term != term {
+func (n *Node) acceptRelease(p *partition, from topology.Member, t TermRequest, now time.Duration) {
+	p.released = max(p.released, int64(t.Term))
+	if p.promise.to != from || p.promise.list != n.list.Version || p.promise.term != t.Term {
 		return
 	}
-	p.promise.until = now
+	p.endPromise(t.Led, now)
 	p.quietUntil = now
 	p.known, p.lastLeader, p.handedOver = true, from, true
 }
@@ -338,6 +358,7 @@
 		return
 	}
 	if t.Granted {
+		p.earlierUntil = max(p.earlierUntil, now+t.Bound+promiseMargin)
 		base := sentAt
 		if n.unsafe.countReceipt {
 			base = now
--- a/internal/peer/control.go
+++ b/internal/peer/control.go
@@ -38,7 +38,7 @@
 		Cell: topology.CellID(p.Cell), From: member(p.Host, p.Incarnation), List: p.List, Mode: lead.Mode(p.Mode),
 	}
 	for _, t := range p.Terms {
-		req.Terms = append(req.Terms, lead.TermRequest{Partition: int(t.PartitionIndex), Term: t.Term, Release: t.Release})
+		req.Terms = append(req.Terms, lead.TermRequest{Partition: int(t.PartitionIndex), Term: t.Term, Release: t.Release, Led: t.Led})
 	}
 	r := s.control.Support(req)
 	resp := &peerpb.SupportResponse{
@@ -49,7 +49,8 @@
 	}
 	for _, t := range r.Terms {
 		resp.Terms = append(resp.Terms, &peerpb.TermReply{
-			PartitionIndex: uint32(t.Partition), Term: t.Term, Granted: t.Granted, SupportedTerm: t.Supported, ForUs: t.For.Microseconds(),
+			PartitionIndex: uint32(t.Partition), Term: t.Term, Granted: t.Granted, SupportedTerm: t.Supported,
+			ForUs: t.For.Microseconds(), BoundUs: ceilMicros(t.Bound),
 		})
 	}
 	return resp, nil
@@ -84,7 +85,7 @@
 		Cell: string(req.Cell), Host: string(req.From.Host), Incarnation: uint64(req.From.Incarnation), List: req.List, Mode: uint32(req.Mode),
 	}
 	for _, t := range req.Terms {
-		p.Terms = append(p.Terms, &peerpb.TermRequest{PartitionIndex: uint32(t.Partition), Term: t.Term, Release: t.Release})
+		p.Terms = append(p.Terms, &peerpb.TermRequest{PartitionIndex: uint32(t.Partition), Term: t.Term, Release: t.Release, Led: t.Led})
 	}
 	resp, err := c.rpc.Support(ctx, p)
 	if err != nil {
@@ -96,7 +97,8 @@
 	}
 	for _, t := range resp.Terms {
 		r.Terms = append(r.Terms, lead.TermReply{
-			Partition: int(t.PartitionIndex), Term: t.Term, Granted: t.Granted, Supported: t.SupportedTerm, For: time.Duration(t.ForUs) * time.Microsecond,
+			Partition: int(t.PartitionIndex), Term: t.Term, Granted: t.Granted, Supported: t.SupportedTerm,
+			For: time.Duration(t.ForUs) * time.Microsecond, Bound: time.Duration(t.BoundUs) * time.Microsecond,
 		})
 	}
 	return r, nil
