Share the in-memory network of the relay tests

Cause: TestBytes had its own copy of the in-memory connections.

Change: it uses the network of the other relay tests, whose connections now count their bytes.

Ruled out: nothing.

Conclusion: no check changed.

--- a/internal/relay/budget_test.go
+++ b/internal/relay/budget_test.go
@@ -9,14 +9,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/test/bufconn"
 
 	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/follow"
-	"github.com/lycheerudder/lycheerudder/internal/peer"
-	"github.com/lycheerudder/lycheerudder/internal/peer/peerpb"
 	"github.com/lycheerudder/lycheerudder/internal/platformlog/logfake"
 	"github.com/lycheerudder/lycheerudder/internal/record"
 	"github.com/lycheerudder/lycheerudder/internal/state"
@@ -69,32 +64,19 @@
 		for _, s := range streams {
 			go follow.NewFollower(l, s).Run(ctx)
 		}
-		lis := bufconn.Listen(1 << 16)
-		srv := grpc.NewServer()
-		p := peer.NewServer(nil)
-		p.SetRelay(NewServer("a", c, streams...))
-		peerpb.RegisterPeerServer(srv, p)
-		go func() { _ = srv.Serve(lis) }()
-		var one traffic
-		dial := func(topology.HostID) (peerpb.PeerClient, func(), error) {
-			conn, err := grpc.NewClient("passthrough:///a", append(peer.StaticWindows(), grpc.WithTransportCredentials(insecure.NewCredentials()),
-				grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) {
-					conn, err := lis.DialContext(ctx)
-					return countedConn{conn, &one}, err
-				}))...)
-			return peerpb.NewPeerClient(conn), func() { _ = conn.Close() }, err
-		}
+		n := &network{}
+		srv := n.serve("a", c, streams...)
 		sub := hostStreams(c)
 		done := make(chan struct{})
 		go func() {
-			NewClient("b", c, l, dial, func() []topology.HostID { return []topology.HostID{"a"} }, sub...).Run(ctx)
+			NewClient("b", c, l, n.dial, func() []topology.HostID { return []topology.HostID{"a"} }, sub...).Run(ctx)
 			close(done)
 		}()
 		measure := func(d time.Duration) (payload, total float64) {
-			b, s := one.bytes.Load(), one.segments.Load()
+			b, s := n.sent.bytes.Load(), n.sent.segments.Load()
 			time.Sleep(d)
-			payload = float64(one.bytes.Load()-b) / d.Seconds()
-			return payload, payload + float64(one.segments.Load()-s)*segmentBytes/d.Seconds()
+			payload = float64(n.sent.bytes.Load()-b) / d.Seconds()
+			return payload, payload + float64(n.sent.segments.Load()-s)*segmentBytes/d.Seconds()
 		}
 		time.Sleep(10 * time.Second)
 		idle, idleTotal := measure(time.Minute)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -33,6 +33,7 @@
 	count atomic.Int64
 	delay atomic.Int64
 	dials atomic.Int64
+	sent  traffic
 }
 
 // lateConn delivers what it reads after a delay, in order.
@@ -63,17 +64,17 @@
 	if !ok {
 		return nil, nil, fmt.Errorf("host %s is down", h)
 	}
-	conn, err := grpc.NewClient("passthrough:///"+string(h), grpc.WithTransportCredentials(insecure.NewCredentials()),
+	conn, err := grpc.NewClient("passthrough:///"+string(h), append(peer.StaticWindows(), grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) {
 			c, err := found.(*bufconn.Listener).DialContext(ctx)
 			closed, closeConn := context.WithCancel(context.Background())
-			return lateConn{c, func() time.Duration {
+			return lateConn{countedConn{c, &n.sent}, func() time.Duration {
 				if h == "a" {
 					return time.Duration(n.delay.Load())
 				}
 				return 0
 			}, closed, closeConn}, err
-		}))
+		}))...)
 	return peerpb.NewPeerClient(conn), func() { _ = conn.Close() }, err
 }
 
@@ -93,17 +94,22 @@
 
 func (s skewed) Now() time.Duration { return s.Clock.Now() + s.origin }
 
-func (n *network) start(ctx context.Context, h topology.HostID, log platformlog.Log, upstreams ...topology.HostID) *node {
-	cfg := state.NewConfig()
-	c := skewed{clock.NewProcess(), time.Duration(n.count.Add(1)) * time.Hour}
-	s := follow.NewStream(cfg.Fold, c, follow.FastWait)
+func (n *network) serve(h topology.HostID, c clock.Clock, streams ...*follow.Stream) *grpc.Server {
 	lis := bufconn.Listen(1 << 16)
 	n.hosts.Store(h, lis)
 	srv := grpc.NewServer()
 	p := peer.NewServer(nil)
-	p.SetRelay(NewServer(string(h), c, s))
+	p.SetRelay(NewServer(string(h), c, streams...))
 	peerpb.RegisterPeerServer(srv, p)
 	go func() { _ = srv.Serve(lis) }()
+	return srv
+}
+
+func (n *network) start(ctx context.Context, h topology.HostID, log platformlog.Log, upstreams ...topology.HostID) *node {
+	cfg := state.NewConfig()
+	c := skewed{clock.NewProcess(), time.Duration(n.count.Add(1)) * time.Hour}
+	s := follow.NewStream(cfg.Fold, c, follow.FastWait)
+	srv := n.serve(h, c, s)
 	ctx, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go func() {
