Run leadership, grants and placement in the control runtime

Replaces the fixed leader of the thin path: the runtime drives the packages lead, grant and placement, follows the streams of the log through relays, and hands partitions over at shutdown.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/config"
 	"github.com/lycheerudder/lycheerudder/internal/dedup"
@@ -22,8 +24,10 @@
 	"github.com/lycheerudder/lycheerudder/internal/logging"
 	"github.com/lycheerudder/lycheerudder/internal/metrics"
 	"github.com/lycheerudder/lycheerudder/internal/peer"
+	"github.com/lycheerudder/lycheerudder/internal/peer/peerpb"
 	"github.com/lycheerudder/lycheerudder/internal/platformlog"
 	"github.com/lycheerudder/lycheerudder/internal/quarantine"
+	"github.com/lycheerudder/lycheerudder/internal/relay"
 	"github.com/lycheerudder/lycheerudder/internal/state"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
@@ -125,9 +129,10 @@
 	loops := []func(context.Context){
 		c.watchConfig, c.watchMembers, c.watchQuarantine, c.watchHosts, c.tick, c.place, c.publishCrashes,
 	}
+	shared := relay.NewClient(c.opts.Self.Host, c.clock, c.opts.Log, c.dialRelay, c.upstreams, c.streams.shared()...)
+	loops = append(loops, shared.Run, follow.NewFollower(c.opts.Log, c.streams.assign).Run)
 	for _, s := range c.streams.all() {
-		loops = append(loops, follow.NewFollower(c.opts.Log, s).Run,
-			follow.NewSnapshotter(c.opts.Log, s, c.opts.Retention, string(c.opts.Self.Host)).Run)
+		loops = append(loops, follow.NewSnapshotter(c.opts.Log, s, c.opts.Retention, string(c.opts.Self.Host)).Run)
 	}
 	for _, loop := range loops {
 		wg.Go(func() { loop(ctx) })
@@ -135,6 +140,37 @@
 	wg.Wait()
 }
 
+// Relay returns the server of the streams that this host relays.
+func (c *Controller) Relay() *relay.Server {
+	return relay.NewServer(string(c.opts.Self.Host), c.clock, c.streams.shared()...)
+}
+
+func (c *Controller) dialRelay(host topology.HostID) (peerpb.PeerClient, func(), error) {
+	client, ok := c.peerOf(host)
+	if !ok {
+		return nil, nil, eris.Errorf("the address of host %s is not known", host)
+	}
+	return client.RPC(), func() {}, nil // the pool closes the connection
+}
+
+// upstreams returns the hosts to follow the log from. A host that is on no list
+// starts with any listed host of its data centre.
+func (c *Controller) upstreams() []topology.HostID {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	lists := c.lists[c.opts.DataCentre]
+	hosts := relay.Upstreams(lists, c.opts.DataCentre, c.opts.Cell, c.opts.Self.Host)
+	if len(lists) > 0 {
+		return hosts
+	}
+	for _, h := range c.hosts {
+		if h.Role == hostlist.RoleEntry && h.DataCentre == c.opts.DataCentre && h.ID != string(c.opts.Self.Host) {
+			hosts = append(hosts, topology.HostID(h.ID))
+		}
+	}
+	return hosts
+}
+
 func (c *Controller) tick(ctx context.Context) {
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
--- a/internal/control/partition.go
+++ b/internal/control/partition.go
@@ -327,4 +327,3 @@
 	c.opts.Metrics.Count(metrics.Moves, int64(n.Moves-old.Moves))
 	c.opts.Metrics.Count(metrics.Revokes, int64(n.Revokes-old.Revokes))
 }
-
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -160,3 +160,13 @@
 	}
 	return s
 }
+
+// Share returns the weight of a customer in the queues of servers.
+func (c *Controller) Share(customer topology.Customer) float64 {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if c.config == nil {
+		return 1
+	}
+	return c.config.Customers[customer].Share
+}
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -35,15 +35,18 @@
 		configFold: state.NewConfig(), membersFold: state.NewMembers(),
 		assignFold: state.NewAssign(cell), quarantineFold: state.NewQuarantine(),
 	}
-	s.config = follow.NewStream(s.configFold.Fold, clk)
-	s.members = follow.NewStream(s.membersFold.Fold, clk)
-	s.assign = follow.NewStream(s.assignFold.Fold, clk)
-	s.quarantine = follow.NewStream(s.quarantineFold.Fold, clk)
+	s.config = follow.NewStream(s.configFold.Fold, clk, follow.SlowWait)
+	s.members = follow.NewStream(s.membersFold.Fold, clk, follow.FastWait)
+	s.assign = follow.NewStream(s.assignFold.Fold, clk, follow.SlowWait)
+	s.quarantine = follow.NewStream(s.quarantineFold.Fold, clk, follow.SlowWait)
 	return s
 }
 
-func (s *streams) all() []*follow.Stream {
-	return []*follow.Stream{s.config, s.members, s.assign, s.quarantine}
+func (s *streams) all() []*follow.Stream { return append(s.shared(), s.assign) }
+
+// shared returns the streams that all hosts follow, and relay to each other.
+func (s *streams) shared() []*follow.Stream {
+	return []*follow.Stream{s.config, s.members, s.quarantine}
 }
 
 // watch calls apply after every change of a stream.
--- a/internal/execute/send.go
+++ b/internal/execute/send.go
@@ -30,10 +30,16 @@
 	target exchange.Target
 	slot   *admission.Slot
 	flight *flight
+	cancel context.CancelFunc // ends the exchange at its not-after time
 }
 
 func (s *Service) send(ctx context.Context, c *call, t exchange.Target, slot *admission.Slot, ticket *dedup.Ticket) (*request.Answer, error) {
 	snd := &sending{s: s, target: t, slot: slot, flight: s.flights.start(t, c.digest)}
+	if !t.NotAfter.IsZero() {
+		// A server without fence checks must not run the request after its
+		// shard may have moved.
+		ctx, snd.cancel = context.WithDeadline(ctx, t.NotAfter)
+	}
 	queued := time.Since(c.start)
 	ans, err := s.opts.Servers.Do(ctx, t, c.req)
 	if err != nil {
@@ -85,6 +91,9 @@
 
 // end gives the slot back and records whether the server may have died.
 func (snd *sending) end(ctx context.Context, err error) {
+	if snd.cancel != nil {
+		defer snd.cancel()
+	}
 	lost := err != nil && verdict.From(err).ServerLost
 	snd.s.flights.end(snd.flight, lost)
 	switch {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
 
+	"github.com/lycheerudder/lycheerudder/internal/admin"
 	"github.com/lycheerudder/lycheerudder/internal/control"
 	"github.com/lycheerudder/lycheerudder/internal/dispatch"
 	"github.com/lycheerudder/lycheerudder/internal/exchange"
@@ -18,9 +19,10 @@
 	"github.com/lycheerudder/lycheerudder/internal/frontend"
 	"github.com/lycheerudder/lycheerudder/internal/hostlist"
 	"github.com/lycheerudder/lycheerudder/internal/logging"
+	"github.com/lycheerudder/lycheerudder/internal/metrics"
 	"github.com/lycheerudder/lycheerudder/internal/peer"
-	"github.com/lycheerudder/lycheerudder/internal/peer/peerpb"
 	"github.com/lycheerudder/lycheerudder/internal/platformlog"
+	"github.com/lycheerudder/lycheerudder/internal/request"
 	"github.com/lycheerudder/lycheerudder/internal/settings"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
@@ -29,19 +31,23 @@
 	shutdownTimeout   = 35 * time.Second // longer than the longest request
 	readHeaderTimeout = 5 * time.Second
 	maxServerConns    = 45
+	// peerDrain is the time for forwarded requests to end after the hand-over.
+	peerDrain = 5 * time.Second
 )
 
 // Settings of an entry host.
 type Settings struct {
-	Host       string `env:"LYR_HOST" flag:"host" help:"Name of this host."`
-	DataCentre string `env:"LYR_DATA_CENTRE" flag:"data-centre" help:"Data centre of this host."`
-	Cell       string `env:"LYR_CELL" flag:"cell" help:"Cell of this host; the data centre's name by default."`
-	Listen     string `env:"LYR_LISTEN" envDefault:"127.0.0.1:8080" flag:"listen" help:"Address of the caller interface."`
-	Peer       string `env:"LYR_PEER" envDefault:"127.0.0.1:8081" flag:"peer" help:"Address of the interface for other entry hosts."`
-	Admin      string `env:"LYR_ADMIN" envDefault:"127.0.0.1:8082" flag:"admin" help:"Address of the operator interface."`
-	Platform   string `env:"LYR_PLATFORM" envDefault:"http://127.0.0.1:7400" flag:"platform" help:"URL of the platform's log service and host list."`
-	LogLevel   string `env:"LYR_LOG_LEVEL" envDefault:"info" flag:"log-level" help:"Log level: debug, info, warn or error."`
-	LogJSON    bool   `env:"LYR_LOG_JSON" flag:"log-json" help:"Log as JSON."`
+	Host       string        `env:"LYR_HOST" flag:"host" help:"Name of this host."`
+	DataCentre string        `env:"LYR_DATA_CENTRE" flag:"data-centre" help:"Data centre of this host."`
+	Cell       string        `env:"LYR_CELL" flag:"cell" help:"Cell of this host; the data centre's name by default."`
+	Listen     string        `env:"LYR_LISTEN" envDefault:"127.0.0.1:8080" flag:"listen" help:"Address of the caller interface."`
+	Peer       string        `env:"LYR_PEER" envDefault:"127.0.0.1:8081" flag:"peer" help:"Address of the interface for other entry hosts."`
+	Admin      string        `env:"LYR_ADMIN" envDefault:"127.0.0.1:8082" flag:"admin" help:"Address of the operator interface."`
+	Platform   string        `env:"LYR_PLATFORM" envDefault:"http://127.0.0.1:7400" flag:"platform" help:"URL of the platform's log service and host list."`
+	Retention  time.Duration `env:"LYR_RETENTION" envDefault:"24h" flag:"retention" help:"Time for which the log keeps records."`
+	DrainDelay time.Duration `env:"LYR_DRAIN_DELAY" envDefault:"1s" flag:"drain-delay" help:"Time between failing readiness and handing over, for the balancer to notice."`
+	LogLevel   string        `env:"LYR_LOG_LEVEL" envDefault:"info" flag:"log-level" help:"Log level: debug, info, warn or error."`
+	LogJSON    bool          `env:"LYR_LOG_JSON" flag:"log-json" help:"Log as JSON."`
 }
 
 // Validate implements settings.Validator.
@@ -61,26 +67,39 @@
 // Run runs an entry host until the context ends, then shuts it down.
 func Run(ctx context.Context, s Settings) error {
 	log := logging.For(logging.Router)
+	set := metrics.NewSet()
 	ctl := control.New(control.Options{
 		Self:       topology.Member{Host: topology.HostID(s.Host), Incarnation: topology.Incarnation(time.Now().UnixNano())},
-		DataCentre: topology.DataCentre(s.DataCentre), Cell: topology.CellID(s.Cell),
-		Log: platformlog.NewClient(s.Platform), Hosts: hostlist.NewClient(s.Platform),
+		DataCentre: topology.DataCentre(s.DataCentre), Cell: topology.CellID(s.Cell), Retention: s.Retention,
+		Log: platformlog.NewClient(s.Platform), Hosts: hostlist.NewClient(s.Platform), Metrics: set,
 	})
-	local := execute.New(ctl, exchange.NewClient(maxServerConns))
+	leader := execute.NewWith(execute.Options{
+		Owners: ctl, Servers: exchange.NewClient(maxServerConns), Share: ctl.Share, Publish: ctl.PublishCrash,
+	})
+	ctl.SetExecutor(leader)
+	local := measureServed(leader, ctl)
 	dispatcher := dispatch.New(topology.HostID(s.Host), ctl, local)
 
-	callers := &http.Server{Handler: frontend.Handler(dispatcher), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: 16 << 10}
-	peers := grpc.NewServer()
-	peerpb.RegisterPeerServer(peers, peer.NewServer(local))
-
-	failed := make(chan error, 2)
-	if err := serve(s.Listen, callers.Serve, failed); err != nil {
-		return err
+	callers := &http.Server{
+		Handler: frontend.Handler(measureRequests(dispatcher, set)), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: request.MaxHeaderBytes,
 	}
-	if err := serve(s.Peer, peers.Serve, failed); err != nil {
-		return err
+	operators := &http.Server{Handler: admin.Handler(ctl, set), ReadHeaderTimeout: readHeaderTimeout}
+	peerServer := peer.NewServer(local).WithControl(ctl)
+	peerServer.SetRelay(ctl.Relay())
+	peers := peer.NewGRPCServer(peerServer)
+
+	failed := make(chan error, 3)
+	for _, l := range []struct {
+		address string
+		run     func(net.Listener) error
+	}{{s.Listen, callers.Serve}, {s.Peer, peers.Serve}, {s.Admin, operators.Serve}} {
+		if err := serve(l.address, l.run, failed); err != nil {
+			return err
+		}
 	}
-	go ctl.Run(ctx)
+	running, stopControl := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopControl()
+	go ctl.Run(running)
 	log.With("host", s.Host).Info("Entry host is serving.")
 
 	select {
@@ -90,12 +109,69 @@
 	}
 	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 	defer cancel()
+	log.Info("Entry host is shutting down.")
+	ctl.Close() // readiness fails first, so that the balancer sends no new requests
+	sleep(stop, s.DrainDelay)
+	ctl.Leave(stop)
 	err := callers.Shutdown(stop)
-	peers.GracefulStop()
+	stopControl() // ends the subscriptions of other hosts
+	stopPeers(stop, peers)
+	_ = operators.Shutdown(stop)
 	log.Info("Entry host has stopped.")
 	return err
 }
 
+// stopPeers lets forwarded requests end and closes the connections. Relay
+// subscriptions do not end by themselves and are cut off.
+func stopPeers(ctx context.Context, peers *grpc.Server) {
+	ctx, cancel := context.WithTimeout(ctx, peerDrain)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		peers.GracefulStop()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		peers.Stop()
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// measureRequests records the outcome of each request of a caller.
+func measureRequests(next request.Doer, set *metrics.Set) request.Doer {
+	return request.DoerFunc(func(ctx context.Context, req *request.Request) (*request.Answer, error) {
+		start := time.Now()
+		ans, err := next.Do(ctx, req)
+		var t request.Timing
+		if err == nil {
+			t = ans.Timing
+		}
+		set.Request(req.Customer, req.Class, time.Since(start), t, err)
+		return ans, err
+	})
+}
+
+// measureServed records the load of the servers that this host leads.
+func measureServed(next request.Doer, ctl *control.Controller) request.Doer {
+	return request.DoerFunc(func(ctx context.Context, req *request.Request) (*request.Answer, error) {
+		ans, err := next.Do(ctx, req)
+		if err == nil {
+			ctl.Served(req, ans)
+		}
+		return ans, err
+	})
+}
+
 // serve listens on an address and reports the end of run, unless it ended by a
 // shutdown.
 func serve(address string, run func(net.Listener) error, failed chan<- error) error {
