Check the memory of ids before the quarantine

Cause: a repeat of an id whose first attempt crashed a server was answered as quarantined, not run, although the memory of ids said that it may have run.

A test covers the change of terms: an id is kept by Continue, a hand-over or a take-over of a wrong term is refused, an earlier term does not come back.

Ruled out: answering repeats of known ids while the shard has no owner. The partition of a request is known only with its owner.

Conclusion: the answer to a repeat agrees with the memory at the leader.

--- a/internal/execute/execute.go
+++ b/internal/execute/execute.go
@@ -90,9 +90,6 @@
 		return nil, err
 	}
 	c.digest = req.Digest(body)
-	if err := s.blocked(c); err != nil {
-		return nil, err
-	}
 	if req.Repeatable {
 		ans, _, err := s.run(ctx, c, nil, nil)
 		return ans, err
@@ -168,6 +165,12 @@
 // run waits for a slot and sends the request. It returns again if the request
 // was not sent because its ids now belong into another memory.
 func (s *Service) run(ctx context.Context, c *call, mem *dedup.Memory, ticket *dedup.Ticket) (ans *request.Answer, again bool, err error) {
+	// The quarantine comes after the memory of ids: an id that may have run must
+	// not be answered as not run.
+	if err := s.blocked(c); err != nil {
+		finish(ticket, dedup.Outcome{Verdict: verdict.NotRun})
+		return nil, false, err
+	}
 	slot, target, again, err := s.admit(ctx, c, mem)
 	if err == nil && !again && ticket != nil {
 		if verr := ticket.Send(); verr != nil {
--- a/internal/execute/execute_test.go
+++ b/internal/execute/execute_test.go
@@ -127,12 +127,14 @@
 			servers = append(servers, s)
 		}
 		h := newHost(t, servers...)
+		var id string
 		for i, s := range servers[:2] {
-			h.lead(1, time.Time{}, s)
+			h.lead(1, time.Now().Add(-time.Hour), s)
 			if i == 0 {
 				go call(t.Context(), h.svc, "", "crash") // the same content in both slots
 			}
-			g.Expect(call(t.Context(), h.svc, "", "crash")).To(Equal(result{code: verdict.CodeServerFailed, verdict: verdict.MayHaveRun}))
+			id = newID()
+			g.Expect(call(t.Context(), h.svc, id, "crash")).To(Equal(result{code: verdict.CodeServerFailed, verdict: verdict.MayHaveRun}))
 			synctest.Wait()
 			if i == 1 {
 				h.svc.ServerDied(s.ID()) // the control path sees the death as well
@@ -140,6 +142,8 @@
 		}
 		h.lead(1, time.Time{}, servers[2])
 		g.Expect(call(t.Context(), h.svc, "", "crash")).To(Equal(result{code: verdict.CodeQuarantined, verdict: verdict.NotRun}))
+		g.Expect(call(t.Context(), h.svc, newID(), "crash").code).To(Equal(verdict.CodeQuarantined))
+		g.Expect(call(t.Context(), h.svc, id, "crash")).To(Equal(result{code: verdict.CodeDuplicate, verdict: verdict.MayHaveRun}))
 		g.Expect(call(t.Context(), h.svc, "", "harmless").verdict).To(Equal(verdict.Ran))
 		g.Expect(h.svc.Quarantine().Export()).To(HaveLen(2))
 
@@ -203,3 +207,28 @@
 		g.Expect(s.Total()).To(Equal(100))
 	})
 }
+
+// Guards against ids that are lost or taken from a wrong term when a term ends.
+func TestTerms(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h, s := single(t, count())
+		epoch := func(term uint32) topology.Fence { return topology.Fence{List: 1, Term: term} }
+		id := newID()
+		first := call(t.Context(), h.svc, id, "a")
+		g.Expect(first.body).To(Equal("run 1"))
+		g.Expect(h.svc.Continue(partition, epoch(2), epoch(3))).To(BeFalse(), "not the current term")
+		g.Expect(h.svc.Continue(partition, epoch(1), epoch(2))).To(BeTrue())
+		h.lead(2, time.Now(), s)
+		g.Expect(call(t.Context(), h.svc, id, "a")).To(Equal(first))
+		_, ok := h.svc.HandOver(partition, epoch(1))
+		g.Expect(ok).To(BeFalse(), "not the current term")
+		handOver, ok := h.svc.HandOver(partition, epoch(2))
+		g.Expect(ok).To(BeTrue())
+		g.Expect(h.svc.TakeOver(partition, epoch(2), handOver)).To(BeFalse(), "the term has begun")
+		g.Expect(call(t.Context(), h.svc, id, "a")).To(Equal(result{code: verdict.CodeNotLeader, verdict: verdict.NotRun}))
+		h.lead(1, time.Now(), s)
+		g.Expect(call(t.Context(), h.svc, newID(), "a").code).To(Equal(verdict.CodeNotLeader), "an earlier term does not come back")
+		g.Expect(s.Total()).To(Equal(1))
+	})
+}
