Follow leader hints in the routes and show the loss of a host in the demo

Cause: with few requests a service has no retry budget, so a request to a cell whose leader had changed waited for its deadline although the refusal named the leader. The routes now learn the hint.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -157,7 +157,10 @@
 	}
 	e := verdict.From(err)
 	if e.Code == verdict.CodeNotLeader || e.Code == verdict.CodeNoLeader {
-		d.learn(req, "")
+		// The routes of other cells follow the hint. Without that a request to a
+		// cell with a new leader would need budget for each attempt, and a
+		// service with few requests has none.
+		d.learn(req, e.Leader)
 	}
 	if !repeatable(e) {
 		return nil, true, e
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -84,3 +84,13 @@
 done
 echo "$out"
 echo "all keys served again after $((($(date +%s%N) - killed) / 1000000)) ms"
+
+echo "== entry host entry-a1 is killed, requests through the others"
+kill -9 "${pids[entry-a1]}"
+others=127.0.0.1:8120,127.0.0.1:8130,127.0.0.1:8140
+bin/lyload --target "$others" --service booking --customer pewright --key job --count 6
+bin/lyload --target "$others" --service rounds --customer sejk-kombi --key round --count 3 --write
+
+echo "== state of the fleet"
+bin/lyctl status --platform "http://$platform"
+bin/lyctl explain --platform "http://$platform" --service booking --customer pewright --key job-1
