--- a/internal/lead/node.go
+++ b/internal/lead/node.go
@@ -135,6 +135,7 @@
 	ignorePromises bool // support any term at once
 	ignoreLogBound bool // do not limit promises by the log
 	ignoreEarlier  bool // lead under a new list without waiting for earlier ones
+	ignoreBound    bool // forget how long a released leadership was supported
 	countReceipt   bool // the leader counts promises from the reply
 }
 
--- a/internal/lead/partition.go
+++ b/internal/lead/partition.go
@@ -58,8 +58,6 @@
 
 	lead *ownTerm // may still be of an earlier list
 	cand *ownTerm
-	// ignoreBound is only set by tests that show what the bound is for.
-	ignoreBound bool
 	// granted is, per member, the newest list under which it supported this
 	// host. It has no unexpired promise to another host under earlier lists.
 	granted map[topology.Member]uint32
@@ -186,7 +184,7 @@
 
 // endPromise ends a released promise and remembers its original end.
 func (p *partition) endPromise(led bool, now time.Duration) {
-	if led && !p.ignoreBound {
+	if led {
 		p.bound = max(p.bound, p.promise.until)
 	}
 	p.promise.until = now
@@ -195,6 +193,9 @@
 // EarlierUntil returns the end of the support of all earlier leaderships of a
 // partition that this host leads, including those that were released early.
 func (n *Node) EarlierUntil(partition int, now time.Duration) time.Duration {
+	if n.unsafe.ignoreBound {
+		return now
+	}
 	p := n.parts[partition]
 	return max(now, p.bound, p.earlierUntil)
 }
