--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -94,12 +94,16 @@
 
 // Observe returns a middleware that reports the end of each request. The time
 // is that until the head of the answer.
-func Observe(report func(req *request.Request, err error, took time.Duration)) endpoint.Middleware {
+func Observe(report func(req *request.Request, t request.Timing, err error, took time.Duration)) endpoint.Middleware {
 	return func(next endpoint.Endpoint) endpoint.Endpoint {
 		return func(ctx context.Context, req any) (any, error) {
 			start := time.Now()
 			ans, err := next(ctx, req)
-			report(req.(*request.Request), err, time.Since(start))
+			var t request.Timing
+			if err == nil {
+				t = ans.(*request.Answer).Timing
+			}
+			report(req.(*request.Request), t, err, time.Since(start))
 			return ans, err
 		}
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/go-kit/kit/endpoint"
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
 
@@ -80,9 +81,11 @@
 	local := measureServed(leader, ctl)
 	dispatcher := dispatch.New(topology.HostID(s.Host), ctl, local)
 
-	callers := &http.Server{
-		Handler: frontend.Handler(measureRequests(dispatcher, set)), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: request.MaxHeaderBytes,
-	}
+	callers := frontend.NewServer(frontend.HandlerWith(dispatcher, frontend.Options{Middleware: []endpoint.Middleware{
+		frontend.Observe(func(req *request.Request, t request.Timing, err error, took time.Duration) {
+			set.Request(req.Customer, req.Class, took, t, err)
+		}),
+	}}))
 	operators := &http.Server{Handler: admin.Handler(ctl, set), ReadHeaderTimeout: readHeaderTimeout}
 	peerServer := peer.NewServer(local).WithControl(ctl)
 	peerServer.SetRelay(ctl.Relay())
@@ -147,20 +150,6 @@
 	}
 }
 
-// measureRequests records the outcome of each request of a caller.
-func measureRequests(next request.Doer, set *metrics.Set) request.Doer {
-	return request.DoerFunc(func(ctx context.Context, req *request.Request) (*request.Answer, error) {
-		start := time.Now()
-		ans, err := next.Do(ctx, req)
-		var t request.Timing
-		if err == nil {
-			t = ans.Timing
-		}
-		set.Request(req.Customer, req.Class, time.Since(start), t, err)
-		return ans, err
-	})
-}
-
 // measureServed records the load of the servers that this host leads.
 func measureServed(next request.Doer, ctl *control.Controller) request.Doer {
 	return request.DoerFunc(func(ctx context.Context, req *request.Request) (*request.Answer, error) {
