Split hot keys off their shards

Cause: the placement policy proposes splits and joins, but the leader could only move whole shards, so a key hotter than a server's share could not get room.

Change: the leader grants the shard again with the key excepted, and grants the key to its server after the acknowledgement. A joined key is revoked first. A new leader learns of split keys from the servers and from the assignment stream. The request path asks for the unit of ownership of each key, and the load meter feeds the sketch.

--- a/internal/control/partition.go
+++ b/internal/control/partition.go
@@ -179,6 +179,9 @@
 func (c *Controller) recorded(leader *grant.Leader, service topology.Service, a record.Assignments) {
 	var changes []grant.Change
 	for _, g := range a.Grants {
+		for _, k := range g.Keys {
+			changes = append(changes, grant.Change{Ref: topology.ShardRef{Service: service, Shard: k.Shard, Key: k.Key}, Server: g.Server, Fence: g.Fence})
+		}
 		for _, shard := range g.Shards {
 			changes = append(changes, grant.Change{Ref: topology.ShardRef{Service: service, Shard: shard}, Server: g.Server, Fence: g.Fence})
 		}
@@ -224,12 +227,18 @@
 // record passes acknowledged assignments to the writer of the log.
 func (c *Controller) record(p *partition) {
 	for _, ch := range p.leader.Changes() {
-		p.writer.Grant(record.Grant{
-			Server: ch.Server, Fence: ch.Fence, Since: time.Now().UnixMilli(), Reason: "granted",
-			Shards: []topology.ShardID{ch.Ref.Shard},
-		})
+		g := record.Grant{Server: ch.Server, Fence: ch.Fence, Since: time.Now().UnixMilli(), Reason: p.placing.reason(ch.Ref)}
+		if ch.Ref.Key == "" {
+			g.Shards = []topology.ShardID{ch.Ref.Shard}
+		} else {
+			g.Keys = []record.SplitKey{{Shard: ch.Ref.Shard, Key: ch.Ref.Key}}
+		}
+		p.writer.Grant(g)
 		p.placing.moved(ch.Ref, c.clock.Now())
 	}
+	for _, ref := range p.leader.Joined() {
+		p.writer.Remove(record.SplitKey{Shard: ref.Shard, Key: ref.Key})
+	}
 }
 
 func (c *Controller) sendOrders(ctx context.Context, orders []order) {
@@ -295,13 +304,14 @@
 	if epoch, _, leads := c.node.Leads(slotOf(p.id), now); !leads || epoch != p.epoch {
 		return exchange.Target{}, c.notLeader(l)
 	}
-	id, fence, until, ok := p.leader.Owner(l.ref, now)
+	ref := p.leader.Unit(l.ref, req.Key)
+	id, fence, until, ok := p.leader.Owner(ref, now)
 	if !ok {
-		return exchange.Target{}, verdict.New(verdict.CodeNoOwner, verdict.NotRun, "shard %s has no owner at present", l.ref).WithRetry(grant.RenewInterval)
+		return exchange.Target{}, verdict.New(verdict.CodeNoOwner, verdict.NotRun, "shard %s has no owner at present", ref).WithRetry(grant.RenewInterval)
 	}
 	s := p.servers[id]
 	t := exchange.Target{
-		Server: id, Incarnation: s.incarnation, Base: "http://" + s.address, Ref: l.ref, Fence: fence, Partition: p.id,
+		Server: id, Incarnation: s.incarnation, Base: "http://" + s.address, Ref: ref, Fence: fence, Partition: p.id,
 		Since: p.since, Term: p.epoch, Slots: l.service.Slots, MaxConns: l.service.MaxConns,
 	}
 	if !l.service.ChecksFences {
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -46,7 +46,11 @@
 		return
 	}
 	if p, ok := c.partitions[l.partition]; ok && p.load != nil {
-		p.load.add(l.ref, ans.Server, ans.Timing.Server)
+		unit := l.ref
+		if p.leader != nil {
+			unit = p.leader.Unit(l.ref, req.Key)
+		}
+		p.load.add(unit, req.Key, ans.Server, ans.Timing.Server)
 	}
 }
 
@@ -72,7 +76,10 @@
 	s.ticks++
 	in := placement.Input{Settings: placementSettings(c.config, p, c.opts.DataCentre), Seed: s.ticks}
 	shards, servers := p.load.read()
-	s.smooth(shards, servers, in.Settings.Smoothing)
+	mean := s.smooth(shards, servers, in.Settings.Smoothing)
+	for _, e := range p.load.hot(placement.Tick) {
+		in.HotKeys = append(in.HotKeys, placement.HotKey{Ref: e.Key, Load: e.Rate * mean, Error: e.Error * mean})
+	}
 	for len(s.recent) > 0 && now-s.recent[0] > in.Settings.Interval {
 		s.recent = s.recent[1:]
 	}
@@ -88,21 +95,36 @@
 	for _, srv := range p.leader.Servers(now) {
 		in.Servers = append(in.Servers, s.server(srv, c.config.Services[p.service], servers[srv.ID], now))
 	}
-	for _, m := range placement.Decide(in).Moves {
-		if m.Reason != placement.ReasonBalance || p.leader.Move(m.Ref, m.To, now) != nil {
-			continue
+	plan := placement.Decide(in)
+	for _, m := range plan.Moves {
+		if m.Reason == placement.ReasonBalance && p.leader.Move(m.Ref, m.To, now) == nil {
+			s.planned(m.Ref, "moved to balance load", now)
 		}
-		s.recent = append(s.recent, now)
-		if s.reasons == nil {
-			s.reasons = make(map[topology.ShardRef]string)
+	}
+	for _, sp := range plan.Splits {
+		if p.leader.Split(sp.Key, sp.To, now) == nil {
+			s.planned(sp.Key, "split off its shard because it is hot", now)
+		}
+	}
+	for _, j := range plan.Joins {
+		if p.leader.Join(j.Key, now) == nil {
+			s.planned(j.Key, "joined with its shard again", now)
 		}
-		s.reasons[m.Ref] = "moved to balance load"
 	}
 }
 
+// planned notes a planned change and its reason.
+func (s *placementState) planned(ref topology.ShardRef, reason string, now time.Duration) {
+	s.recent = append(s.recent, now)
+	if s.reasons == nil {
+		s.reasons = make(map[topology.ShardRef]string)
+	}
+	s.reasons[ref] = reason
+}
+
 // smooth updates the loads of shards: the request rate times the mean service
-// time of the partition.
-func (s *placementState) smooth(shards map[topology.ShardRef]float64, servers map[topology.ServerID]*usage, constant time.Duration) {
+// time of the partition, which it returns in seconds.
+func (s *placementState) smooth(shards map[topology.ShardRef]float64, servers map[topology.ServerID]*usage, constant time.Duration) float64 {
 	var requests int
 	var busy time.Duration
 	for _, u := range servers {
@@ -117,12 +139,13 @@
 		s.loads[ref] *= keep
 	}
 	if requests == 0 {
-		return
+		return 0
 	}
 	mean := busy.Seconds() / float64(requests)
 	for ref, n := range shards {
 		s.loads[ref] += (1 - keep) * n * mean / placement.Tick.Seconds()
 	}
+	return mean
 }
 
 func (s *placementState) server(srv grant.ServerStatus, cfg config.Service, u *usage, now time.Duration) placement.Server {
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -116,16 +116,18 @@
 		return e, nil
 	}
 	e.Leader = c.opts.Self.Host
-	i := slices.IndexFunc(p.leader.Shards(), func(s grant.ShardStatus) bool { return s.Ref == l.ref })
+	ref := p.leader.Unit(l.ref, key)
+	e.Shard = ref.String()
+	i := slices.IndexFunc(p.leader.Shards(), func(s grant.ShardStatus) bool { return s.Ref == ref })
 	if i < 0 {
 		return e, nil
 	}
 	s := p.leader.Shards()[i]
 	e.Server, e.Fence, e.State, e.InPlace = s.Server, s.Fence.String(), s.State.String(), s.InPlace
-	if at, ok := p.placing.since[l.ref]; ok {
+	if at, ok := p.placing.since[ref]; ok {
 		e.SinceMS = (c.clock.Now() - at).Milliseconds()
 	}
-	e.Reason = p.placing.reason(l.ref)
+	e.Reason = p.placing.reason(ref)
 	return e, nil
 }
 
--- a/internal/grant/assign.go
+++ b/internal/grant/assign.go
@@ -127,6 +127,9 @@
 // target returns the server that gets a waiting shard: the target of a planned
 // move, the last owner, or the server with the fewest shards.
 func (l *Leader) target(s *shard, now time.Duration) *server {
+	if s.joining || !s.parentReady(now) && !l.unsafe.noSplitWait {
+		return nil
+	}
 	last := l.byID[s.server]
 	if now < s.freeAt {
 		// Only the last owner may get the shard before earlier grants end.
--- a/internal/grant/exchange.go
+++ b/internal/grant/exchange.go
@@ -197,19 +197,31 @@
 	for _, h := range r.Held {
 		sh, ok := l.byRef[h.Ref]
 		if !ok && h.Ref.Key != "" {
-			sh, ok = l.addShard(h.Ref, l.start, now), true
+			sh, ok = l.addKey(h.Ref, l.byRef[shardOf(h.Ref)], l.start, now), true
 		}
 		if !ok || sh.state != Waiting {
 			l.counters.Conflicts++
 			s.drop = append(s.drop, h.Ref)
 			continue
 		}
-		sh.except = h.Except
+		l.adoptKeys(sh, h.Except, now)
 		l.own(sh, Granting, s)
 		sh.onlyIf, sh.nextTry, sh.fence = true, 0, l.nextFence()
 	}
 }
 
+// adoptKeys adds the keys that the grant of a shard does not cover. Their
+// owners, if any, may still hold grants of earlier leaders.
+func (l *Leader) adoptKeys(parent *shard, keys []string, now time.Duration) {
+	for _, key := range keys {
+		ref := parent.ref
+		ref.Key = key
+		if l.byRef[ref] == nil {
+			l.addKey(ref, parent, l.earlierEnd+l.exchangeWait(), now)
+		}
+	}
+}
+
 // acknowledge takes over the result of the orders of a request.
 func (l *Leader) acknowledge(s *server, ex *exchange, r serverapi.LeaseReply, now time.Duration) {
 	s.sure = max(s.sure, ex.tickSent+ex.duration-driftMargin)
--- a/internal/grant/leader.go
+++ b/internal/grant/leader.go
@@ -11,12 +11,17 @@
 
 type shard struct {
 	ref    topology.ShardRef
-	except []string
-	state  ShardState
-	server topology.ServerID // owner, or last owner
-	inc    topology.Incarnation
-	to     topology.ServerID
-	fence  topology.Fence
+	except []string // keys of the shard that are split off
+	// parent is the shard of a split-off key. splitFence is the first grant of
+	// the parent that does not cover the key.
+	parent     *shard
+	splitFence topology.Fence
+	joining    bool // the key returns to its parent
+	state      ShardState
+	server     topology.ServerID // owner, or last owner
+	inc        topology.Incarnation
+	to         topology.ServerID
+	fence      topology.Fence
 	// freeAt is the time from which on no server can hold an earlier grant. In
 	// state Waiting the last owner may get the shard before that.
 	freeAt  time.Duration
@@ -94,6 +99,7 @@
 	byID      map[topology.ServerID]*server
 	byRef     map[topology.ShardRef]*shard
 	changes   []Change
+	joined    []topology.ShardRef
 	counters  Counters
 	unsafe    unsafeSwitches
 }
@@ -104,6 +110,7 @@
 	noStartWait bool // grant unclaimed shards at once
 	noGrantWait bool // move shards of a silent server at once
 	noRevoke    bool // move shards without a revoke
+	noSplitWait bool // grant split-off keys before the shard gives them up
 	noOverhang  bool // do not limit grants by the leader's support
 }
 
@@ -128,6 +135,11 @@
 	for _, ref := range cfg.Shards {
 		l.addShard(ref, free, now)
 	}
+	for ref := range cfg.Preferred {
+		if parent, ok := l.byRef[shardOf(ref)]; ok && ref.Key != "" {
+			l.addKey(ref, parent, free, now)
+		}
+	}
 	return l
 }
 
@@ -237,6 +249,7 @@
 		l.startRound(now)
 	}
 	l.lapse(now)
+	l.finishJoins(now)
 	l.drain(now)
 	l.place(now)
 	l.account(now)
