--- a/internal/placement/placebench/slopes.go
+++ b/internal/placement/placebench/slopes.go
@@ -104,7 +104,7 @@
 			y    []float64
 		}{{"ns", ns}, {"B", bytes}} {
 			l := Fit(x, f.y)
-			if _, err := fmt.Fprintf(w, "  %s = %.0f + %.2f * size, R2 %.3f, residual %.0f %s\n", f.unit, l.Base, l.Slope, l.R2, l.Residual, f.unit); err != nil {
+			if _, err := fmt.Fprintf(w, "  %s = %.4g + %.4g * size, R2 %.3f, residual %.3g %s\n", f.unit, l.Base, l.Slope, l.R2, l.Residual, f.unit); err != nil {
 				return eris.Wrap(err, "write slopes")
 			}
 		}
