--- a/internal/grant/leader.go
+++ b/internal/grant/leader.go
@@ -83,12 +83,11 @@
 // Leader holds the grants of one leadership. It is not safe for concurrent
 // use.
 type Leader struct {
-	cfg     Config
-	start   time.Duration
+	cfg   Config
+	start time.Duration
+	// earlier is the time from which on no grant of an earlier leader is valid.
+	earlier time.Duration
 	support time.Duration
-	// earlierEnd is the time from which on no grant of an earlier leadership
-	// is valid.
-	earlierEnd time.Duration
 	// deposed is true after a server reported a newer epoch.
 	deposed   bool
 	seq       uint64
@@ -112,6 +111,7 @@
 	noRevoke    bool // move shards without a revoke
 	noSplitWait bool // grant split-off keys before the shard gives them up
 	noOverhang  bool // do not limit grants by the leader's support
+	noEarlier   bool // ignore the support that an earlier leader released
 }
 
 // New returns the Leader of a leadership that began at now and is supported
@@ -125,10 +125,11 @@
 		cfg: cfg, start: now, support: support, nextRound: now, unsafe: unsafe,
 		byID: make(map[topology.ServerID]*server), byRef: make(map[topology.ShardRef]*shard),
 	}
-	// A released leadership ends before its support does, but its grants were
-	// given for the whole of the support.
-	l.earlierEnd = max(now, cfg.EarlierUntil) + Overhang + driftMargin
-	free := l.earlierEnd + l.exchangeWait()
+	if unsafe.noEarlier {
+		cfg.EarlierUntil = 0
+	}
+	l.earlier = max(now, cfg.EarlierUntil) + Overhang + driftMargin
+	free := l.earlier + l.exchangeWait()
 	if l.unsafe.noStartWait {
 		free = now
 	}
--- a/internal/grant/types.go
+++ b/internal/grant/types.go
@@ -72,12 +72,11 @@
 	Shards    []topology.ShardRef
 	// Epoch is the term from lead.Node.Leads, with Home set.
 	Epoch topology.Fence
+	// EarlierUntil is lead.Node.EarlierUntil.
+	EarlierUntil time.Duration
 	// Preferred are the last known owners, from the assignment stream. They
 	// need not be up to date.
 	Preferred map[topology.ShardRef]topology.ServerID
-	// EarlierUntil is the end of the support of all earlier leaderships, also
-	// of those that were released before that; zero if they ended in time.
-	EarlierUntil time.Duration
 	// ChecksFences and MaxExchange are settings of the service.
 	ChecksFences bool
 	MaxExchange  time.Duration
