--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -67,9 +67,26 @@
 			}
 		}
 		c.mu.Unlock()
+		c.reportGauges()
 	}
 }
 
+// reportGauges updates the values that operators watch.
+func (c *Controller) reportGauges() {
+	c.opts.Metrics.Gauge("records_unknown", float64(c.unknownRecords()))
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	led := 0
+	for _, p := range c.partitions {
+		if p.leader != nil {
+			led++
+		}
+	}
+	c.opts.Metrics.Gauge("partitions_led", float64(led))
+	c.opts.Metrics.Gauge("config_revision", float64(c.revision))
+	c.opts.Metrics.Gauge("log_age_seconds", c.node.Status(c.clock.Now()).LogAge.Seconds())
+}
+
 func (c *Controller) placePartition(p *partition) {
 	now := c.clock.Now()
 	s := &p.placing
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -65,62 +65,98 @@
 	)
 }
 
+// Host is a running entry host.
+type Host struct {
+	settings  Settings
+	log       logging.Logger
+	control   *control.Controller
+	callers   *http.Server
+	operators *http.Server
+	peers     *grpc.Server
+	failed    chan error
+	stop      context.CancelFunc // ends the control path
+
+	// Callers, Peers and Operators are the addresses that the host listens on.
+	Callers, Peers, Operators string
+}
+
 // Run runs an entry host until the context ends, then shuts it down.
 func Run(ctx context.Context, s Settings) error {
-	log := logging.For(logging.Router)
-	set := metrics.NewSet()
-	ctl := control.New(control.Options{
+	h, err := Start(ctx, s)
+	if err != nil {
+		return err
+	}
+	select {
+	case err := <-h.failed:
+		return err
+	case <-ctx.Done():
+		return h.Shutdown(context.WithoutCancel(ctx))
+	}
+}
+
+// Start starts an entry host. It runs until Shutdown, also after the context
+// ends.
+func Start(ctx context.Context, s Settings) (*Host, error) {
+	h := &Host{settings: s, log: logging.For(logging.Router), failed: make(chan error, 3)}
+	h.wire()
+	for _, l := range []struct {
+		address string
+		bound   *string
+		run     func(net.Listener) error
+	}{
+		{s.Listen, &h.Callers, h.callers.Serve}, {s.Peer, &h.Peers, h.peers.Serve}, {s.Admin, &h.Operators, h.operators.Serve},
+	} {
+		bound, err := serve(l.address, l.run, h.failed)
+		if err != nil {
+			return nil, err
+		}
+		*l.bound = bound
+	}
+	ctx, h.stop = context.WithCancel(context.WithoutCancel(ctx))
+	go h.control.Run(ctx)
+	h.log.With("host", s.Host).Info("Entry host is serving.")
+	return h, nil
+}
+
+// wire connects the parts.
+func (h *Host) wire() {
+	s, set := h.settings, metrics.NewSet()
+	h.control = control.New(control.Options{
 		Self:       topology.Member{Host: topology.HostID(s.Host), Incarnation: topology.Incarnation(time.Now().UnixNano())},
 		DataCentre: topology.DataCentre(s.DataCentre), Cell: topology.CellID(s.Cell), Retention: s.Retention,
 		Log: platformlog.NewClient(s.Platform), Hosts: hostlist.NewClient(s.Platform), Metrics: set,
 	})
 	leader := execute.NewWith(execute.Options{
-		Owners: ctl, Servers: exchange.NewClient(maxServerConns), Share: ctl.Share, Publish: ctl.PublishCrash,
+		Owners: h.control, Servers: exchange.NewClient(maxServerConns), Share: h.control.Share, Publish: h.control.PublishCrash,
 	})
-	ctl.SetExecutor(leader)
-	local := measureServed(leader, ctl)
-	dispatcher := dispatch.New(topology.HostID(s.Host), ctl, local)
-
-	callers := frontend.NewServer(frontend.HandlerWith(dispatcher, frontend.Options{Middleware: []endpoint.Middleware{
+	h.control.SetExecutor(leader)
+	local := measureServed(leader, h.control)
+	dispatcher := dispatch.New(topology.HostID(s.Host), h.control, local)
+	h.callers = frontend.NewServer(frontend.HandlerWith(dispatcher, frontend.Options{Middleware: []endpoint.Middleware{
 		frontend.Observe(func(req *request.Request, t request.Timing, err error, took time.Duration) {
 			set.Request(req.Customer, req.Class, took, t, err)
 		}),
 	}}))
-	operators := &http.Server{Handler: admin.Handler(ctl, set), ReadHeaderTimeout: readHeaderTimeout}
-	peerServer := peer.NewServer(local).WithControl(ctl)
-	peerServer.SetRelay(ctl.Relay())
-	peers := peer.NewGRPCServer(peerServer)
-
-	failed := make(chan error, 3)
-	for _, l := range []struct {
-		address string
-		run     func(net.Listener) error
-	}{{s.Listen, callers.Serve}, {s.Peer, peers.Serve}, {s.Admin, operators.Serve}} {
-		if err := serve(l.address, l.run, failed); err != nil {
-			return err
-		}
-	}
-	running, stopControl := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopControl()
-	go ctl.Run(running)
-	log.With("host", s.Host).Info("Entry host is serving.")
+	h.operators = &http.Server{Handler: admin.Handler(h.control, set), ReadHeaderTimeout: readHeaderTimeout}
+	server := peer.NewServer(local).WithControl(h.control)
+	server.SetRelay(h.control.Relay())
+	h.peers = peer.NewGRPCServer(server)
+}
 
-	select {
-	case err := <-failed:
-		return err
-	case <-ctx.Done():
-	}
-	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+// Shutdown takes the host out of service: readiness fails, partitions are
+// handed over, requests in flight end. It takes at most shutdownTimeout.
+func (h *Host) Shutdown(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancel()
-	log.Info("Entry host is shutting down.")
-	ctl.Close() // readiness fails first, so that the balancer sends no new requests
-	sleep(stop, s.DrainDelay)
-	ctl.Leave(stop)
-	err := callers.Shutdown(stop)
-	stopControl() // ends the subscriptions of other hosts
-	stopPeers(stop, peers)
-	_ = operators.Shutdown(stop)
-	log.Info("Entry host has stopped.")
+	h.log.Info("Entry host is shutting down.")
+	h.control.Close() // readiness fails first, so that the balancer sends no new requests
+	sleep(ctx, h.settings.DrainDelay)
+	h.control.Leave(ctx)
+	err := h.callers.Shutdown(ctx)
+	h.stop() // ends the subscriptions of other hosts
+	stopPeers(ctx, h.peers)
+	_ = h.operators.Shutdown(ctx)
+	h.log.Info("Entry host has stopped.")
 	return err
 }
 
@@ -161,17 +197,17 @@
 	})
 }
 
-// serve listens on an address and reports the end of run, unless it ended by a
-// shutdown.
-func serve(address string, run func(net.Listener) error, failed chan<- error) error {
+// serve listens on an address, returns the one that was bound, and reports the
+// end of run, unless it ended by a shutdown.
+func serve(address string, run func(net.Listener) error, failed chan<- error) (string, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return eris.Wrap(err, "listen")
+		return "", eris.Wrap(err, "listen")
 	}
 	go func() {
 		if err := run(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			failed <- err
 		}
 	}()
-	return nil
+	return l.Addr().String(), nil
 }
