Hold requests over the gap of a leader and tell peers the own address

Cause: an end-to-end test of two entry hosts on loopback failed in two ways. A host that joined was added to the list before the leader knew its address from the platform's list, so the leader of a list of two lost its majority for about 1 s. And a request that met this gap waited for its deadline of 30 s, although the same host led again: asking a host again that refused once needed retry budget, and a service with few requests has none.

Change: control messages carry the sender's address.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -96,8 +96,8 @@
 	proposing  string // id of the proposal that is being appended
 }
 
-// New returns a Controller that has read nothing. SetExecutor must be called
-// before Run.
+// New returns a Controller that has read nothing. SetExecutor and
+// SetAddress must be called before Run.
 func New(opts Options) *Controller {
 	if opts.Metrics == nil {
 		opts.Metrics = metrics.NewSet()
@@ -106,7 +106,7 @@
 		opts.Clock = clock.Boot{}
 	}
 	c := &Controller{
-		opts: opts, log: logging.For(logging.Control), clock: opts.Clock, peers: peer.NewPool(),
+		opts: opts, log: logging.For(logging.Control), clock: opts.Clock,
 		node: lead.NewNode(lead.Config{
 			Self: opts.Self, Cell: opts.Cell, Partitions: leadSlots, Params: lead.DefaultParams(),
 		}),
@@ -122,6 +122,20 @@
 // SetExecutor connects the request path.
 func (c *Controller) SetExecutor(e Executor) { c.exec = e }
 
+// SetAddress sets the address of this host's peer interface. It must be called
+// before Run.
+func (c *Controller) SetAddress(address string) { c.peers = peer.NewPool(address) }
+
+// Seen implements peer.Control.
+func (c *Controller) Seen(host topology.HostID, address string) {
+	if address == "" {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addresses[host] = address
+}
+
 // Run runs the loops until the context ends.
 func (c *Controller) Run(ctx context.Context) {
 	defer c.peers.Close()
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +25,10 @@
 	maxBackoff = 100 * time.Millisecond
 	// maxHeld bounds the requests that wait between attempts.
 	maxHeld = 4096
+	// refusedPause is the time after which a host that refused a request may be
+	// asked again without budget. With maxHeld requests that is at most 14,000
+	// attempts per second.
+	refusedPause = 300 * time.Millisecond
 )
 
 // Route says where a request goes.
@@ -104,8 +107,8 @@
 
 // attempts is the state of one request between its attempts.
 type attempts struct {
-	// refused holds the addresses of hosts that refused an attempt.
-	refused []string
+	// refused holds the times at which hosts refused an attempt, by address.
+	refused map[string]time.Duration
 	// hint is the leader that the refusal named. Only the first one is followed
 	// without a wait, because two hosts can name each other.
 	hint   string
@@ -167,7 +170,10 @@
 	}
 	a.last, a.hint = e, ""
 	if e.Code != verdict.CodeNoLeader { // which means no connection to the host
-		a.refused = append(a.refused, route.Address)
+		if a.refused == nil {
+			a.refused = make(map[string]time.Duration)
+		}
+		a.refused[route.Address] = d.opts.Clock.Now()
 	}
 	if e.Leader != route.Address {
 		a.hint = e.Leader
@@ -204,12 +210,21 @@
 		}
 		return r, false, e
 	}
-	if !r.Local && slices.Contains(a.refused, r.Address) && !d.budget.Retry(req.Service) {
+	if !r.Local && d.refusedLately(a, r.Address) && !d.budget.Retry(req.Service) {
 		return r, false, nil
 	}
 	return r, true, nil
 }
 
+// refusedLately reports whether the host refused the request less than
+// refusedPause ago. After that it may lead again: without this, a request that
+// met the gap between two terms of the same host waited for its deadline,
+// because a service with few requests has no budget.
+func (d *Dispatcher) refusedLately(a *attempts, address string) bool {
+	at, ok := a.refused[address]
+	return ok && d.opts.Clock.Now()-at < refusedPause
+}
+
 // repeatable reports whether another attempt can succeed and is safe.
 func repeatable(e *verdict.Error) bool {
 	if e.Verdict != verdict.NotRun {
--- a/internal/peer/control.go
+++ b/internal/peer/control.go
@@ -26,6 +26,9 @@
 
 // Control answers the control messages of other entry hosts.
 type Control interface {
+	// Seen reports the address that another host names for itself. It is newer
+	// than that of the platform's list, which lags.
+	Seen(host topology.HostID, address string)
 	Support(req lead.SupportRequest) lead.SupportReply
 	Pledge(req lead.PledgeRequest) lead.PledgeReply
 	// HandOver returns false if the receiver is not the next leader.
@@ -34,6 +37,7 @@
 
 // Support implements the support call.
 func (s *Server) Support(_ context.Context, p *peerpb.SupportRequest) (*peerpb.SupportResponse, error) {
+	s.control.Seen(topology.HostID(p.Host), p.Address)
 	req := lead.SupportRequest{
 		Cell: topology.CellID(p.Cell), From: member(p.Host, p.Incarnation), List: p.List, Mode: lead.Mode(p.Mode),
 	}
@@ -63,6 +67,7 @@
 
 // Pledge implements the pledge call.
 func (s *Server) Pledge(_ context.Context, p *peerpb.PledgeRequest) (*peerpb.PledgeResponse, error) {
+	s.control.Seen(topology.HostID(p.Host), p.Address)
 	r := s.control.Pledge(lead.PledgeRequest{Cell: topology.CellID(p.Cell), From: member(p.Host, p.Incarnation), List: p.List})
 	return &peerpb.PledgeResponse{
 		Pledged: r.Pledged, Host: string(r.Pledge.Member.Host), Incarnation: uint64(r.Pledge.Member.Incarnation),
@@ -83,6 +88,7 @@
 func (c *Client) Support(ctx context.Context, req lead.SupportRequest) (lead.SupportReply, error) {
 	p := &peerpb.SupportRequest{
 		Cell: string(req.Cell), Host: string(req.From.Host), Incarnation: uint64(req.From.Incarnation), List: req.List, Mode: uint32(req.Mode),
+		Address: c.self,
 	}
 	for _, t := range req.Terms {
 		p.Terms = append(p.Terms, &peerpb.TermRequest{PartitionIndex: uint32(t.Partition), Term: t.Term, Release: t.Release, Unused: t.Unused})
@@ -108,6 +114,7 @@
 func (c *Client) Pledge(ctx context.Context, req lead.PledgeRequest) (lead.PledgeReply, error) {
 	resp, err := c.rpc.Pledge(ctx, &peerpb.PledgeRequest{
 		Cell: string(req.Cell), List: req.List, Host: string(req.From.Host), Incarnation: uint64(req.From.Incarnation),
+		Address: c.self,
 	})
 	if err != nil {
 		return lead.PledgeReply{}, eris.Wrap(err, "pledge")
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -138,6 +138,7 @@
 type Client struct {
 	conn *grpc.ClientConn
 	rpc  peerpb.PeerClient
+	self string // address that control messages name
 }
 
 // Dial returns a client of the host at address. It connects on first use. The
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -9,6 +9,7 @@
 // Pool holds one control client per host. Control messages have connections of
 // their own, so that a burst of large requests does not delay support.
 type Pool struct {
+	self    string
 	mu      sync.Mutex
 	clients map[topology.HostID]pooled
 }
@@ -18,8 +19,9 @@
 	client  *Client
 }
 
-// NewPool returns an empty Pool.
-func NewPool() *Pool { return &Pool{clients: make(map[topology.HostID]pooled)} }
+// NewPool returns an empty Pool. Control messages name self as the address of
+// this host.
+func NewPool(self string) *Pool { return &Pool{self: self, clients: make(map[topology.HostID]pooled)} }
 
 // Client returns the client of a host. A host that has a new address gets a
 // new connection.
@@ -34,6 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.self = p.self
 	if ok {
 		_ = old.client.Close()
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -112,6 +112,7 @@
 		}
 		*l.bound = bound
 	}
+	h.control.SetAddress(h.Peers)
 	ctx, h.stop = context.WithCancel(context.WithoutCancel(ctx))
 	go h.control.Run(ctx)
 	h.log.With("host", s.Host).Info("Entry host is serving.")
