--- a/Makefile
+++ b/Makefile
@@ -31,8 +31,11 @@
 model:
 	bash spec/check.sh
 
+# Placement comparison with its picture, cost of the hops, cost of the fold.
 bench:
 	bash scripts/bench.sh
+	$(GO) test -run '^$$' -bench . -benchtime 1x ./internal/hopbench
+	$(GO) test -run '^$$' -bench . ./internal/state
 
 # Needs protoc and the two plugins of tools/protoc; only after a change of a
 # .proto file.
