Transfer the host list only when it has changed

Cause: each host read the whole list every second. The capacity measurement gives 113 bytes per entry, that is 1.8 MB/s at the target size and 11.6 KB/s at today's size, against 5 KB/s for all control.

Change: the client sends the entity tag of its copy, and the stand-in answers 304 while the list is unchanged.

make bench now runs the hops with 15,000 requests per path.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 # Placement comparison with its picture, cost of the hops, cost of the fold.
 bench:
 	bash scripts/bench.sh
-	$(GO) test -run '^$$' -bench . -benchtime 1x ./internal/hopbench
+	$(GO) test -run '^$$' -bench . -benchtime 15000x ./internal/hopbench
 	$(GO) test -run '^$$' -bench . ./internal/state
 
 # Needs protoc and the two plugins of tools/protoc; only after a change of a
--- a/internal/hostlist/hostfake/list.go
+++ b/internal/hostlist/hostfake/list.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -14,8 +15,9 @@
 
 // List is the list of hosts. It is safe for concurrent use.
 type List struct {
-	mu    sync.Mutex
-	hosts map[string]hostlist.Host
+	mu       sync.Mutex
+	hosts    map[string]hostlist.Host
+	revision int
 }
 
 // New returns a list of the given hosts.
@@ -32,6 +34,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.hosts[h.ID] = h
+	l.revision++
 }
 
 // Remove removes a host.
@@ -39,6 +42,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.hosts, id)
+	l.revision++
 }
 
 // Hosts implements hostlist.Source. The result is sorted by id.
@@ -53,10 +57,24 @@
 	return hosts, nil
 }
 
+// tag identifies the present content. It is read before the content, so that a
+// change in between is seen by the next read.
+func (l *List) tag() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strconv.Quote(strconv.Itoa(l.revision))
+}
+
 // Handler serves GET /hosts, PUT /hosts/{id} and DELETE /hosts/{id}.
 func (l *List) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /hosts", func(w http.ResponseWriter, r *http.Request) {
+		tag := l.tag()
+		w.Header().Set("ETag", tag)
+		if r.Header.Get("If-None-Match") == tag {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
 		hosts, _ := l.Hosts(r.Context())
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(hosts)
--- a/internal/hostlist/hostlist.go
+++ b/internal/hostlist/hostlist.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -42,10 +43,16 @@
 	Hosts(ctx context.Context) ([]Host, error)
 }
 
-// Client reads the list over HTTP: GET /hosts.
+// Client reads the list over HTTP: GET /hosts. It sends the entity tag of its
+// copy, so that an unchanged list costs no transfer. It is safe for concurrent
+// use.
 type Client struct {
 	base string
 	http *http.Client
+
+	mu    sync.Mutex
+	tag   string
+	hosts []Host
 }
 
 // NewClient returns a client of the platform at base.
@@ -53,17 +60,25 @@
 	return &Client{base: base, http: &http.Client{Timeout: 2 * time.Second}}
 }
 
-// Hosts implements Source.
+// Hosts implements Source. The result must not be changed.
 func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/hosts", nil)
 	if err != nil {
 		return nil, eris.Wrap(err, "host list request")
 	}
+	if c.tag != "" {
+		req.Header.Set("If-None-Match", c.tag)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, eris.Wrap(err, "host list")
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusNotModified {
+		return c.hosts, nil
+	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, eris.Errorf("host list: status %d", resp.StatusCode)
 	}
@@ -71,5 +86,6 @@
 	if err := json.NewDecoder(resp.Body).Decode(&hosts); err != nil {
 		return nil, eris.Wrap(err, "decode host list")
 	}
+	c.tag, c.hosts = resp.Header.Get("ETag"), hosts
 	return hosts, nil
 }
