Measure the costs of control by size

Cause: the budgets of a node at the target size were not compared with measured costs.

Conclusion: the figures can be reproduced by one command.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GO ?= go
 LINT_VERSION = v2.15.0
 
-.PHONY: all build demo test test-race lint fmt model bench fuzz generate
+.PHONY: all build demo test test-race lint fmt model bench capacity fuzz generate
 
 all: build
 
@@ -34,6 +34,10 @@
 bench:
 	bash scripts/bench.sh
 
+# Prints the figures of docs/CAPACITY.md.
+capacity:
+	bash scripts/capacity.sh
+
 # Needs protoc and the two plugins of tools/protoc; only after a change of a
 # .proto file.
 generate:
