Measure the hand-over of request ids

Cause: the id memory of a partition at the target size is larger than one hand-over message may be.

Ruled out: a change of the hand-over, which is another package's.

--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -72,7 +72,7 @@
 		{"support", supportByMembers}, {"slots", supportBySlots},
 		{"lease", leaseByServers}, {"lease-shards", leaseByShards},
 		{"grant", grantByShards}, {"grant-servers", grantByServers}, {"lead", leadBySlots},
-		{"ids", idMemory}, {"connections", connections}, {"relay", relayHops},
+		{"ids", idMemory}, {"handover", handOvers}, {"connections", connections}, {"relay", relayHops},
 		{"hosts", hostList}, {"log", logReads},
 	}
 }
--- a/internal/capacity/memory.go
+++ b/internal/capacity/memory.go
@@ -63,12 +63,70 @@
 	return nil
 }
 
-// quiet answers support requests without a state.
+// handOvers measures the hand-over of ids with answers of 200 bytes over a
+// socket. CPU time is that of both sides, with encoding and decoding.
+func handOvers() ([]*Series, error) {
+	const answer = 200
+	took := &Series{Name: "hand-over of request ids", Size: "ids", Unit: "ms"}
+	used := &Series{Name: "hand-over of request ids", Size: "ids", Unit: "CPU ms of both sides"}
+	sent := &Series{Name: "hand-over of request ids", Size: "ids", Unit: "bytes"}
+	for _, n := range []int{10_000, 20_000, 40_000, 80_000} {
+		m := dedup.New(dedup.Options{Clock: clock.NewProcess()}, time.Time{})
+		for range n {
+			if err := remember(m, answer); err != nil {
+				return nil, err
+			}
+		}
+		if err := handOver(m, n, took, used, sent); err != nil {
+			return nil, err
+		}
+	}
+	return []*Series{took, used, sent}, nil
+}
+
+func handOver(m *dedup.Memory, ids int, took, used, sent *Series) error {
+	var w wire
+	l, err := listen(&w)
+	if err != nil {
+		return err
+	}
+	server := peer.NewGRPCServer(peer.NewServer(nil).WithControl(quiet{}))
+	defer server.Stop()
+	go func() { _ = server.Serve(l) }()
+	client, err := peer.Dial(l.Addr().String())
+	if err != nil {
+		return err
+	}
+	defer func() { _ = client.Close() }()
+	if _, err := client.Support(context.Background(), lead.SupportRequest{}); err != nil {
+		return err
+	}
+	start, before, bytes := time.Now(), cpu(), w.total()
+	accepted, err := client.HandOver(context.Background(), peer.HandOver{Partition: "booking.kgn-a.0", IDs: m.Export()})
+	if err != nil {
+		return err
+	}
+	if !accepted {
+		return eris.New("hand-over was not accepted")
+	}
+	took.add(float64(ids), float64(time.Since(start).Microseconds())/1e3)
+	used.add(float64(ids), float64((cpu()-before).Microseconds())/1e3)
+	sent.add(float64(ids), w.total()-bytes)
+	return nil
+}
+
+// quiet answers support requests without a state and accepts hand-overs.
 type quiet struct{ peer.Control }
 
 // Support implements peer.Control.
 func (quiet) Support(lead.SupportRequest) lead.SupportReply { return lead.SupportReply{} }
 
+// HandOver implements peer.Control and builds the memory of the next leader.
+func (quiet) HandOver(h peer.HandOver) bool {
+	_, ok := dedup.Import(dedup.Options{Clock: clock.NewProcess()}, h.IDs)
+	return ok
+}
+
 // connections measures both ends of idle gRPC connections.
 func connections() ([]*Series, error) {
 	const idle = 2 * time.Second
