--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GO ?= go
 LINT_VERSION = v2.15.0
 
-.PHONY: all build demo test test-race lint fmt model bench fuzz generate
+.PHONY: all build demo test test-race lint fmt model bench capacity fuzz generate
 
 all: build
 
@@ -37,6 +37,10 @@
 	$(GO) test -run '^$$' -bench . -benchtime 15000x ./internal/hopbench
 	$(GO) test -run '^$$' -bench . ./internal/state
 
+# Prints the figures of docs/CAPACITY.md.
+capacity:
+	bash scripts/capacity.sh
+
 # Needs protoc and the two plugins of tools/protoc; only after a change of a
 # .proto file.
 generate:
