--- a/internal/capacity/platform.go
+++ b/internal/capacity/platform.go
@@ -39,35 +39,53 @@
 	return float64((cpu() - used).Nanoseconds()) / 1e3 / n, (w.total() - sent) / n, nil
 }
 
-// hostList measures one read of the platform's host list.
+// hostList measures one read of the platform's host list, unchanged since the
+// last read and changed.
 func hostList() ([]*Series, error) {
-	took := &Series{Name: "read of the host list", Size: "listed hosts and servers", Unit: "CPU us of both sides"}
-	sent := &Series{Name: "read of the host list", Size: "listed hosts and servers", Unit: "bytes"}
-	for _, n := range []int{1000, 2000, 4000, 8000} {
-		list := hostfake.New()
-		for i := range n {
-			list.Put(hostlist.Host{
-				ID: fmt.Sprintf("entry-%04d", i), Role: hostlist.RoleEntry, DataCentre: "kgn-a",
-				Address: "10.20.30.40:8081", Admin: "10.20.30.40:8082",
-			})
-		}
-		micros, bytes, err := platformCost(list.Handler(), 10, func(base string) func() error {
-			c := hostlist.NewClient(base)
-			return func() error {
-				hosts, err := c.Hosts(context.Background())
-				if err == nil && len(hosts) != n {
-					err = eris.Errorf("host list has %d entries instead of %d", len(hosts), n)
-				}
-				return err
+	var all []*Series
+	for _, changed := range []bool{false, true} {
+		name := map[bool]string{false: "read of the unchanged host list", true: "read of the changed host list"}[changed]
+		took := &Series{Name: name, Size: "listed hosts and servers", Unit: "CPU us of both sides"}
+		sent := &Series{Name: name, Size: "listed hosts and servers", Unit: "bytes"}
+		for _, n := range []int{1000, 2000, 4000, 8000} {
+			micros, bytes, err := hostListRead(n, changed)
+			if err != nil {
+				return nil, err
 			}
-		})
-		if err != nil {
-			return nil, err
+			took.add(float64(n), micros)
+			sent.add(float64(n), bytes)
 		}
-		took.add(float64(n), micros)
-		sent.add(float64(n), bytes)
+		all = append(all, took, sent)
 	}
-	return []*Series{took, sent}, nil
+	return all, nil
+}
+
+// hostListRead returns the CPU time in microseconds and the bytes of one read
+// of n entries.
+func hostListRead(n int, changed bool) (micros, bytes float64, err error) {
+	list := hostfake.New()
+	put := func(i int) {
+		list.Put(hostlist.Host{
+			ID: fmt.Sprintf("entry-%04d", i), Role: hostlist.RoleEntry, DataCentre: "kgn-a",
+			Address: "10.20.30.40:8081", Admin: "10.20.30.40:8082",
+		})
+	}
+	for i := range n {
+		put(i)
+	}
+	return platformCost(list.Handler(), 10, func(base string) func() error {
+		c := hostlist.NewClient(base)
+		return func() error {
+			if changed {
+				put(0) // gives the list a new entity tag
+			}
+			hosts, err := c.Hosts(context.Background())
+			if err == nil && len(hosts) != n {
+				err = eris.Errorf("host list has %d entries instead of %d", len(hosts), n)
+			}
+			return err
+		}
+	})
 }
 
 // logReads measures one read that finds so many records of 150 bytes.
--- a/internal/capacity/support.go
+++ b/internal/capacity/support.go
@@ -37,6 +37,9 @@
 	clients map[topology.HostID]*peer.Client
 }
 
+// Seen implements peer.Control. Addresses are fixed here.
+func (h *cellHost) Seen(topology.HostID, string) {}
+
 // Support implements peer.Control.
 func (h *cellHost) Support(req lead.SupportRequest) lead.SupportReply {
 	h.mu.Lock()
