Keep the hand-over of request ids below its limits

Cause: the capacity measurement found that a hand-over of more than 211,000 ids with answers of 200 bytes is refused, because a message may have 64 MiB, and that 200,000 ids take 0.9 s of a timeout of 1 s. The next leader then refuses all repeats of 120 s.

Change: beyond 16 MiB of stored answers only verdicts are handed over, about 110 bytes per id, and the timeout is 3 s. The hand-over of 446,000 ids has not been measured with the change.

--- a/internal/control/handover.go
+++ b/internal/control/handover.go
@@ -4,13 +4,20 @@
 	"context"
 	"time"
 
+	"github.com/lycheerudder/lycheerudder/internal/dedup"
 	"github.com/lycheerudder/lycheerudder/internal/lead"
 	"github.com/lycheerudder/lycheerudder/internal/peer"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
 
 const (
-	handOverTimeout = time.Second
+	// 446,000 ids, the most that a node keeps at the target size, take about
+	// 2 s to send.
+	handOverTimeout = 3 * time.Second
+	// maxHandOverAnswers bounds the stored answers in a hand-over. Beyond it
+	// only the verdicts are sent, so that the message stays below the limit of
+	// 64 MiB: 120 MB of ids with answers would be refused as a whole.
+	maxHandOverAnswers = 16 << 20
 	// handOverKept is the time for which a hand-over waits for the start of
 	// the next term.
 	handOverKept = 5 * time.Second
@@ -93,6 +100,21 @@
 	return led
 }
 
+// trimAnswers drops the stored answers if there are too many of them. A repeat
+// then gets the verdict without the answer.
+func trimAnswers(ids []dedup.Record) {
+	total := 0
+	for _, r := range ids {
+		total += len(r.Outcome.Body)
+	}
+	if total <= maxHandOverAnswers {
+		return
+	}
+	for i := range ids {
+		ids[i].Outcome.Body, ids[i].Outcome.Stored = nil, false
+	}
+}
+
 // handOver closes the memory of ids, sends it to the leader of the next term
 // and releases the partition. The host stops to act before it releases.
 func (c *Controller) handOver(ctx context.Context, p *partition) {
@@ -107,6 +129,7 @@
 	c.mu.Unlock()
 
 	ids, ok := c.exec.HandOver(p.id, epoch)
+	trimAnswers(ids.Records)
 	if client, known := c.peerOf(next.Host); ok && known && next != c.opts.Self {
 		call, cancel := context.WithTimeout(ctx, handOverTimeout)
 		_, err := client.HandOver(call, peer.HandOver{Partition: p.id, Epoch: epoch, IDs: ids, Crashes: c.exec.Quarantine().Export()})
