Measure the unavailable time of keys with real processes

Cause: the time budget of the design was checked only in virtual time.

The stand-in servers serve GET /stats and write the id of each request that runs to a file, so that the script finds ids that ran twice or ran although the verdict was not run, also for servers that were killed. The stand-in log serves GET /stats.

Ruled out: 200 us of work per request in the stand-in servers. A sleep of that length takes over 1 ms, and the servers of the smaller data centre were overloaded without any fault (5887 of 25600 requests not run). Restarting a server without waiting for the end of the old process: the new one could not listen, and the row showed the figures of a kill (1075 ms).

Conclusion: each row of the budget can be measured with one command.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GO ?= go
 LINT_VERSION = v2.15.0
 
-.PHONY: all build demo test test-race lint fmt model bench fuzz generate
+.PHONY: all build demo faults test test-race lint fmt model bench fuzz generate
 
 all: build
 
@@ -13,6 +13,10 @@
 demo: build
 	bash scripts/demo.sh
 
+# Measures the unavailable time of keys under faults; takes about five minutes.
+faults: build
+	bash scripts/faults.sh
+
 test:
 	$(GO) test ./...
 
--- a/cmd/lyload/main.go
+++ b/cmd/lyload/main.go
@@ -1,5 +1,6 @@
-// Command lyload sends requests to an entry host as a caller does, and prints
-// the verdict, the owner and the time of each.
+// Command lyload sends requests to entry hosts as callers do. It prints the
+// outcome of each request, or with --rate the throughput and latency, or with
+// --probe the unavailable time of keys.
 package main
 
 import (
@@ -25,6 +26,14 @@
 	Count    int           `env:"LYR_COUNT" envDefault:"1" flag:"count" help:"Number of requests."`
 	Timeout  time.Duration `env:"LYR_TIMEOUT" envDefault:"3s" flag:"timeout" help:"Time for each request."`
 	Write    bool          `env:"LYR_WRITE" flag:"write" help:"Send requests that may run at most once."`
+	Rate     float64       `env:"LYR_RATE" flag:"rate" help:"Send this many requests per second and print a summary."`
+	Probe    bool          `env:"LYR_PROBE" flag:"probe" help:"Send a request per key every 20 ms and print the unavailable time of the keys."`
+	Duration time.Duration `env:"LYR_DURATION" envDefault:"10s" flag:"duration" help:"Time to send with --rate or --probe."`
+	Workers  int           `env:"LYR_WORKERS" envDefault:"64" flag:"workers" help:"Requests in flight with --rate."`
+	Keys     int           `env:"LYR_KEYS" envDefault:"64" flag:"keys" help:"Number of keys with --rate or --probe."`
+	Health   string        `env:"LYR_HEALTH" flag:"health" help:"Operator addresses of the entry hosts in the order of --target; hosts that are not ready are skipped."`
+	IDs      string        `env:"LYR_IDS" flag:"ids" help:"File for the id and the verdict of each request with --rate or --probe."`
+	JSON     bool          `env:"LYR_JSON" flag:"json" help:"Print the summary as JSON."`
 }
 
 // Validate implements settings.Validator.
@@ -36,6 +45,15 @@
 	if o.Count < 1 {
 		errs = append(errs, fmt.Errorf("--count must be at least 1, not %d", o.Count))
 	}
+	if o.Rate < 0 || o.Rate > 0 && o.Probe {
+		errs = append(errs, fmt.Errorf("--rate must not be negative or used with --probe"))
+	}
+	if o.Workers < 1 || o.Keys < 1 || o.Duration <= 0 {
+		errs = append(errs, fmt.Errorf("--workers, --keys and --duration must be positive"))
+	}
+	if o.Health != "" && strings.Count(o.Health, ",") != strings.Count(o.Target, ",") {
+		errs = append(errs, fmt.Errorf("--health must name as many addresses as --target"))
+	}
 	return settings.Problems(errs...)
 }
 
@@ -44,6 +62,9 @@
 	p := settings.Program{Name: "lyload", Description: "Sends requests to entry hosts and prints the outcome."}
 	settings.Main(p, &o, func(ctx context.Context) error {
 		targets := strings.Split(o.Target, ",")
+		if o.Rate > 0 || o.Probe {
+			return measure(ctx, o, targets)
+		}
 		for i := range o.Count {
 			if err := send(ctx, o, targets[i%len(targets)], i); err != nil {
 				return err
--- a/cmd/lyserver/main.go
+++ b/cmd/lyserver/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/lycheerudder/lycheerudder/internal/clock"
@@ -22,6 +23,7 @@
 	Listen       string        `env:"LYR_LISTEN" envDefault:"127.0.0.1:7500" flag:"listen" help:"Address of the HTTP interface."`
 	Slots        int           `env:"LYR_SLOTS" envDefault:"2" flag:"slots" help:"Requests that run at the same time."`
 	Work         time.Duration `env:"LYR_WORK" envDefault:"2ms" flag:"work" help:"Time that a request takes."`
+	RunLog       string        `env:"LYR_RUN_LOG" flag:"run-log" help:"File to which the id of each request that runs is appended."`
 	IgnoreFences bool          `env:"LYR_IGNORE_FENCES" flag:"ignore-fences" help:"Run any request without a check of its grant."`
 }
 
@@ -34,9 +36,14 @@
 	var o options
 	p := settings.Program{Name: "lyserver", Description: "Stand-in for a backend server."}
 	settings.Main(p, &o, func(ctx context.Context) error {
+		runLog, err := openRunLog(o.RunLog)
+		if err != nil {
+			return err
+		}
 		server := serverfake.New(serverfake.Options{
 			ID: topology.ServerID(o.ID), Incarnation: topology.Incarnation(time.Now().UnixNano()),
 			ChecksFences: !o.IgnoreFences, Slots: o.Slots, Clock: clock.Boot{},
+			CountRuns: runLog != nil, RunLog: runLog,
 		})
 		srv := &http.Server{Addr: o.Listen, Handler: server.Handler(app(o)), ReadHeaderTimeout: time.Second}
 		go func() {
@@ -50,6 +57,15 @@
 	})
 }
 
+// openRunLog returns nil without a name. Writes to the file are not buffered,
+// so that they outlive a kill.
+func openRunLog(name string) (io.Writer, error) {
+	if name == "" {
+		return nil, nil
+	}
+	return os.OpenFile(name, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+}
+
 func app(o options) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
--- a/internal/platformlog/logfake/handler.go
+++ b/internal/platformlog/logfake/handler.go
@@ -12,13 +12,17 @@
 )
 
 // Handler serves the log over the HTTP protocol of platformlog.Client. It also
-// serves GET and PUT /faults for the fault switches.
+// serves GET and PUT /faults for the fault switches, and GET /stats for the
+// number of appends that took effect.
 func (l *Log) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /streams/{stream}/records", l.serveAppend)
 	mux.HandleFunc("GET /streams/{stream}/records", l.serveRead)
 	mux.HandleFunc("GET /faults", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, l.Faults()) })
 	mux.HandleFunc("PUT /faults", l.serveFaults)
+	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, map[string]int64{"appends": l.Appends()})
+	})
 	return mux
 }
 
--- a/internal/serverapi/serverfake/run.go
+++ b/internal/serverapi/serverfake/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
@@ -59,6 +60,29 @@
 	if s.opts.CountRuns {
 		s.runs[id]++
 	}
+	if s.opts.RunLog != nil {
+		_, _ = fmt.Fprintln(s.opts.RunLog, id)
+	}
+}
+
+// Stats are the counts of the requests that took effect. Repeated holds the ids
+// that ran more than once, and is known only with Options.CountRuns.
+type Stats struct {
+	Total    int            `json:"total"`
+	Repeated map[string]int `json:"repeated"`
+}
+
+// Stats returns the counts.
+func (s *Server) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := Stats{Total: s.total, Repeated: make(map[string]int)}
+	for id, n := range s.runs {
+		if n > 1 {
+			st.Repeated[id] = n
+		}
+	}
+	return st
 }
 
 // Runs returns how often the request with the id took effect.
@@ -87,7 +111,8 @@
 	return nil
 }
 
-// Handler serves the contract of package serverapi; app runs the requests.
+// Handler serves the contract of package serverapi; app runs the requests. It
+// also serves GET /stats.
 func (s *Server) Handler(app http.Handler) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/lease", func(w http.ResponseWriter, r *http.Request) {
@@ -102,6 +127,7 @@
 	mux.HandleFunc("GET /v1/health", func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusOK)
 	})
+	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Stats()) })
 	mux.Handle("/v1/run/", http.StripPrefix("/v1/run", s.runHandler(app)))
 	return mux
 }
--- a/internal/serverapi/serverfake/server.go
+++ b/internal/serverapi/serverfake/server.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"context"
+	"io"
 	"slices"
 	"strings"
 	"sync"
@@ -27,6 +28,9 @@
 	Clock clock.Clock
 	// CountRuns keeps the number of runs of each request id, without bound.
 	CountRuns bool
+	// RunLog receives the id of each request that takes effect, one a line,
+	// before its answer. Unlike the counts it outlives the process.
+	RunLog io.Writer
 }
 
 type held struct {
