Route around frozen and dead leaders of other cells

Cause: a host of another cell kept the learned address of a leader that froze, because a frozen host refuses nothing. Without a learned address it always sent to the same member of the list, also if that one was dead and could not be removed because the log was down.

Change: a learned address is used only while its host is on the cell's list. Each host that does not answer makes the route go to the next member of the list.

Ruled out: forgetting the address at a deadline. The deadline of a request can be 30 s away, and a slow server causes deadlines as well.

While the log is down, a frozen leader stays on the list, and its address is kept until it thaws or its connections break.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -113,7 +113,7 @@
 		revision: -1, crashes: make(chan quarantine.Crash, maxPendingCrashes),
 		lists:     make(map[topology.DataCentre][]state.List),
 		addresses: make(map[topology.HostID]string), partitions: make(map[topology.PartitionID]*partition),
-		learned: leaderCache{addresses: make(map[topology.PartitionID]string)},
+		learned: newLeaderCache(),
 	}
 	c.streams = newStreams(opts.Cell, opts.Clock)
 	return c
--- a/internal/control/routing.go
+++ b/internal/control/routing.go
@@ -59,8 +59,10 @@
 }
 
 // leaderOf returns the host that leads a partition, as far as this host knows.
-// For its own cell it is the leader that it supports; for other cells it is
-// the first of the list, and the answer of that host has a better hint.
+// For its own cell it is the leader that it supports. For other cells it is a
+// member of the list, whose answer has a better hint; the next member follows
+// when one does not answer, because a dead host stays listed while the log is
+// down.
 func (c *Controller) leaderOf(l location) (topology.HostID, bool) {
 	list, ok := cellOf(c.lists[l.dc], l.partition)
 	if !ok {
@@ -70,7 +72,7 @@
 		m, known := c.node.Leader(slotOf(l.partition))
 		return m.Host, known
 	}
-	return list.Members[slotOf(l.partition)%len(list.Members)].Host, true
+	return list.Members[(slotOf(l.partition)+c.learned.misses(l.partition))%len(list.Members)].Host, true
 }
 
 // Route implements dispatch.Routes.
@@ -81,7 +83,7 @@
 	if err != nil {
 		return dispatch.Route{}, err
 	}
-	if address, ok := c.learned.get(l.partition); ok && !c.ownCell(l) {
+	if address, ok := c.learned.get(l.partition); ok && !c.ownCell(l) && c.listed(l, address) {
 		return dispatch.Route{Address: address}, nil
 	}
 	host, ok := c.leaderOf(l)
@@ -104,6 +106,14 @@
 	return ok && list.Cell == c.opts.Cell
 }
 
+// listed reports whether the host with the address is on the list of the cell
+// that leads the partition. A host that froze refuses nothing, so that only its
+// removal from the list shows that the learned address is out of date.
+func (c *Controller) listed(l location, address string) bool {
+	list, ok := cellOf(c.lists[l.dc], l.partition)
+	return ok && slices.ContainsFunc(list.Members, func(m topology.Member) bool { return c.addresses[m.Host] == address })
+}
+
 // Learn implements dispatch.Learner.
 func (c *Controller) Learn(req *request.Request, address string) {
 	c.mu.RLock()
@@ -119,6 +129,18 @@
 type leaderCache struct {
 	mu        sync.RWMutex
 	addresses map[topology.PartitionID]string
+	missed    map[topology.PartitionID]int
+}
+
+func newLeaderCache() leaderCache {
+	return leaderCache{addresses: make(map[topology.PartitionID]string), missed: make(map[topology.PartitionID]int)}
+}
+
+// misses returns how often no host answered for the partition.
+func (l *leaderCache) misses(p topology.PartitionID) int {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.missed[p]
 }
 
 func (l *leaderCache) get(p topology.PartitionID) (string, bool) {
@@ -128,15 +150,16 @@
 	return a, ok
 }
 
-// set remembers an address; an empty one forgets it.
+// set remembers an address; an empty one forgets it and counts a miss.
 func (l *leaderCache) set(p topology.PartitionID, address string) {
-	if old, ok := l.get(p); old == address && ok == (address != "") {
+	if old, ok := l.get(p); ok && old == address {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if address == "" {
 		delete(l.addresses, p)
+		l.missed[p]++
 		return
 	}
 	l.addresses[p] = address
