Leave the list after the successor has started its term

Cause: a leader that shuts down hands over its memory of request ids and then leaves the list. If the new list came before the successor's term, the successor led in the first term of the new list, and the hand-over, which is good only for the next term of the same list, was void.

Change: the leader waits up to 500 ms until it supports other leaders for its partitions, then leaves the list.

Ruled out: accepting the hand-over in a later list. Another host can have led in between, and the memory would be incomplete.

Conclusion: the race is closed for a successor that answers within 500 ms. No unit test covers it, because package control has no test with several hosts.

--- a/internal/control/handover.go
+++ b/internal/control/handover.go
@@ -17,6 +17,10 @@
 	// leavePoll and leaveTimeout bound the wait for a list without this host.
 	leavePoll    = 20 * time.Millisecond
 	leaveTimeout = 3 * time.Second
+	// successorTimeout bounds the wait for the successors' terms: a tick, a
+	// support round and the candidate's repeats after 50 ms. This host's own
+	// promise lasts longer, so that it does not ask for support again.
+	successorTimeout = 500 * time.Millisecond
 )
 
 type pendingHandOver struct {
@@ -61,9 +65,11 @@
 // cell's list. It returns when that is done or the context ends.
 func (c *Controller) Leave(ctx context.Context) {
 	c.closing.Store(true)
-	for _, p := range c.ledPartitions() {
+	led := c.ledPartitions()
+	for _, p := range led {
 		c.handOver(ctx, p)
 	}
+	c.awaitSuccessors(ctx, led)
 	c.step(ctx, func(now time.Duration) lead.Actions {
 		c.node.Leave(now)
 		return lead.Actions{}
@@ -75,6 +81,28 @@
 	}
 }
 
+// awaitSuccessors waits until this host supports other leaders for its
+// partitions. A hand-over is only good for the next term of the same list; a
+// list without this host that came first would make it void.
+func (c *Controller) awaitSuccessors(ctx context.Context, led []*partition) {
+	ctx, cancel := context.WithTimeout(ctx, successorTimeout)
+	defer cancel()
+	for !c.succeeded(led) && ctx.Err() == nil {
+		sleep(ctx, leavePoll)
+	}
+}
+
+func (c *Controller) succeeded(led []*partition) bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	for _, p := range led {
+		if m, known := c.node.Leader(slotOf(p.id)); !known || m == c.opts.Self {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *Controller) isMember() bool {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
