--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -37,6 +37,19 @@
 	exit 1
 }
 
+# serve_all waits until all keys of a service are served.
+serve_all() { # service
+	local deadline=$((SECONDS + 30)) out
+	until out=$(bin/lyload --target "$targets" --service "$1" --key ready --count 16 2>&1) && ! grep -q -e not-run -e may-have-run -e failed <<<"$out"; do
+		if ((SECONDS > deadline)); then
+			echo "$out" >&2
+			echo "service $1 is not served after 30 s" >&2
+			exit 1
+		fi
+		sleep 0.1
+	done
+}
+
 server() { # id service data-centre port
 	start "$1" bin/lyserver --id "$1" --listen "127.0.0.1:$4"
 	register "$1" "{\"role\":\"server\",\"service\":\"$2\",\"data_centre\":\"$3\",\"address\":\"127.0.0.1:$4\"}"
@@ -64,7 +77,7 @@
 entry entry-b2 kgn-b 8140
 targets=127.0.0.1:8110,127.0.0.1:8120,127.0.0.1:8130,127.0.0.1:8140
 for p in 8110 8120 8130 8140; do wait_port "127.0.0.1:$p"; done
-sleep 3
+for service in booking rounds; do serve_all "$service"; done
 
 echo "== requests through all entry hosts"
 bin/lyload --target "$targets" --service booking --customer pewright --key job --count 8
