Act on hosts-stopped and on the published limit of autonomy

Cause: the fold accepted a list that names a hosts-stopped statement, but no host ever proposed one, so a cell whose members were all lost, or a cell of one host that was restarted, stayed without a leader whatever an operator published. max_autonomy was a constant.

Change: a host that is on no list proposes a list of itself if a statement names all members of its cell's list. The published limit is passed to leadership.

--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -73,6 +73,9 @@
 		defer c.mu.Unlock()
 		if rev.Offset > c.revision {
 			c.config, c.revision = doc, rev.Offset
+			if doc.Fleet.MaxAutonomy > 0 {
+				c.node.SetMaxAutonomy(doc.Fleet.MaxAutonomy)
+			}
 			c.ready.Store(true)
 			c.log.With("revision", rev.Offset).Info("Configuration is in force.")
 		}
@@ -93,6 +96,9 @@
 			}
 			return lead.Actions{}
 		})
+		if confirmed {
+			c.replaceStopped(ctx)
+		}
 	})
 }
 
--- a/internal/lead/node.go
+++ b/internal/lead/node.go
@@ -159,6 +159,10 @@
 	n.cfg.Partitions = count
 }
 
+// SetMaxAutonomy changes Params.MaxAutonomy. Hosts of a cell may use different
+// values, because it only ends the host's own leadership.
+func (n *Node) SetMaxAutonomy(d time.Duration) { n.cfg.Params.MaxAutonomy = d }
+
 // ApplyList passes an accepted list of the cell after the log was read. The
 // runtime passes every accepted list in order. If it leaves one out, because
 // the log does not keep it any more, this host does not lead under the new list
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -20,6 +20,7 @@
 	"github.com/lycheerudder/lycheerudder/internal/operator"
 	"github.com/lycheerudder/lycheerudder/internal/platformlog"
 	"github.com/lycheerudder/lycheerudder/internal/platformlog/logfake"
+	"github.com/lycheerudder/lycheerudder/internal/record"
 	"github.com/lycheerudder/lycheerudder/internal/router"
 	"github.com/lycheerudder/lycheerudder/internal/serverapi/serverfake"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
@@ -153,3 +154,34 @@
 	r.g.Expect(r.get("http://" + h.Operators + "/metrics")).To(Equal(http.StatusOK))
 	r.g.Expect(h.Shutdown(t.Context())).To(Succeed())
 }
+
+// TestStoppedHosts guards against a cell that stays without a leader after an
+// operator stated that all its members are stopped, and against one that is
+// replaced without that statement.
+func TestStoppedHosts(t *testing.T) {
+	r := newRig(t)
+	lost := topology.Member{Host: "h0", Incarnation: 1}
+	e, err := record.New(record.KindMembers, record.NoBase, "h0", record.MemberList{Cell: "a", DataCentre: "a", Version: 1, Members: []topology.Member{lost}})
+	r.g.Expect(err).NotTo(HaveOccurred())
+	data, err := e.Encode()
+	r.g.Expect(err).NotTo(HaveOccurred())
+	_, err = r.log.Append(t.Context(), record.StreamMembers, data)
+	r.g.Expect(err).NotTo(HaveOccurred())
+
+	h := r.start(t, "h1")
+	op := operator.New(platformlog.NewClient(r.url), "test")
+	r.g.Consistently(func() int {
+		members, err := op.Members(t.Context())
+		r.g.Expect(err).NotTo(HaveOccurred())
+		return len(members.Lists())
+	}, "500ms").Should(Equal(1))
+	r.g.Expect(op.DeclareStopped(t.Context(), record.HostsStopped{Members: []topology.Member{lost}, Reason: "power was cut for good"})).To(Succeed())
+	r.g.Eventually(func() string { v, _ := r.send(h, "sheet"); return v }, patience).Should(Equal("ran"))
+	members, err := op.Members(t.Context())
+	r.g.Expect(err).NotTo(HaveOccurred())
+	list, ok := members.List("a")
+	r.g.Expect(ok).To(BeTrue())
+	r.g.Expect(list.Version).To(Equal(uint32(2)))
+	r.g.Expect(list.Members).To(HaveLen(1))
+	r.g.Expect(h.Shutdown(t.Context())).To(Succeed())
+}
