--- a/cmd/lyctl/main.go
+++ b/cmd/lyctl/main.go
@@ -110,7 +110,7 @@
 
 func main() {
 	var validate, diff, publish fileOptions
-	var exceptions, status Common
+	var exceptions, status, members Common
 	var explain keyOptions
 	var stopped stoppedOptions
 	settings.MainCommands(settings.Program{Name: "lyctl", Description: "Publishes configuration and shows the state of the fleet."},
@@ -128,6 +128,8 @@
 			Run: func(ctx context.Context) error { return runExplain(ctx, explain) }},
 		settings.Command{Name: "status", Description: "Shows hosts, servers, leases, drains and quarantined requests.", Target: &status,
 			Run: func(ctx context.Context) error { return runStatus(ctx, status) }},
+		settings.Command{Name: "members", Description: "Lists the members of each cell as the log has them.", Target: &members,
+			Run: func(ctx context.Context) error { return runMembers(ctx, members) }},
 		settings.Command{Name: "hosts-stopped", Description: "States that host incarnations run no longer.", Target: &stopped,
 			Run: func(ctx context.Context) error { return runStopped(ctx, stopped) }},
 	)
@@ -217,6 +219,17 @@
 	return printStatus(hosts)
 }
 
+func runMembers(ctx context.Context, o Common) error {
+	fold, err := o.operator().Members(ctx)
+	if err != nil {
+		return err
+	}
+	if o.JSON {
+		return printJSON(fold.Lists())
+	}
+	return printMembers(fold.Lists())
+}
+
 func runStopped(ctx context.Context, o stoppedOptions) error {
 	h, err := o.statement()
 	if err != nil {
--- a/cmd/lyctl/print.go
+++ b/cmd/lyctl/print.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/lycheerudder/lycheerudder/internal/admin"
 	"github.com/lycheerudder/lycheerudder/internal/config"
 	"github.com/lycheerudder/lycheerudder/internal/operator"
+	"github.com/lycheerudder/lycheerudder/internal/state"
 )
 
 func printJSON(v any) error {
@@ -62,6 +64,20 @@
 	})
 }
 
+// printMembers writes members in the form that hosts-stopped takes.
+func printMembers(lists []state.List) error {
+	return table(func(w io.Writer) {
+		row(w, "CELL\tDATA CENTRE\tLIST\tREVISION\tMEMBERS")
+		for _, l := range lists {
+			members := make([]string, len(l.Members))
+			for i, m := range l.Members {
+				members[i] = fmt.Sprintf("%s=%d", m.Host, m.Incarnation)
+			}
+			row(w, "%s\t%s\t%d\t%d\t%s", l.Cell, l.DataCentre, l.Version, l.Revision.Offset, strings.Join(members, ","))
+		}
+	})
+}
+
 func printExplanation(e admin.Explanation) error {
 	return table(func(w io.Writer) {
 		row(w, "shard\t%s", e.Shard)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -106,4 +106,5 @@
 
 echo "== state of the fleet"
 bin/lyctl status --platform "http://$platform"
+bin/lyctl members --platform "http://$platform"
 bin/lyctl explain --platform "http://$platform" --service booking --customer pewright --key job-1
