Hold requests of a dead server and move waiting ones with their shard

A request for a killed server failed at once with server-failed, not run, until the server's grants ended, although holding it was possible. A request that waited in the queue of a frozen server stayed there after its shard had moved: 432 answers took over 1.5 s.

Change: server-failed with verdict not run is repeated like a missing owner, and a waiting request asks every 100 ms whether its shard is still at the queue's server.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -276,3 +276,28 @@
 	clk.Advance(11 * time.Second)
 	g.Expect(b.Retry("s")).To(BeFalse(), "old requests do not count")
 }
+
+// TestShardMoves guards against a request that stays in the queue of a frozen
+// server although its shard has another owner.
+func TestShardMoves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		q := newQueue(1)
+		frozen, verr := q.Acquire(t.Context(), flow("a"))
+		g.Expect(verr).To(BeNil())
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		moves := time.Now().Add(time.Second)
+		start := time.Now()
+		_, verr = q.AcquireWhile(ctx, flow("a"), func() bool { return time.Now().Before(moves) })
+		g.Expect(verr).To(HaveField("Code", verdict.CodeNoOwner))
+		g.Expect(verr.Verdict).To(Equal(verdict.NotRun))
+		g.Expect(time.Since(start)).To(BeNumerically("<=", 1200*time.Millisecond))
+		_, waiting := q.InUse()
+		g.Expect(waiting).To(BeZero())
+		frozen.Release(true)
+		slot, verr := q.AcquireWhile(ctx, flow("a"), func() bool { return true })
+		g.Expect(verr).To(BeNil())
+		slot.Release(true)
+	})
+}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -20,6 +20,9 @@
 )
 
 const (
+	// recheckInterval is the interval at which a waiting request asks whether
+	// its shard is still here. A move takes at least 5 ms and at most 1.31 s.
+	recheckInterval = 100 * time.Millisecond
 	// DefaultSlots is the number of requests that a server runs at once.
 	DefaultSlots = 2
 	// maxWaiting bounds one queue: with 64 KiB of body each, the bodies of a
@@ -129,6 +132,14 @@
 // expected wait exceeds the remaining time, deadline-exceeded and cancelled if
 // the context ended while the request waited.
 func (q *Queue) Acquire(ctx context.Context, id Flow) (*Slot, *verdict.Error) {
+	return q.AcquireWhile(ctx, id, nil)
+}
+
+// AcquireWhile is Acquire for a request that this queue is right for only while
+// still returns true. It is asked every recheckInterval and must be cheap. The
+// error is no-owner when it returns false: the slots of a frozen server can stay
+// taken for longer than the time in which its shards move.
+func (q *Queue) AcquireWhile(ctx context.Context, id Flow, still func() bool) (*Slot, *verdict.Error) {
 	remaining := request.MaxTimeout
 	if d, ok := ctx.Deadline(); ok {
 		remaining = time.Until(d)
@@ -151,21 +162,48 @@
 	}
 	q.push(w)
 	q.mu.Unlock()
-	return q.wait(ctx, w)
+	return q.wait(ctx, w, still)
 }
 
-func (q *Queue) wait(ctx context.Context, w *waiter) (*Slot, *verdict.Error) {
-	select {
-	case <-w.ready:
-	case <-ctx.Done():
-		q.mu.Lock()
-		if w.index >= 0 {
-			q.remove(w)
-			q.mu.Unlock()
-			return nil, waitEnded(ctx)
+func (q *Queue) wait(ctx context.Context, w *waiter, still func() bool) (*Slot, *verdict.Error) {
+	var recheck <-chan time.Time
+	if still != nil {
+		t := time.NewTicker(recheckInterval)
+		defer t.Stop()
+		recheck = t.C
+	}
+	for waiting := true; waiting; {
+		select {
+		case <-w.ready:
+			waiting = false
+		case <-ctx.Done():
+			if q.giveUp(w) {
+				return nil, waitEnded(ctx)
+			}
+			waiting = false
+		case <-recheck:
+			if !still() && q.giveUp(w) {
+				return nil, verdict.New(verdict.CodeNoOwner, verdict.NotRun, "the shard moved while the request waited")
+			}
 		}
-		q.mu.Unlock()
 	}
+	return q.taken(ctx, w)
+}
+
+// giveUp takes a waiter off the queue. It returns false if the waiter has got a
+// slot or an error already.
+func (q *Queue) giveUp(w *waiter) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if w.index < 0 {
+		return false
+	}
+	q.remove(w)
+	return true
+}
+
+func (q *Queue) taken(ctx context.Context, w *waiter) (*Slot, *verdict.Error) {
+	<-w.ready
 	if w.err != nil {
 		return nil, w.err
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -233,6 +233,8 @@
 	switch e.Code {
 	case verdict.CodeNotLeader, verdict.CodeNoLeader, verdict.CodeNoOwner, verdict.CodeFence, verdict.CodeShuttingDown:
 		return true
+	case verdict.CodeServerFailed: // the server refuses connections until its grants end
+		return true
 	}
 	return false
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -134,6 +134,8 @@
 		{name: "refusals without budget are bounded", routes: []any{"a"}, hosts: map[string][]step{"a": {{notLeader, notRun, ""}}}, calls: "a", more: 3, code: notLeader, verdict: notRun},
 		{name: "host cannot be reached for a while", routes: []any{"a"}, hosts: map[string][]step{"a": {{noLeader, notRun, ""}, {noLeader, notRun, ""}, {}}}, calls: "a a a"},
 		{name: "host lost in the call", requests: 10, routes: []any{"a"}, hosts: map[string][]step{"a": {{noLeader, verdict.MayHaveRun, ""}}}, calls: "a", code: noLeader, verdict: verdict.MayHaveRun},
+		{name: "server refuses connections until its shards move", routes: []any{""}, hosts: map[string][]step{"": {{verdict.CodeServerFailed, notRun, ""}, {verdict.CodeServerFailed, notRun, ""}, {}}}, calls: "- - -"},
+		{name: "server failed, may have run", requests: 10, routes: []any{""}, hosts: map[string][]step{"": {{verdict.CodeServerFailed, verdict.MayHaveRun, ""}}}, calls: "-", code: verdict.CodeServerFailed, verdict: verdict.MayHaveRun},
 		{name: "shutting down", routes: []any{"a", "b"}, hosts: map[string][]step{"a": {{verdict.CodeShuttingDown, notRun, ""}}, "b": ok}, calls: "a b"},
 		{name: "fence, may have run", requests: 10, routes: []any{"a"}, hosts: map[string][]step{"a": {{verdict.CodeFence, verdict.MayHaveRun, ""}}}, calls: "a", code: verdict.CodeFence, verdict: verdict.MayHaveRun},
 		{name: "overload is not repeated", requests: 10, routes: []any{"a"}, hosts: map[string][]step{"a": {{verdict.CodeOverload, notRun, ""}}}, calls: "a", code: verdict.CodeOverload, verdict: notRun},
--- a/internal/execute/execute.go
+++ b/internal/execute/execute.go
@@ -194,8 +194,16 @@
 		if t, err = s.owner(ctx, c.req); err != nil {
 			return nil, t, false, err
 		}
-		slot, verr := s.queue(t).Acquire(ctx, flow)
-		if verr != nil {
+		queued := t
+		slot, verr := s.queue(t).AcquireWhile(ctx, flow, func() bool {
+			now, err := s.opts.Owners.Owner(c.req)
+			return err == nil && now.Server == queued.Server
+		})
+		switch {
+		case verr == nil:
+		case verr.Code == verdict.CodeNoOwner:
+			continue // the shard moves; owner waits for that
+		default:
 			return nil, t, false, verr
 		}
 		if err := s.blocked(c); err != nil {
