--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -18,6 +18,7 @@
 	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/config"
 	"github.com/lycheerudder/lycheerudder/internal/dedup"
+	"github.com/lycheerudder/lycheerudder/internal/exchange"
 	"github.com/lycheerudder/lycheerudder/internal/follow"
 	"github.com/lycheerudder/lycheerudder/internal/hostlist"
 	"github.com/lycheerudder/lycheerudder/internal/lead"
@@ -54,6 +55,7 @@
 	TakeOver(p topology.PartitionID, epoch topology.Fence, h dedup.HandOver) bool
 	Continue(p topology.PartitionID, from, to topology.Fence) bool
 	ServerDied(server topology.ServerID)
+	ServerCold(t exchange.Target)
 	Quarantine() *quarantine.Table
 }
 
@@ -232,7 +234,7 @@
 		}
 	}
 	for _, p := range c.partitions {
-		p.setServers(c.serversOf(p.service), c.clock.Now())
+		p.setServers(c.serversOf(p.service))
 	}
 }
 
--- a/internal/control/partition.go
+++ b/internal/control/partition.go
@@ -55,7 +55,7 @@
 }
 
 // setServers takes over the servers of the host list.
-func (p *partition) setServers(hosts []hostlist.Host, _ time.Duration) {
+func (p *partition) setServers(hosts []hostlist.Host) {
 	list := make([]grant.Server, 0, len(hosts))
 	listed := make(map[topology.ServerID]bool)
 	for _, h := range hosts {
@@ -63,6 +63,9 @@
 		listed[id] = true
 		s, ok := p.servers[id]
 		if !ok || s.address != h.Address {
+			if ok {
+				s.client.Close()
+			}
 			s = &serverConn{address: h.Address, client: serverapi.NewClient("http://" + h.Address)}
 			p.servers[id] = s
 		}
@@ -151,7 +154,7 @@
 	p.since, p.reported, p.load = time.Now(), grant.Counters{}, newLoadMeter()
 	p.placing = placementState{}
 	c.acceptHandOver(p, epoch)
-	p.setServers(c.serversOf(p.service), now)
+	p.setServers(c.serversOf(p.service))
 	c.startWriter(ctx, p, epoch)
 	c.opts.Metrics.Count(metrics.LeadershipsGained, 1)
 	c.log.With("partition", p.id).With("epoch", epoch.String()).Info("This host leads the partition.")
@@ -264,6 +267,7 @@
 	if died {
 		// The suspects must be counted before the shards are granted again.
 		c.exec.ServerDied(o.out.Server)
+		c.exec.ServerCold(exchange.Target{Server: o.out.Server, Slots: c.config.Services[o.p.service].Slots})
 	}
 	next := o.leader.HandleReply(o.out.Server, o.out.ID, reply, now)
 	var orders []order
@@ -283,6 +287,9 @@
 		return false
 	}
 	died := s.incarnation != 0 && s.incarnation != inc
+	if died {
+		delete(p.placing.started, id) // the new process starts cold
+	}
 	s.incarnation = inc
 	return died
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -15,7 +15,6 @@
 	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/peer"
 	"github.com/lycheerudder/lycheerudder/internal/request"
-	"github.com/lycheerudder/lycheerudder/internal/topology"
 	"github.com/lycheerudder/lycheerudder/internal/verdict"
 )
 
@@ -63,6 +62,8 @@
 	Routes Routes
 	// Local executes the requests of partitions that this host leads.
 	Local request.Doer
+	// Repeated, if set, is told why an attempt is followed by another one.
+	Repeated func(req *request.Request, code verdict.Code)
 	// Dial returns the client of a host; the default is peer.Dial.
 	Dial func(address string) (Peer, error)
 	// Clock is the clock of the retry budget; the default is clock.Boot.
@@ -79,13 +80,8 @@
 	peers map[string]Peer
 }
 
-// New returns a Dispatcher that executes local requests with local.
-func New(_ topology.HostID, routes Routes, local request.Doer) *Dispatcher {
-	return NewWith(Options{Routes: routes, Local: local})
-}
-
-// NewWith returns a Dispatcher.
-func NewWith(opts Options) *Dispatcher {
+// New returns a Dispatcher.
+func New(opts Options) *Dispatcher {
 	if opts.Clock == nil {
 		opts.Clock = clock.Boot{}
 	}
@@ -168,6 +164,9 @@
 	if !repeatable(e) {
 		return nil, true, e
 	}
+	if d.opts.Repeated != nil {
+		d.opts.Repeated(req, e.Code)
+	}
 	a.last, a.hint = e, ""
 	if e.Code != verdict.CodeNoLeader { // which means no connection to the host
 		if a.refused == nil {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -77,7 +77,7 @@
 }
 
 func (c *cluster) dispatcher(requests int) *dispatch.Dispatcher {
-	d := dispatch.NewWith(dispatch.Options{
+	d := dispatch.New(dispatch.Options{
 		Routes: c, Local: host{c, ""}, Clock: clock.NewProcess(),
 		Dial: func(address string) (dispatch.Peer, error) { return host{c, address}, nil },
 	})
--- a/internal/hopbench/fleet.go
+++ b/internal/hopbench/fleet.go
@@ -98,7 +98,7 @@
 }
 
 func (f *Fleet) host(r route, local request.Doer, keepAlive bool) (string, error) {
-	d := dispatch.NewWith(dispatch.Options{Routes: r, Local: local})
+	d := dispatch.New(dispatch.Options{Routes: r, Local: local})
 	f.closers = append(f.closers, d.Close)
 	return f.serve(frontend.NewServer(frontend.Handler(d)), keepAlive)
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -38,10 +38,6 @@
 	LeadershipsGained Counter = "leaderships_gained"
 	LeadershipsLost   Counter = "leaderships_lost"
 	LogAppends        Counter = "log_appends"
-	LogAppendUnknown  Counter = "log_appends_unknown"
-	LogReadFailures   Counter = "log_read_failures"
-	RecordsUnknown    Counter = "records_unknown"
-	Drains            Counter = "drains"
 )
 
 const (
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -26,6 +26,7 @@
 	"github.com/lycheerudder/lycheerudder/internal/request"
 	"github.com/lycheerudder/lycheerudder/internal/settings"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
+	"github.com/lycheerudder/lycheerudder/internal/verdict"
 )
 
 const (
@@ -132,7 +133,9 @@
 	})
 	h.control.SetExecutor(leader)
 	local := measureServed(leader, h.control)
-	dispatcher := dispatch.New(topology.HostID(s.Host), h.control, local)
+	dispatcher := dispatch.New(dispatch.Options{Routes: h.control, Local: local, Repeated: func(req *request.Request, code verdict.Code) {
+		set.Retry(req.Customer, req.Class, code)
+	}})
 	h.callers = frontend.NewServer(frontend.HandlerWith(dispatcher, frontend.Options{Middleware: []endpoint.Middleware{
 		frontend.Observe(func(req *request.Request, t request.Timing, err error, took time.Duration) {
 			set.Request(req.Customer, req.Class, took, t, err)
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -8,33 +8,8 @@
 logs=.demo/capacity
 seconds=20
 rm -rf "$logs" && mkdir -p "$logs"
-declare -A pids
-
-start() { # name command...
-	local name=$1
-	shift
-	GOTRACEBACK=all "$@" >"$logs/$name.log" 2>&1 &
-	disown
-	pids[$name]=$!
-}
-
-stop_all() {
-	for p in "${pids[@]}"; do kill "$p" 2>/dev/null || true; done
-}
-trap stop_all EXIT
-
-register() { # id json
-	curl -fsS -X PUT "http://$platform/hosts/$1" -d "$2"
-}
-
-wait_port() { # host:port
-	for _ in $(seq 100); do
-		if (exec 3<>"/dev/tcp/${1%:*}/${1#*:}") 2>/dev/null; then return; fi
-		sleep 0.05
-	done
-	echo "no answer from $1" >&2
-	exit 1
-}
+export GOTRACEBACK=all # SIGQUIT then lists all goroutines
+source scripts/fleet.sh
 
 cpu_ms() { # pid
 	# The name in the second field contains no space.
@@ -51,21 +26,18 @@
 	JSON
 	bin/lyctl publish --platform "http://$platform" --file "$logs/config.json"
 	for i in 1 2 3; do
-		start "booking-$i" bin/lyserver --id "booking-$i" --listen "127.0.0.1:951$i"
-		register "booking-$i" "{\"role\":\"server\",\"service\":\"booking\",\"data_centre\":\"kgn-a\",\"address\":\"127.0.0.1:951$i\"}"
+		server "booking-$i" booking kgn-a "955$i"
 	done
 	for i in 1 2 3; do
-		start "entry-$i" bin/lyrouter --host "entry-$i" --data-centre kgn-a --platform "http://$platform" \
-			--listen "127.0.0.1:952$i" --peer "127.0.0.1:953$i" --admin "127.0.0.1:954$i"
-		register "entry-$i" "{\"role\":\"entry\",\"data_centre\":\"kgn-a\",\"address\":\"127.0.0.1:953$i\",\"admin\":\"127.0.0.1:954$i\"}"
+		entry "entry-$i" kgn-a "95${i}0"
 	done
-	for i in 1 2 3; do wait_port "127.0.0.1:952$i"; done
+	for i in 1 2 3; do wait_port "127.0.0.1:95${i}0"; done
 	sleep 6 # leaders start, and lists grow to three members
 	declare -A before
 	declare -A leads
 	for i in 1 2 3; do
 		before[$i]=$(cpu_ms "${pids[entry-$i]}")
-		leads[$i]=$(curl -fsS "http://127.0.0.1:954$i/v1/status" | grep -o '"lead_ms":[^-0]' | wc -l || true)
+		leads[$i]=$(curl -fsS "http://127.0.0.1:95${i}2/v1/status" | grep -o '"lead_ms":[^-0]' | wc -l || true)
 	done
 	sleep "$seconds"
 	for i in 1 2 3; do
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -8,34 +8,7 @@
 platform=127.0.0.1:7400
 logs=.demo
 rm -rf "$logs" && mkdir -p "$logs"
-declare -A pids
-
-start() { # name command...
-	local name=$1
-	shift
-	"$@" >"$logs/$name.log" 2>&1 &
-	disown
-	pids[$name]=$!
-}
-
-stop_all() {
-	kill "${pids[@]}" 2>/dev/null || true
-	wait 2>/dev/null || true
-}
-trap stop_all EXIT
-
-register() { # id json
-	curl -fsS -X PUT "http://$platform/hosts/$1" -d "$2"
-}
-
-wait_port() { # host:port
-	for _ in $(seq 100); do
-		if (exec 3<>"/dev/tcp/${1%:*}/${1#*:}") 2>/dev/null; then return; fi
-		sleep 0.05
-	done
-	echo "no answer from $1" >&2
-	exit 1
-}
+source scripts/fleet.sh
 
 # serve_all waits until all keys of a service are served.
 serve_all() { # service
@@ -50,17 +23,6 @@
 	done
 }
 
-server() { # id service data-centre port
-	start "$1" bin/lyserver --id "$1" --listen "127.0.0.1:$4"
-	register "$1" "{\"role\":\"server\",\"service\":\"$2\",\"data_centre\":\"$3\",\"address\":\"127.0.0.1:$4\"}"
-}
-
-entry() { # id data-centre port
-	start "$1" bin/lyrouter --host "$1" --data-centre "$2" --platform "http://$platform" \
-		--listen "127.0.0.1:$3" --peer "127.0.0.1:$(($3 + 1))" --admin "127.0.0.1:$(($3 + 2))"
-	register "$1" "{\"role\":\"entry\",\"data_centre\":\"$2\",\"address\":\"127.0.0.1:$(($3 + 1))\",\"admin\":\"127.0.0.1:$(($3 + 2))\"}"
-}
-
 echo "== platform, servers and entry hosts"
 start platform bin/lylog --listen "$platform"
 wait_port "$platform"
