Let only one cell of a data centre lead its partitions

Cause, found by reading: the cell of a partition was chosen by a hash over the known cells of its data centre. For some hashes the index was negative. A sixth host of a cell asked the members for pledges for a list that the fold always rejects, which ends their autonomy in the next outage of the log.

Change: only the cell with the data centre's name leads, and a host does not try to join a full list of another incarnation set.

Tests: TestOtherCellsLeadNothing, TestFullList.

--- a/internal/control/partition.go
+++ b/internal/control/partition.go
@@ -86,15 +86,15 @@
 	if c.config == nil {
 		return
 	}
+	l, ok := cellOf(c.lists[c.opts.DataCentre], c.opts.DataCentre)
+	if !ok || l.Cell != c.opts.Cell {
+		return
+	}
 	for name, s := range c.config.Services {
 		if !slices.Contains(s.DataCentres, c.opts.DataCentre) {
 			continue
 		}
 		id := topology.PartitionName(name, c.opts.DataCentre, 0)
-		l, ok := cellOf(c.lists[c.opts.DataCentre], id)
-		if !ok || l.Cell != c.opts.Cell {
-			continue
-		}
 		p, ok := c.partitions[id]
 		if !ok {
 			p = &partition{id: id, service: name, servers: make(map[topology.ServerID]*serverConn)}
--- a/internal/control/routing.go
+++ b/internal/control/routing.go
@@ -27,14 +27,17 @@
 // slotOf returns the leadership slot of a partition.
 func slotOf(p topology.PartitionID) int { return int(xxhash.Sum64String(string(p)) % leadSlots) }
 
-// cellOf returns the list of the cell that leads a partition. All hosts choose
-// the same one from the same lists: a data centre's cells share its partitions
-// by hash.
-func cellOf(lists []state.List, p topology.PartitionID) (state.List, bool) {
-	if len(lists) == 0 {
+// cellOf returns the list of the cell that leads the partitions of a data
+// centre: the one with the data centre's name. The choice must not depend on
+// which other cells exist. Hosts that know different lists would disagree on
+// it, and two cells, whose leaders do not exclude each other, could lead the
+// same partition at the same time.
+func cellOf(lists []state.List, dc topology.DataCentre) (state.List, bool) {
+	i := slices.IndexFunc(lists, func(l state.List) bool { return l.Cell == topology.CellID(dc) })
+	if i < 0 {
 		return state.List{}, false
 	}
-	return lists[int(xxhash.Sum64String(string(p)))%len(lists)], true
+	return lists[i], true
 }
 
 // locate returns the shard and the partition of a request's key. c.mu must be
@@ -64,7 +67,7 @@
 // when one does not answer, because a dead host stays listed while the log is
 // down.
 func (c *Controller) leaderOf(l location) (topology.HostID, bool) {
-	list, ok := cellOf(c.lists[l.dc], l.partition)
+	list, ok := cellOf(c.lists[l.dc], l.dc)
 	if !ok {
 		return "", false
 	}
@@ -102,7 +105,7 @@
 
 // ownCell reports whether this host's cell leads the partition.
 func (c *Controller) ownCell(l location) bool {
-	list, ok := cellOf(c.lists[l.dc], l.partition)
+	list, ok := cellOf(c.lists[l.dc], l.dc)
 	return ok && list.Cell == c.opts.Cell
 }
 
@@ -110,7 +113,7 @@
 // that leads the partition. A host that froze refuses nothing, so that only its
 // removal from the list shows that the learned address is out of date.
 func (c *Controller) listed(l location, address string) bool {
-	list, ok := cellOf(c.lists[l.dc], l.partition)
+	list, ok := cellOf(c.lists[l.dc], l.dc)
 	return ok && slices.ContainsFunc(list.Members, func(m topology.Member) bool { return c.addresses[m.Host] == address })
 }
 
--- a/internal/control/routing_test.go
+++ b/internal/control/routing_test.go
@@ -63,3 +63,21 @@
 	}
 	g.Expect(tried).To(HaveLen(3))
 }
+
+// Guards against a second cell of a data centre that takes over partitions:
+// leaders of different cells do not exclude each other.
+func TestOtherCellsLeadNothing(t *testing.T) {
+	g := NewWithT(t)
+	c, list, _, route := cellA(g)
+	list("a1")
+	before := route()
+	other := state.List{}
+	other.Cell, other.DataCentre = "a-0", "a"
+	other.Members = []topology.Member{{Host: "a2"}}
+	c.lists["a"] = append([]state.List{other}, c.lists["a"]...)
+	g.Expect(route()).To(Equal(before))
+
+	c.lists["a"] = []state.List{other}
+	_, ok := cellOf(c.lists["a"], "a")
+	g.Expect(ok).To(BeFalse())
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -151,11 +151,13 @@
 		ans, err = d.forward(ctx, route.Address, req)
 	}
 	if err == nil {
-		d.learn(req, route.Address)
+		if !route.Local {
+			d.learn(req, route.Address)
+		}
 		return ans, true, nil
 	}
 	e := verdict.From(err)
-	if e.Code == verdict.CodeNotLeader || e.Code == verdict.CodeNoLeader {
+	if !route.Local && (e.Code == verdict.CodeNotLeader || e.Code == verdict.CodeNoLeader) {
 		// The routes of other cells follow the hint. Without that a request to a
 		// cell with a new leader would need budget for each attempt, and a
 		// service with few requests has none.
--- a/internal/lead/autonomy_test.go
+++ b/internal/lead/autonomy_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
 
 // TestMaxAutonomy guards against a data centre that acts alone for longer than
@@ -26,3 +28,22 @@
 	g.Expect(s.Violation).To(BeEmpty())
 	g.Expect(s.leader()).NotTo(BeNil(), "after the outage")
 }
+
+// TestFullList guards against a host that asks the members of a full list for
+// pledges again and again: the fold rejects its proposals, and a pledged member
+// cannot record that the log is lost.
+func TestFullList(t *testing.T) {
+	g := NewWithT(t)
+	var members []topology.Member
+	for _, h := range []topology.HostID{"a", "b", "c", "d", "e"} {
+		members = append(members, topology.Member{Host: h, Incarnation: 1})
+	}
+	join := func(host topology.HostID) Actions {
+		n := NewNode(Config{Self: topology.Member{Host: host, Incarnation: 2}, Cell: "c", Partitions: 1, Params: DefaultParams()})
+		n.ApplyList(List{Version: 1, Members: members}, time.Minute)
+		n.LogRead(time.Minute, time.Minute)
+		return n.Tick(time.Minute)
+	}
+	g.Expect(join("f").Pledge).To(BeEmpty())
+	g.Expect(join("e").Pledge).To(HaveLen(4), "a new incarnation takes the place of the old one")
+}
--- a/internal/lead/change.go
+++ b/internal/lead/change.go
@@ -208,6 +208,12 @@
 		a.Propose = &Proposal{Cell: n.cfg.Cell, Version: 1, Base: -1, Members: []topology.Member{n.self}, Reason: "first list"}
 		return
 	}
+	known := slices.ContainsFunc(n.list.Members, func(m topology.Member) bool { return m.Host == n.self.Host })
+	if len(n.list.Members) >= topology.MaxMembers && !known {
+		// The fold would reject the list, and its pledges would end the autonomy
+		// of the members.
+		return
+	}
 	j.list, j.pledges = n.list.Version, make(map[topology.HostID]Pledge)
 	for _, m := range n.list.Members {
 		if m.Host != n.self.Host {
--- a/internal/record/bodies.go
+++ b/internal/record/bodies.go
@@ -8,9 +8,6 @@
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
 
-// MaxMembers is the largest number of members of a cell.
-const MaxMembers = 5
-
 // Mode is the mode of a member for a list at the time of its pledge.
 type Mode string
 
@@ -46,11 +43,11 @@
 	if l.Cell == "" || l.DataCentre == "" || l.Version == 0 {
 		return errors.New("cell, data_centre and version are required")
 	}
-	if len(l.Members) == 0 || len(l.Members) > MaxMembers {
-		return fmt.Errorf("%d members; a cell has 1 to %d", len(l.Members), MaxMembers)
+	if len(l.Members) == 0 || len(l.Members) > topology.MaxMembers {
+		return fmt.Errorf("%d members; a cell has 1 to %d", len(l.Members), topology.MaxMembers)
 	}
-	if len(l.Pledges) > MaxMembers {
-		return fmt.Errorf("%d pledges; at most %d are possible", len(l.Pledges), MaxMembers)
+	if len(l.Pledges) > topology.MaxMembers {
+		return fmt.Errorf("%d pledges; at most %d are possible", len(l.Pledges), topology.MaxMembers)
 	}
 	for _, p := range l.Pledges {
 		if p.Mode != ModeNormal && p.Mode != ModeLost {
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -153,6 +153,10 @@
 	return Fence{Home: uint32(n[0]), List: uint32(n[1]), Term: uint32(n[2]), Seq: n[3]}, nil
 }
 
+// MaxMembers is the largest number of members of a cell. Support messages grow
+// with the square of it: 5 members cost 11.2 KB/s per host.
+const MaxMembers = 5
+
 // Member is one entry of a cell's member list.
 type Member struct {
 	Host        HostID      `json:"host"`
