Accept more than one hosts-stopped statement and restart single hosts

Cause, found by reading: operators' statements were appended without a base, so that the fold rejected every one after the first as a conflict. And a cell of one host that was stopped gracefully and started again stayed without a leader until an operator published a statement.

Change: statements are based on the newest one. The last member of a list states its own stop in the log after it has stopped to lead.

Tests: TestDeclareStopped (three statements), TestStoppedHosts (a single host is restarted).

--- a/internal/control/handover.go
+++ b/internal/control/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/lycheerudder/lycheerudder/internal/dedup"
@@ -83,6 +84,10 @@
 	})
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
+	if c.onlyMember() {
+		c.declareSelfStopped(ctx)
+		return
+	}
 	for c.isMember() && ctx.Err() == nil {
 		sleep(ctx, leavePoll)
 	}
@@ -110,6 +115,12 @@
 	return true
 }
 
+func (c *Controller) onlyMember() bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return slices.Equal(c.node.Status(c.clock.Now()).List.Members, []topology.Member{c.opts.Self})
+}
+
 func (c *Controller) isMember() bool {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
--- a/internal/control/stopped.go
+++ b/internal/control/stopped.go
@@ -55,6 +55,25 @@
 	return record.Envelope{}, false
 }
 
+// declareSelfStopped states that this incarnation, the only member of its list,
+// runs no longer. Nobody is left who could consent to a new list, so
+// that the next host of the cell would wait for an operator. The host must have
+// stopped to lead for good.
+func (c *Controller) declareSelfStopped(ctx context.Context) {
+	var base int64
+	c.streams.members.View(func(*state.Fold) { base = c.streams.membersFold.StoppedRevision().Offset })
+	e, err := record.New(record.KindHostsStopped, base, string(c.opts.Self.Host), record.HostsStopped{
+		Members: []topology.Member{c.opts.Self}, Reason: "graceful stop of the last member of cell " + string(c.opts.Cell),
+	})
+	if err != nil {
+		c.log.Error("Own stop cannot be encoded.", err)
+		return
+	}
+	if _, err := follow.NewWriter(c.opts.Log, c.streams.members).Append(ctx, e); err != nil {
+		c.log.Error("Own stop cannot be recorded; the next host needs a hosts-stopped statement.", err)
+	}
+}
+
 // allStopped requires every member: while one of them runs, the cell replaces
 // its list by itself.
 func allStopped(members, stopped []topology.Member) bool {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -82,7 +82,7 @@
 	if _, err := o.catchUp(ctx, fold.Fold, ""); err != nil {
 		return err
 	}
-	e, err := record.New(record.KindHostsStopped, record.NoBase, o.writer, h)
+	e, err := record.New(record.KindHostsStopped, fold.StoppedRevision().Offset, o.writer, h)
 	if err != nil {
 		return err
 	}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -93,6 +93,19 @@
 	}
 }
 
+// Guards against a second statement that conflicts with the first one.
+func TestDeclareStopped(t *testing.T) {
+	g := NewWithT(t)
+	o := operator.New(logfake.New(), "me")
+	for i := range 3 {
+		h := record.HostsStopped{Members: []topology.Member{{Host: "h1", Incarnation: topology.Incarnation(i + 1)}}, Reason: "replaced"}
+		g.Expect(o.DeclareStopped(t.Context(), h)).To(Succeed())
+	}
+	members, err := o.Members(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(members.StoppedHosts()).To(HaveLen(3))
+}
+
 // Guards against a change that is reported as in force while a host lags, and
 // against a statement that running hosts are stopped.
 func TestFleet(t *testing.T) {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -157,7 +157,7 @@
 
 // TestStoppedHosts guards against a cell that stays without a leader after an
 // operator stated that all its members are stopped, and against one that is
-// replaced without that statement.
+// replaced without that statement. A restarted single host must not need one.
 func TestStoppedHosts(t *testing.T) {
 	r := newRig(t)
 	lost := topology.Member{Host: "h0", Incarnation: 1}
@@ -184,4 +184,10 @@
 	r.g.Expect(list.Version).To(Equal(uint32(2)))
 	r.g.Expect(list.Members).To(HaveLen(1))
 	r.g.Expect(h.Shutdown(t.Context())).To(Succeed())
+
+	// The last member of a cell was stopped gracefully, so that its successor
+	// needs no operator.
+	h = r.start(t, "h1")
+	r.g.Eventually(func() string { v, _ := r.send(h, "sheet"); return v }, patience).Should(Equal("ran"))
+	r.g.Expect(h.Shutdown(t.Context())).To(Succeed())
 }
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -86,6 +86,15 @@
 // StoppedHosts returns the hosts-stopped records that are kept, oldest first.
 func (m *Members) StoppedHosts() []Stopped { return m.m().Stopped }
 
+// StoppedRevision returns the revision that the next hosts-stopped record must
+// be based on.
+func (m *Members) StoppedRevision() Revision {
+	if n := len(m.m().Stopped); n > 0 {
+		return m.m().Stopped[n-1].Revision
+	}
+	return none
+}
+
 // MayPropose reports whether this release understands all records that may
 // concern the cell. A host must not propose a list otherwise.
 func (m *Members) MayPropose(cell topology.CellID) bool {
