--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -66,7 +66,18 @@
 server() { # id data-centre port
 	ports[$1]=$3
 	run_server "$1"
-	register "$1" "{\"role\":\"server\",\"service\":\"booking\",\"data_centre\":\"$2\",\"address\":\"127.0.0.1:$3\"}"
+	list_server "$1" "$2" false
+}
+
+list_server() { # id data-centre leaving
+	register "$1" "{\"role\":\"server\",\"service\":\"booking\",\"data_centre\":\"$2\",\"address\":\"127.0.0.1:${ports[$1]}\",\"leaving\":$3}"
+}
+
+# leave marks a server as leaving and stops it when it has had time to drain.
+leave() { # id data-centre seconds
+	list_server "$1" "$2" true
+	sleep "$3"
+	kill_now "$1"
 }
 
 entry() { # id data-centre port
@@ -127,6 +138,7 @@
 	server-killed) bound=1310 ;;
 	server-frozen) bound=1310 seconds=10 ;;
 	server-restarted) bound=410 ;;
+	server-leaving) bound=0 seconds=10 ;;
 	leader-killed) bound=910 ;;
 	leader-frozen) bound=910 seconds=10 ;;
 	other-killed) bound=0 ;;
@@ -135,6 +147,7 @@
 	log-down) bound=0 seconds=14 ;;
 	log-down-server) bound=1310 seconds=10 ;;
 	log-down-leader) bound=910 seconds=14 ;;
+	log-down-stopped) bound=0 seconds=14 ;;
 	majority-killed) bound=- seconds=12 ;;
 	log-loses-replies) bound=0 ;;
 	esac
@@ -145,6 +158,7 @@
 	server-killed) kill_now server-a1 ;;
 	server-frozen) freeze server-a1 5 ;;
 	server-restarted) kill_now server-a1 && run_server server-a1 ;;
+	server-leaving) leave server-a1 kgn-a 4 ;;
 	leader-killed) kill_now "$lead" ;;
 	leader-frozen) freeze "$lead" 5 ;;
 	other-killed) kill_now "$(others | head -1)" ;;
@@ -153,6 +167,7 @@
 	log-down) log_faults '{"down":true}' && sleep 10 && log_faults '{}' ;;
 	log-down-server) log_faults '{"down":true}' && sleep 2 && kill_now server-a1 ;;
 	log-down-leader) log_faults '{"down":true}' && sleep 6 && kill_now "$lead" ;;
+	log-down-stopped) log_faults '{"down":true}' && sleep 6 && kill -TERM "${pids[$lead]}" ;;
 	majority-killed) kill_now "$lead" "$(others | head -1)" ;;
 	log-loses-replies) log_faults '{"lose_replies":true}' ;;
 	*) echo "unknown fault $1" >&2 && exit 2 ;;
@@ -191,8 +206,8 @@
 rm -rf "$logs"
 faults=("$@")
 if [ $# = 0 ]; then
-	faults=(none server-killed server-frozen server-restarted leader-killed leader-frozen other-killed leader-stopped
-		leader-and-server log-down log-down-server log-down-leader majority-killed log-loses-replies)
+	faults=(none server-killed server-frozen server-restarted server-leaving leader-killed leader-frozen other-killed leader-stopped
+		leader-and-server log-down log-down-server log-down-leader log-down-stopped majority-killed log-loses-replies)
 fi
 echo "| fault | bound ms | keys affected | median ms | worst ms | worst of writes ms | slow answers | not run | may have run | error codes | log appends | ran twice | not run but ran |"
 echo "|---|---|---|---|---|---|---|---|---|---|---|---|---|"
