--- a/internal/lead/autonomy_test.go
+++ b/internal/lead/autonomy_test.go
@@ -47,3 +47,29 @@
 	g.Expect(join("f").Pledge).To(BeEmpty())
 	g.Expect(join("e").Pledge).To(HaveLen(4), "a new incarnation takes the place of the old one")
 }
+
+// cutOff is the length of the outage in TestCutOff. Longer outages add no new
+// state; a trial with 3 h had the same result.
+const cutOff = 10 * time.Minute
+
+// TestCutOff guards against a data centre without the log that loses its leader
+// after a while, that does not replace hosts in their role, or that has two
+// leaders when the log is back.
+func TestCutOff(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(2, 3)
+	g.Expect(s.settle()).NotTo(BeNil())
+	s.logDown = true
+	s.run(cutOff / 2)
+	g.Expect(s.maxGap).To(BeZero())
+	s.leader().Dead = true
+	s.run(cutOff / 2)
+	g.Expect(s.maxGap).To(BeNumerically("<=", takeover))
+	g.Expect(s.leader()).NotTo(BeNil())
+	g.Expect(s.lists).To(HaveLen(1), "no list changes without the log")
+	s.heal()
+	s.run(20 * time.Second)
+	g.Expect(s.Violation).To(BeEmpty())
+	g.Expect(s.leader()).NotTo(BeNil())
+	g.Expect(s.leader().node.Mode()).To(Equal(ModeNormal))
+}
