Share the code of control calls and of paired measurements

The two control calls differed only in the message and its event, and three series of capacity figures ran the same loop.

--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -30,6 +30,21 @@
 	s.Y = append(s.Y, y)
 }
 
+// pair measures two figures at each size with one call of measure.
+func pair(name, size, firstUnit, secondUnit string, sizes []int, measure func(n int) (first, second float64, err error)) ([]*Series, error) {
+	a := &Series{Name: name, Size: size, Unit: firstUnit}
+	b := &Series{Name: name, Size: size, Unit: secondUnit}
+	for _, n := range sizes {
+		first, second, err := measure(n)
+		if err != nil {
+			return nil, err
+		}
+		a.add(float64(n), first)
+		b.add(float64(n), second)
+	}
+	return []*Series{a, b}, nil
+}
+
 // Residual returns the largest deviation of a point from a line, relative to
 // the point.
 func (s *Series) Residual(l placebench.Line) float64 {
--- a/internal/capacity/lease.go
+++ b/internal/capacity/lease.go
@@ -178,28 +178,14 @@
 	return nanos, with - without, nil
 }
 
-func grantSeries(name, size string, sizes []int, cost func(int) (float64, float64, error)) ([]*Series, error) {
-	took := &Series{Name: name, Size: size, Unit: "ns per tick"}
-	held := &Series{Name: name, Size: size, Unit: "bytes"}
-	for _, n := range sizes {
-		nanos, bytes, err := cost(n)
-		if err != nil {
-			return nil, err
-		}
-		took.add(float64(n), nanos)
-		held.add(float64(n), bytes)
-	}
-	return []*Series{took, held}, nil
-}
-
 func grantByShards() ([]*Series, error) {
-	return grantSeries("grant.Leader, 16 servers", "shards", []int{256, 512, 1024, 2048}, func(n int) (float64, float64, error) {
+	return pair("grant.Leader, 16 servers", "shards", "ns per tick", "bytes", []int{256, 512, 1024, 2048}, func(n int) (float64, float64, error) {
 		return grantCost(16, n)
 	})
 }
 
 func grantByServers() ([]*Series, error) {
-	return grantSeries("grant.Leader, 256 shards", "servers", []int{4, 8, 16, 32, 64}, func(n int) (float64, float64, error) {
+	return pair("grant.Leader, 256 shards", "servers", "ns per tick", "bytes", []int{4, 8, 16, 32, 64}, func(n int) (float64, float64, error) {
 		return grantCost(n, 256)
 	})
 }
--- a/internal/capacity/platform.go
+++ b/internal/capacity/platform.go
@@ -45,17 +45,12 @@
 	var all []*Series
 	for _, changed := range []bool{false, true} {
 		name := map[bool]string{false: "read of the unchanged host list", true: "read of the changed host list"}[changed]
-		took := &Series{Name: name, Size: "listed hosts and servers", Unit: "CPU us of both sides"}
-		sent := &Series{Name: name, Size: "listed hosts and servers", Unit: "bytes"}
-		for _, n := range []int{1000, 2000, 4000, 8000} {
-			micros, bytes, err := hostListRead(n, changed)
-			if err != nil {
-				return nil, err
-			}
-			took.add(float64(n), micros)
-			sent.add(float64(n), bytes)
+		both, err := pair(name, "listed hosts and servers", "CPU us of both sides", "bytes", []int{1000, 2000, 4000, 8000},
+			func(n int) (float64, float64, error) { return hostListRead(n, changed) })
+		if err != nil {
+			return nil, err
 		}
-		all = append(all, took, sent)
+		all = append(all, both...)
 	}
 	return all, nil
 }
--- a/internal/capacity/support.go
+++ b/internal/capacity/support.go
@@ -151,28 +151,14 @@
 	return micros, 2 * (c.wire.total() - sent) / nodeSeconds, nil
 }
 
-func supportSeries(name, size string, sizes []int, cost func(int) (float64, float64, error)) ([]*Series, error) {
-	cpuTime := &Series{Name: name, Size: size, Unit: "CPU us per node and second"}
-	wired := &Series{Name: name, Size: size, Unit: "bytes per node and second"}
-	for _, n := range sizes {
-		micros, bytes, err := cost(n)
-		if err != nil {
-			return nil, err
-		}
-		cpuTime.add(float64(n), micros)
-		wired.add(float64(n), bytes)
-	}
-	return []*Series{cpuTime, wired}, nil
-}
-
 func supportByMembers() ([]*Series, error) {
-	return supportSeries("support rounds, 8 slots", "members", []int{2, 3, 4, 5}, func(n int) (float64, float64, error) {
+	return pair("support rounds, 8 slots", "members", "CPU us per node and second", "bytes per node and second", []int{2, 3, 4, 5}, func(n int) (float64, float64, error) {
 		return supportCost(n, cellSlots)
 	})
 }
 
 func supportBySlots() ([]*Series, error) {
-	return supportSeries("support rounds, 5 members", "slots of the cell", []int{5, 10, 20, 40, 80}, func(n int) (float64, float64, error) {
+	return pair("support rounds, 5 members", "slots of the cell", "CPU us per node and second", "bytes per node and second", []int{5, 10, 20, 40, 80}, func(n int) (float64, float64, error) {
 		return supportCost(fullCell, n)
 	})
 }
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -61,35 +61,36 @@
 	return client, err == nil
 }
 
-func (c *Controller) sendSupport(ctx context.Context, m lead.SupportTo, sentAt time.Duration) {
-	client, ok := c.peerOf(m.To.Host)
+// callPeer sends one control message to a host and runs the event that its
+// answer is. Without an answer nothing happens: the message is repeated, and a
+// member that stays silent counts as dead after Params.DeadAfter.
+func callPeer[R any](ctx context.Context, c *Controller, to topology.Member, send func(context.Context, *peer.Client) (R, error), event func(reply R, now time.Duration) lead.Actions) {
+	client, ok := c.peerOf(to.Host)
 	if !ok {
 		return
 	}
 	call, cancel := context.WithTimeout(ctx, messageTimeout)
 	defer cancel()
-	reply, err := client.Support(call, m.Request)
+	reply, err := send(call, client)
 	if err != nil {
-		return // the member counts as dead after Params.DeadAfter
+		return
 	}
-	c.step(ctx, func(now time.Duration) lead.Actions {
+	c.step(ctx, func(now time.Duration) lead.Actions { return event(reply, now) })
+}
+
+func (c *Controller) sendSupport(ctx context.Context, m lead.SupportTo, sentAt time.Duration) {
+	callPeer(ctx, c, m.To, func(ctx context.Context, p *peer.Client) (lead.SupportReply, error) {
+		return p.Support(ctx, m.Request)
+	}, func(reply lead.SupportReply, now time.Duration) lead.Actions {
 		c.node.HandleSupportReply(reply, sentAt, now)
 		return lead.Actions{}
 	})
 }
 
 func (c *Controller) sendPledge(ctx context.Context, m lead.PledgeTo) {
-	client, ok := c.peerOf(m.To.Host)
-	if !ok {
-		return
-	}
-	call, cancel := context.WithTimeout(ctx, messageTimeout)
-	defer cancel()
-	reply, err := client.Pledge(call, m.Request)
-	if err != nil {
-		return
-	}
-	c.step(ctx, func(now time.Duration) lead.Actions { return c.node.HandlePledgeReply(reply, now) })
+	callPeer(ctx, c, m.To, func(ctx context.Context, p *peer.Client) (lead.PledgeReply, error) {
+		return p.Pledge(ctx, m.Request)
+	}, c.node.HandlePledgeReply)
 }
 
 // propose appends a member list. One proposal is in flight at a time.
