--- a/internal/dedup/memory.go
+++ b/internal/dedup/memory.go
@@ -21,8 +21,8 @@
 	// keepFor is longer than request.IDWindow by the time that an id may be
 	// dated in the future and by the wall clock errors of two hosts.
 	keepFor = request.IDWindow + request.MaxIDAhead + 500*time.Millisecond
-	// defaultCapacity holds 4,000 ids per second. An entry takes about 250
-	// bytes without its answer, so that a full memory takes about 120 MB.
+	// defaultCapacity holds 4,000 ids per second. An entry takes about 363
+	// bytes without its answer, so that a full memory takes about 174 MB.
 	defaultCapacity = 480_000
 	// defaultAnswerBytes bounds all stored answers together.
 	defaultAnswerBytes = 64 << 20
