--- a/internal/capacity/memory.go
+++ b/internal/capacity/memory.go
@@ -13,6 +13,7 @@
 	"github.com/lycheerudder/lycheerudder/internal/lead"
 	"github.com/lycheerudder/lycheerudder/internal/peer"
 	"github.com/lycheerudder/lycheerudder/internal/request"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
 	"github.com/lycheerudder/lycheerudder/internal/verdict"
 )
 
@@ -116,11 +117,17 @@
 }
 
 // quiet answers support requests without a state and accepts hand-overs.
-type quiet struct{ peer.Control }
+type quiet struct{}
+
+// Seen implements peer.Control. Addresses are fixed here.
+func (quiet) Seen(topology.HostID, string) {}
 
 // Support implements peer.Control.
 func (quiet) Support(lead.SupportRequest) lead.SupportReply { return lead.SupportReply{} }
 
+// Pledge implements peer.Control.
+func (quiet) Pledge(lead.PledgeRequest) lead.PledgeReply { return lead.PledgeReply{} }
+
 // HandOver implements peer.Control and builds the memory of the next leader.
 func (quiet) HandOver(h peer.HandOver) bool {
 	_, ok := dedup.Import(dedup.Options{Clock: clock.NewProcess()}, h.IDs)
--- a/internal/capacity/support.go
+++ b/internal/capacity/support.go
@@ -27,8 +27,6 @@
 
 // cellHost is a lead.Node behind a peer server.
 type cellHost struct {
-	peer.Control // pledges and hand-overs do not occur
-
 	mu   sync.Mutex
 	node *lead.Node
 	cell *cell
@@ -37,6 +35,12 @@
 	clients map[topology.HostID]*peer.Client
 }
 
+// Pledge implements peer.Control. Pledges do not occur here.
+func (h *cellHost) Pledge(lead.PledgeRequest) lead.PledgeReply { return lead.PledgeReply{} }
+
+// HandOver implements peer.Control. Hand-overs do not occur here.
+func (h *cellHost) HandOver(peer.HandOver) bool { return false }
+
 // Seen implements peer.Control. Addresses are fixed here.
 func (h *cellHost) Seen(topology.HostID, string) {}
 
