Mend what a second read of the control path found

- A lagging host list overwrote once a second the address that a restarted host had named in its control messages.
Only a changed entry of the list counts now (TestAddresses).
- A host of an older release could propose a list after a hosts-stopped statement although it did not understand a record about the cell; the usual proposals had that check.
- The column of queued requests in lyctl status was always zero.
- execute.New and NewWith were twins, and a query of one key listed all shards twice.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -56,6 +56,8 @@
 	Continue(p topology.PartitionID, from, to topology.Fence) bool
 	ServerDied(server topology.ServerID)
 	ServerCold(t exchange.Target)
+	// Queued returns the number of requests that wait for a slot of a server.
+	Queued(server topology.ServerID) int
 	Quarantine() *quarantine.Table
 }
 
@@ -92,7 +94,8 @@
 	revision   int64
 	lists      map[topology.DataCentre][]state.List
 	hosts      []hostlist.Host
-	addresses  map[topology.HostID]string
+	addresses  map[topology.HostID]string // newest known
+	platform   map[topology.HostID]string // as the platform's list has them
 	partitions map[topology.PartitionID]*partition
 	learned    leaderCache
 	proposing  string // id of the proposal that is being appended
@@ -114,7 +117,7 @@
 		}),
 		revision: -1, crashes: make(chan quarantine.Crash, maxPendingCrashes),
 		lists:     make(map[topology.DataCentre][]state.List),
-		addresses: make(map[topology.HostID]string), partitions: make(map[topology.PartitionID]*partition),
+		addresses: make(map[topology.HostID]string), platform: make(map[topology.HostID]string), partitions: make(map[topology.PartitionID]*partition),
 		learned: newLeaderCache(),
 	}
 	c.streams = newStreams(opts.Cell, opts.Clock)
@@ -223,14 +226,16 @@
 }
 
 // applyHosts takes over the platform's list. Addresses of hosts that are no
-// longer listed are kept, because the list lags.
+// longer listed are kept, and an unchanged entry does not replace the address
+// that the host has named since, because the list lags.
 func (c *Controller) applyHosts(hosts []hostlist.Host) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.hosts = hosts
 	for _, h := range hosts {
-		if h.Role == hostlist.RoleEntry {
-			c.addresses[topology.HostID(h.ID)] = h.Address
+		id := topology.HostID(h.ID)
+		if h.Role == hostlist.RoleEntry && c.platform[id] != h.Address {
+			c.platform[id], c.addresses[id] = h.Address, h.Address
 		}
 	}
 	for _, p := range c.partitions {
--- a/internal/control/routing_test.go
+++ b/internal/control/routing_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lycheerudder/lycheerudder/internal/config"
+	"github.com/lycheerudder/lycheerudder/internal/hostlist"
 	"github.com/lycheerudder/lycheerudder/internal/request"
 	"github.com/lycheerudder/lycheerudder/internal/state"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
@@ -81,3 +82,19 @@
 	_, ok := cellOf(c.lists["a"], "a")
 	g.Expect(ok).To(BeFalse())
 }
+
+// Guards against a lagging list of hosts that replaces the address which a
+// restarted host has named, and against one that changes and is ignored.
+func TestAddresses(t *testing.T) {
+	g := NewWithT(t)
+	c := New(Options{Self: topology.Member{Host: "b1"}, DataCentre: "b", Cell: "b"})
+	entry := func(address string) []hostlist.Host {
+		return []hostlist.Host{{ID: "h", Role: hostlist.RoleEntry, Address: address}}
+	}
+	c.applyHosts(entry("old:1"))
+	c.Seen("h", "new:1")
+	c.applyHosts(entry("old:1"))
+	g.Expect(c.addresses).To(HaveKeyWithValue(topology.HostID("h"), "new:1"))
+	c.applyHosts(entry("newer:1"))
+	g.Expect(c.addresses).To(HaveKeyWithValue(topology.HostID("h"), "newer:1"))
+}
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -51,7 +51,7 @@
 	}
 	for _, p := range c.partitions {
 		if p.leader != nil {
-			s.Partitions = append(s.Partitions, p.status(now))
+			s.Partitions = append(s.Partitions, p.status(now, c.exec))
 		}
 	}
 	slices.SortFunc(s.Partitions, func(a, b admin.Partition) int { return strings.Compare(string(a.ID), string(b.ID)) })
@@ -59,11 +59,11 @@
 	return s
 }
 
-func (p *partition) status(now time.Duration) admin.Partition {
+func (p *partition) status(now time.Duration, exec Executor) admin.Partition {
 	out := admin.Partition{ID: p.id, Epoch: p.epoch.String(), LeadMS: (p.until - now).Milliseconds()}
 	for _, s := range p.leader.Servers(now) {
 		out.Servers = append(out.Servers, admin.Server{
-			ID: s.ID, Shards: s.Shards, LeaseMS: s.LeaseLeft.Milliseconds(), InFlight: s.Load.InFlight, Draining: s.Leaving,
+			ID: s.ID, Shards: s.Shards, LeaseMS: s.LeaseLeft.Milliseconds(), InFlight: s.Load.InFlight, Queued: exec.Queued(s.ID), Draining: s.Leaving,
 		})
 	}
 	return out
@@ -118,11 +118,12 @@
 	e.Leader = c.opts.Self.Host
 	ref := p.leader.Unit(l.ref, key)
 	e.Shard = ref.String()
-	i := slices.IndexFunc(p.leader.Shards(), func(s grant.ShardStatus) bool { return s.Ref == ref })
+	shards := p.leader.Shards()
+	i := slices.IndexFunc(shards, func(s grant.ShardStatus) bool { return s.Ref == ref })
 	if i < 0 {
 		return e, nil
 	}
-	s := p.leader.Shards()[i]
+	s := shards[i]
 	e.Server, e.Fence, e.State, e.InPlace = s.Server, s.Fence.String(), s.State.String(), s.InPlace
 	if at, ok := p.placing.since[ref]; ok {
 		e.SinceMS = (c.clock.Now() - at).Milliseconds()
--- a/internal/control/stopped.go
+++ b/internal/control/stopped.go
@@ -35,6 +35,7 @@
 	var stopped []state.Stopped
 	c.streams.members.View(func(*state.Fold) {
 		list, found = c.streams.membersFold.List(c.opts.Cell)
+		found = found && c.streams.membersFold.MayPropose(c.opts.Cell)
 		stopped = slices.Clone(c.streams.membersFold.StoppedHosts())
 	})
 	if !found || slices.Contains(list.Members, c.opts.Self) {
--- a/internal/execute/execute.go
+++ b/internal/execute/execute.go
@@ -55,13 +55,8 @@
 	memories map[topology.PartitionID]*term
 }
 
-// New returns a Service with default options.
-func New(owners Owners, servers *exchange.Client) *Service {
-	return NewWith(Options{Owners: owners, Servers: servers})
-}
-
-// NewWith returns a Service.
-func NewWith(opts Options) *Service {
+// New returns a Service.
+func New(opts Options) *Service {
 	if opts.Clock == nil {
 		opts.Clock = clock.Boot{}
 	}
--- a/internal/execute/term.go
+++ b/internal/execute/term.go
@@ -106,6 +106,18 @@
 // it for a server that has started.
 func (s *Service) ServerCold(t exchange.Target) { s.queue(t).Cold() }
 
+// Queued returns the number of requests that wait for a slot of a server.
+func (s *Service) Queued(server topology.ServerID) int {
+	s.mu.Lock()
+	q, ok := s.queues[server]
+	s.mu.Unlock()
+	if !ok {
+		return 0
+	}
+	_, waiting := q.InUse()
+	return waiting
+}
+
 // Quarantine returns the table of crash counts, for records from the log and
 // for hand-overs.
 func (s *Service) Quarantine() *quarantine.Table { return s.crashes }
--- a/internal/execute/world_test.go
+++ b/internal/execute/world_test.go
@@ -52,7 +52,7 @@
 		}
 		return nil, errors.New("unknown server")
 	})
-	h.svc = execute.NewWith(execute.Options{Owners: h, Servers: client, Clock: clock.NewProcess()})
+	h.svc = execute.New(execute.Options{Owners: h, Servers: client, Clock: clock.NewProcess()})
 	t.Cleanup(client.Close)
 	return h
 }
--- a/internal/hopbench/fleet.go
+++ b/internal/hopbench/fleet.go
@@ -82,7 +82,7 @@
 
 func (f *Fleet) hosts(keepAlive bool) error {
 	client := exchange.NewClient(maxConns)
-	local := execute.New(f, client)
+	local := execute.New(execute.Options{Owners: f, Servers: client})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return eris.Wrap(err, "listen")
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -128,7 +128,7 @@
 		DataCentre: topology.DataCentre(s.DataCentre), Cell: topology.CellID(s.Cell), Retention: s.Retention,
 		Log: platformlog.NewClient(s.Platform), Hosts: hostlist.NewClient(s.Platform), Metrics: set,
 	})
-	leader := execute.NewWith(execute.Options{
+	leader := execute.New(execute.Options{
 		Owners: h.control, Servers: exchange.NewClient(maxServerConns), Share: h.control.Share, Publish: h.control.PublishCrash,
 	})
 	h.control.SetExecutor(leader)
