--- /dev/null
+++ b/internal/gateway/desk.go
@@ -0,0 +1,386 @@
+package gateway
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/lycheerudder/lycheerudder/internal/clock"
+	"github.com/lycheerudder/lycheerudder/internal/hostlink"
+	"github.com/lycheerudder/lycheerudder/internal/schedule"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+)
+
+const (
+	// askRepeat is the time after which an unanswered question is repeated: a
+	// few round trips between data centres.
+	askRepeat = 45 * time.Millisecond
+	// askGiveUp is the time after which an unanswered question goes to the core
+	// of this host.
+	askGiveUp = 140 * time.Millisecond
+	// queuedRepeat is the interval at which a question that waits is repeated,
+	// so that a new leader learns of it.
+	queuedRepeat = 500 * time.Millisecond
+	// reportRepeat is the time after which unacknowledged reports are repeated.
+	reportRepeat = 60 * time.Millisecond
+	// maxReports bounds the unacknowledged reports; older ones are dropped, and
+	// their requests end at the leader by their deadline.
+	maxReports = 64
+	// maxBatch bounds the questions and reports of one datagram.
+	maxBatch = 16
+)
+
+// question is a request that waits for a decision.
+type question struct {
+	service uint32
+	job     schedule.Job
+	ch      chan schedule.Decision
+	sent    time.Duration
+	first   time.Duration
+	queued  bool
+}
+
+// desk asks the leader for servers and reports exchanges to it. If this host
+// leads, or no leader answers, it uses a core of this host.
+//
+// Lock order: desk.mu before core.mu is never taken; calls of a core and
+// datagrams are made without desk.mu.
+type desk struct {
+	clk        clock.Clock
+	link       *hostlink.Link
+	host       uint64
+	dataCentre topology.DataCentre
+	// suspect is called when the leader does not answer.
+	suspect func()
+
+	mu        sync.Mutex
+	number    uint32
+	questions map[uint32]*question
+	leader    netip.AddrPort
+	epoch     int64
+	own       *core // the core of this host while it leads
+	fallback  *core
+	member    string        // of the leader, as the store names it
+	heard     time.Duration // last message of the leader
+	told      time.Duration // last message to the leader
+	misses    time.Duration // first unanswered send since heard; zero if none
+	first     uint32        // number of the first report in reports
+	reports   []hostlink.Report
+	reportAt  time.Duration
+	hosts     int
+	dirAge    time.Duration // of the leader's list of servers, at heard
+	version   int64         // of the configuration that the leader knows
+}
+
+func newDesk(clk clock.Clock, link *hostlink.Link, host uint64, dc topology.DataCentre, suspect func()) *desk {
+	d := &desk{
+		clk: clk, link: link, host: host, dataCentre: dc, suspect: suspect,
+		questions: make(map[uint32]*question), first: 1, hosts: 1,
+	}
+	d.fallback = newCore(clk, d.decide)
+	return d
+}
+
+// follow makes the desk ask the leader at addr.
+func (d *desk) follow(addr netip.AddrPort, epoch int64) {
+	d.mu.Lock()
+	if d.own == nil && d.leader == addr && d.epoch == epoch {
+		d.mu.Unlock()
+		return
+	}
+	d.own, d.leader, d.epoch = nil, addr, epoch
+	d.heard = d.clk.Now()
+	d.misses = 0
+	d.mu.Unlock()
+	d.askAgain()
+}
+
+// lead makes the desk ask the core of this host; nil if no leader is known.
+func (d *desk) lead(own *core, epoch int64) {
+	d.mu.Lock()
+	d.own, d.leader, d.epoch = own, netip.AddrPort{}, epoch
+	d.heard = d.clk.Now()
+	d.reports = nil
+	d.mu.Unlock()
+	d.askAgain()
+}
+
+// askAgain asks all open questions anew after a change of the leader.
+func (d *desk) askAgain() {
+	d.mu.Lock()
+	var list []*question
+	for _, q := range d.questions {
+		q.queued = false
+		q.first, q.sent = d.clk.Now(), d.clk.Now()
+		list = append(list, q)
+	}
+	d.mu.Unlock()
+	for _, q := range list {
+		d.send(q)
+	}
+}
+
+// ask returns the decision on a request. The second result is the core that
+// decided, to which the exchange is reported; nil for the leader.
+func (d *desk) ask(ctx context.Context, service uint32, job schedule.Job) (schedule.Decision, uint32, error) {
+	d.mu.Lock()
+	d.number++
+	job.ID = schedule.JobID{Host: d.host, Number: d.number}
+	job.DataCentre = d.dataCentre
+	now := d.clk.Now()
+	q := &question{service: service, job: job, ch: make(chan schedule.Decision, 1), sent: now, first: now}
+	d.questions[job.ID.Number] = q
+	d.mu.Unlock()
+	d.send(q)
+	select {
+	case dec := <-q.ch:
+		return dec, job.ID.Number, nil
+	case <-ctx.Done():
+		d.mu.Lock()
+		delete(d.questions, job.ID.Number)
+		d.mu.Unlock()
+		d.report(schedule.Report{ID: job.ID, Result: schedule.Left})
+		return schedule.Decision{}, job.ID.Number, ctx.Err()
+	}
+}
+
+// send passes a question to the leader, or to a core of this host.
+func (d *desk) send(q *question) {
+	d.mu.Lock()
+	now := d.clk.Now()
+	local := d.local(q, now)
+	leader := d.leader
+	if local == nil {
+		q.sent = now
+		if d.misses == 0 {
+			d.misses = now
+		}
+	}
+	d.mu.Unlock()
+	if local != nil {
+		job := q.job
+		local.add(q.service, &job)
+		return
+	}
+	d.tell(leader, []hostlink.Question{d.encode(q, now)})
+}
+
+// local returns the core of this host if the question goes there.
+func (d *desk) local(q *question, now time.Duration) *core {
+	switch {
+	case d.own != nil:
+		return d.own
+	case !d.leader.IsValid(), now-q.first >= askGiveUp && !q.queued, d.misses != 0 && now-d.misses > askGiveUp:
+		return d.fallback
+	default:
+		return nil
+	}
+}
+
+func (d *desk) encode(q *question, now time.Duration) hostlink.Question {
+	tried := make([]string, len(q.job.Tried))
+	for i, t := range q.job.Tried {
+		tried[i] = string(t)
+	}
+	return hostlink.Question{
+		Number: q.job.ID.Number, Service: q.service, Class: q.job.Class, Content: q.job.Content,
+		Key: int32(q.job.Key), Priority: uint8(q.job.Priority),
+		TargetMS: int32((q.job.Target - now).Milliseconds()), DeadlineMS: int32((q.job.Deadline - now).Milliseconds()),
+		Tried: tried,
+	}
+}
+
+// tell sends a message to the leader with all reports that it has not
+// acknowledged.
+func (d *desk) tell(leader netip.AddrPort, questions []hostlink.Question) {
+	if !leader.IsValid() {
+		return
+	}
+	d.mu.Lock()
+	now := d.clk.Now()
+	m := &hostlink.ToLeader{
+		Host: d.host, DataCentre: string(d.dataCentre), Questions: questions,
+		FirstReport: d.first, Reports: d.reports[:min(len(d.reports), maxBatch)],
+	}
+	d.told = now
+	if len(d.reports) > 0 {
+		d.reportAt = now
+	}
+	d.mu.Unlock()
+	// A datagram that cannot be sent is repeated like one that was lost.
+	_ = d.link.ToLeader(leader, m)
+}
+
+// report tells the end of an exchange to the one that decided on it.
+func (d *desk) report(r schedule.Report) {
+	d.mu.Lock()
+	own, leader := d.own, d.leader
+	if own == nil && leader.IsValid() {
+		m := hostlink.Report{Number: r.ID.Number, Result: uint8(r.Result), TookMS: uint32(r.Took.Milliseconds()), Running: -1}
+		if r.Known {
+			m.Running, m.Waiting = int16(r.Running), int16(r.Waiting)
+		}
+		if len(d.reports) >= maxReports {
+			d.reports = d.reports[1:]
+			d.first++
+		}
+		d.reports = append(d.reports, m)
+	}
+	d.mu.Unlock()
+	d.fallback.done(r)
+	if own != nil {
+		own.done(r)
+		return
+	}
+	d.tell(leader, nil)
+}
+
+// decide passes decisions of a core to the questions of this host.
+func (d *desk) decide(list []schedule.Decision) {
+	for _, dec := range list {
+		d.mu.Lock()
+		q := d.questions[dec.Job.ID.Number]
+		if q != nil && dec.Job.ID.Host == d.host {
+			delete(d.questions, dec.Job.ID.Number)
+		}
+		d.mu.Unlock()
+		if q != nil {
+			q.ch <- dec
+		}
+	}
+}
+
+// HandleFromLeader takes a message of the leader.
+func (d *desk) handle(from netip.AddrPort, m *hostlink.FromLeader) {
+	d.mu.Lock()
+	if d.own != nil || from != d.leader {
+		d.mu.Unlock()
+		return
+	}
+	if !m.Leads {
+		d.leader = netip.AddrPort{}
+		d.mu.Unlock()
+		d.suspect()
+		return
+	}
+	d.heard, d.misses = d.clk.Now(), 0
+	d.hosts = max(1, int(m.Hosts))
+	d.dirAge = time.Duration(m.DirectoryAgeMS) * time.Millisecond
+	d.version = m.ConfigVersion
+	if n := int32(m.Reports - d.first + 1); n > 0 {
+		d.reports = d.reports[min(int(n), len(d.reports)):]
+		d.first += uint32(n)
+	}
+	var answers []schedule.Decision
+	for _, dec := range m.Decisions {
+		q := d.questions[dec.Number]
+		if q == nil {
+			continue
+		}
+		if dec.Kind == hostlink.KindQueued {
+			q.queued = true
+			continue
+		}
+		answers = append(answers, schedule.Decision{
+			Job: &q.job, Server: topology.ServerID(dec.Server), Address: dec.Address,
+			Refused: dec.Kind == hostlink.KindRefused, Reason: schedule.Reason(dec.Reason),
+			RetryAfter: time.Duration(dec.RetryAfterMS) * time.Millisecond,
+		})
+	}
+	d.mu.Unlock()
+	d.decide(answers)
+}
+
+const (
+	// heartbeat is the interval at which a host without requests shows itself.
+	heartbeat = 700 * time.Millisecond
+	// leaderSilence is the time without a message after which the leader is
+	// suspected, if something was sent to it.
+	leaderSilence = 250 * time.Millisecond
+)
+
+// tick repeats what was not answered.
+func (d *desk) tick() {
+	d.mu.Lock()
+	now := d.clk.Now()
+	var again []*question
+	for _, q := range d.questions {
+		wait := askRepeat
+		if q.queued {
+			wait = queuedRepeat
+		}
+		if now-q.sent >= wait {
+			again = append(again, q)
+		}
+	}
+	leader := d.leader
+	tell := d.own == nil && leader.IsValid() &&
+		((len(d.reports) > 0 && now-d.reportAt >= reportRepeat) || now-d.told >= heartbeat)
+	if tell && d.misses == 0 {
+		d.misses = now
+	}
+	silent := d.own == nil && (!leader.IsValid() || (d.misses != 0 && now-d.misses > leaderSilence))
+	d.mu.Unlock()
+	for _, q := range again {
+		d.send(q)
+	}
+	if tell {
+		d.tell(leader, nil)
+	}
+	if silent {
+		d.suspect()
+	}
+	d.fallback.run()
+}
+
+// busy reports whether tick has something to wait for.
+func (d *desk) busy() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.questions) > 0 || len(d.reports) > 0
+}
+
+// silent reports whether the leader does not answer.
+func (d *desk) silent() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clk.Now()
+	return d.own == nil && (!d.leader.IsValid() || (d.misses != 0 && now-d.misses > leaderSilence))
+}
+
+// state is what the desk knows from the leader.
+type deskState struct {
+	leads         bool
+	hosts         int
+	directoryAge  time.Duration
+	configVersion int64
+}
+
+func (d *desk) state() deskState {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return deskState{
+		leads: d.own != nil, hosts: d.hosts, directoryAge: d.dirAge + d.clk.Now() - d.heard, configVersion: d.version,
+	}
+}
+
+func (d *desk) setHosts(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hosts = max(1, n)
+}
+
+// knows makes the desk follow the leader at addr if it did not ask it before.
+// It returns false if that leader is the one that does not answer.
+func (d *desk) knows(addr netip.AddrPort, member string) bool {
+	d.mu.Lock()
+	known := d.member == member && d.leader == addr
+	d.member = member
+	d.mu.Unlock()
+	if known {
+		return false
+	}
+	d.follow(addr, 0)
+	return true
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,247 @@
+// Package gateway is the process of an entry host on a platform whose store
+// keeps what must last. Each host takes requests of callers and sends them
+// straight to servers. One host leads: it grants keys to servers and tells the
+// others which server each request goes to.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/lycheerudder/lycheerudder/internal/clock"
+	"github.com/lycheerudder/lycheerudder/internal/hostlink"
+	"github.com/lycheerudder/lycheerudder/internal/logging"
+	"github.com/lycheerudder/lycheerudder/internal/upstream"
+)
+
+const (
+	// busyTick is the interval at which open questions are looked at, idleTick
+	// that without any.
+	busyTick = 15 * time.Millisecond
+	idleTick = 100 * time.Millisecond
+	// trimInterval is the interval at which idle connections are closed.
+	trimInterval = 2 * time.Second
+	// readHeaderTimeout is used until the configuration states one.
+	readHeaderTimeout = 10 * time.Second
+	// callerIdle is above the time for which callers keep idle connections.
+	callerIdle = 2 * time.Minute
+	// notReadyTime is the time for which a stopping host still takes requests:
+	// the balancer needs two misses in a row, a second apart.
+	notReadyTime = 2300 * time.Millisecond
+	// stopReserve is kept from the grace for the end of the process.
+	stopReserve = 400 * time.Millisecond
+)
+
+// gateway is the state of one process.
+type gateway struct {
+	set      Settings
+	clk      clock.Clock
+	log      logging.Logger
+	store    Store
+	watch    *watch
+	link     *hostlink.Link
+	desk     *desk
+	peers    *peers
+	elector  *elector
+	ingress  *ingress
+	upstream *upstream.Client
+	stopping atomic.Bool
+}
+
+// HandleToLeader implements hostlink.Handler.
+func (g *gateway) HandleToLeader(from netip.AddrPort, m *hostlink.ToLeader) { g.peers.handle(from, m) }
+
+// HandleFromLeader implements hostlink.Handler.
+func (g *gateway) HandleFromLeader(from netip.AddrPort, m *hostlink.FromLeader) {
+	g.desk.handle(from, m)
+}
+
+// Run serves until the context ends, and then stops gracefully.
+func Run(ctx context.Context, set Settings, names Names, store Store, grants Grants, st *Stats) error {
+	g, err := newGateway(set, names, store, grants, st)
+	if err != nil {
+		return err
+	}
+	g.log.With("host", string(set.Host)).With("data_centre", string(set.DataCentre)).Info("host starts")
+	return g.run(ctx)
+}
+
+// Stats are the metrics of a process.
+type Stats = stats
+
+// NewStats returns empty metrics.
+func NewStats() *Stats { return &stats{} }
+
+// Count adds one to a counter.
+func (s *stats) Count(name string) { s.count(name) }
+
+func newGateway(set Settings, names Names, store Store, grants Grants, st *Stats) (*gateway, error) {
+	clk := clock.Boot{}
+	self := net.JoinHostPort(set.IP, strconv.Itoa(set.PeerPort))
+	link, err := hostlink.Listen(self)
+	if err != nil {
+		return nil, err
+	}
+	address, err := netip.ParseAddrPort(self)
+	if err != nil {
+		return nil, eris.Wrap(err, "address of the host")
+	}
+	g := &gateway{set: set, clk: clk, store: store, link: link, log: logging.For(logging.Router)}
+	incarnation := rand.Uint64()
+	g.upstream = upstream.New(upstream.Headers{
+		RequestID: names.RequestID, TimeLeft: names.TimeLeft, Target: names.Target,
+		Signature: names.Signature, NotExecuted: names.NotExecuted, ServerLoad: names.ServerLoad,
+	})
+	g.watch = newWatch(clk, store, g.need, g.changed)
+	g.desk = newDesk(clk, link, incarnation, set.DataCentre, func() { g.elector.suspect() })
+	g.peers = &peers{clk: clk, link: link, self: incarnation, status: g.status, local: g.desk.decide}
+	g.elector = &elector{
+		clk: clk, store: store, grants: grants, desk: g.desk, peers: g.peers, watch: g.watch,
+		log: logging.For(logging.Lead), member: string(set.Host) + "#" + strconv.FormatUint(incarnation, 36),
+		self: address, weight: 1 / max(set.CPUShare, minCPUShare), wake: make(chan struct{}, 1),
+	}
+	g.ingress = &ingress{
+		clk: clk, names: names, desk: g.desk, watch: g.watch, upstream: g.upstream,
+		budget: newRetryBudget(clk, set.Bounds), log: &requestLog{log: logging.For(logging.Frontend), clk: clk}, stats: st,
+	}
+	return g, nil
+}
+
+// minCPUShare bounds the delay with which weak hosts claim the lead.
+const minCPUShare = 0.1
+
+// need returns the interval at which the registrations are read and the version
+// of the configuration that the leader knows.
+func (g *gateway) need() (time.Duration, int64) {
+	s := g.desk.state()
+	switch {
+	case s.leads:
+		return leaderPoll, s.configVersion
+	case s.directoryAge > staleList || g.desk.silent():
+		return urgentPoll, s.configVersion
+	default:
+		return hostPoll, s.configVersion
+	}
+}
+
+// changed passes a new configuration or list of servers to the fallback core.
+func (g *gateway) changed() {
+	cfg := g.watch.config.Load()
+	if cfg == nil {
+		return
+	}
+	servers, _ := g.watch.servers()
+	g.elector.mu.Lock()
+	tables := g.elector.tables
+	g.elector.mu.Unlock()
+	g.desk.fallback.configure(cfg, tables, nil)
+	g.desk.fallback.refresh(servers)
+}
+
+// status is the header of messages to hosts.
+func (g *gateway) status() hostlink.FromLeader {
+	_, age := g.watch.servers()
+	m := hostlink.FromLeader{DirectoryAgeMS: uint32(min(age, time.Minute).Milliseconds())}
+	if cfg := g.watch.config.Load(); cfg != nil {
+		m.ConfigVersion = cfg.Version
+	}
+	return m
+}
+
+func (g *gateway) run(ctx context.Context) error {
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	go func() {
+		err := g.link.Receive(g, func(err error) { g.log.Warn("a datagram cannot be read: " + err.Error()) })
+		if work.Err() == nil {
+			g.log.Error("the peer socket failed", err)
+		}
+	}()
+	go g.watch.runConfig(work)
+	go g.watch.runServers(work)
+	lead, stopLead := context.WithCancel(work)
+	defer stopLead()
+	go g.elector.run(lead)
+	go g.tick(work)
+
+	ready := &http.Server{Handler: http.HandlerFunc(g.ready), ReadHeaderTimeout: readHeaderTimeout}
+	callers := &http.Server{Handler: g.ingress, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdle}
+	failed := make(chan error, 2)
+	if err := listen(g.set.ReadyAddress, ready, failed); err != nil {
+		return err
+	}
+	if err := listen(g.set.CallerAddress, callers, failed); err != nil {
+		return err
+	}
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	g.stop(callers, stopLead)
+	return nil
+}
+
+func listen(address string, srv *http.Server, failed chan<- error) error {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return eris.Wrap(err, "listen")
+	}
+	go func() {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			failed <- err
+		}
+	}()
+	return nil
+}
+
+// stop lets the balancer turn away from this host, hands the lead over, and
+// ends once all requests are answered.
+func (g *gateway) stop(callers *http.Server, stopLead func()) {
+	g.log.Info("host stops")
+	g.stopping.Store(true)
+	began := time.Now()
+	stopLead()
+	time.Sleep(notReadyTime)
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.set.Bounds.StopGrace-stopReserve))
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		g.log.Error("requests are still open at the end of the grace period", err)
+	}
+	g.log.Info("host has stopped")
+}
+
+// ready answers the balancer.
+func (g *gateway) ready(w http.ResponseWriter, _ *http.Request) {
+	if g.stopping.Load() || g.watch.config.Load() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// tick repeats questions and closes idle connections.
+func (g *gateway) tick(ctx context.Context) {
+	trimmed := time.Now()
+	for ctx.Err() == nil {
+		g.desk.tick()
+		if time.Since(trimmed) > trimInterval {
+			trimmed = time.Now()
+			g.upstream.Trim()
+		}
+		if g.desk.busy() {
+			sleep(ctx, busyTick)
+		} else {
+			sleep(ctx, idleTick)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/leader.go
@@ -0,0 +1,480 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/lycheerudder/lycheerudder/internal/clock"
+	"github.com/lycheerudder/lycheerudder/internal/keymap"
+	"github.com/lycheerudder/lycheerudder/internal/logging"
+	"github.com/lycheerudder/lycheerudder/internal/ownership"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+)
+
+const (
+	leaderKey   = "leader"
+	tablePrefix = "keys/"
+
+	leaderTick = 40 * time.Millisecond
+	// membershipTerm is the time after its last call for which the store lists
+	// the leader as present; it bounds the time to a takeover.
+	membershipTerm = 1200 * time.Millisecond
+	joinInterval   = 400 * time.Millisecond
+	// leaderWatch is the time for which the store holds the leader's read of its
+	// own records open.
+	leaderWatch = 1500 * time.Millisecond
+	// searchInterval is the pause between looks for a leader.
+	searchInterval = 200 * time.Millisecond
+	// claimSpread spreads the claims of hosts that miss the leader at the same
+	// time.
+	claimSpread = 80 * time.Millisecond
+	// resignPause is the time for which a leader that resigned leaves the claim
+	// to others.
+	resignPause = 700 * time.Millisecond
+	// fencesPerEpoch is the number of fences of one leadership.
+	fencesPerEpoch = 1 << 22
+	// moveContact is the age of the last contact with the store above which no
+	// key is moved: a move needs the store to be completed.
+	moveContact    = 1500 * time.Millisecond
+	grantTimeout   = 350 * time.Millisecond
+	releaseTimeout = 1500 * time.Millisecond
+)
+
+var ownershipSettings = ownership.Settings{
+	Hold:     2200 * time.Millisecond,
+	Renew:    650 * time.Millisecond,
+	Retry:    200 * time.Millisecond,
+	Autonomy: 10 * time.Second,
+}
+
+// leaderRecord names the leader in the store.
+type leaderRecord struct {
+	Member  string `json:"member"`
+	Address string `json:"address"`
+}
+
+// elector finds or becomes the leader.
+type elector struct {
+	clk    clock.Clock
+	store  Store
+	grants Grants
+	desk   *desk
+	peers  *peers
+	watch  *watch
+	log    logging.Logger
+	member string
+	self   netip.AddrPort
+	// weight is larger for hosts with less processor, which claim later.
+	weight float64
+
+	wake chan struct{}
+	// resigned is the time until which this host claims nothing.
+	resigned time.Duration
+
+	mu     sync.Mutex
+	tables map[topology.Service]keymap.Map // as last read
+	end    int64
+}
+
+// readOwners reads the leader and the key maps from the store.
+func (e *elector) readOwners(ctx context.Context) (leaderRecord, error) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	records, end, err := e.store.Owners(call)
+	if err != nil {
+		return leaderRecord{}, err
+	}
+	var leader leaderRecord
+	tables := make(map[topology.Service]keymap.Map)
+	for _, r := range records {
+		if r.Key == leaderKey {
+			if err := json.Unmarshal(r.Value, &leader); err != nil {
+				e.log.Error("the record of the leader cannot be read", err)
+			}
+			continue
+		}
+		if name, ok := strings.CutPrefix(r.Key, tablePrefix); ok {
+			t, err := keymap.Decode(r.Value)
+			if err != nil {
+				e.log.Error("a key map cannot be read", err)
+				continue
+			}
+			tables[topology.Service(name)] = t
+		}
+	}
+	e.mu.Lock()
+	e.tables, e.end = tables, end
+	e.mu.Unlock()
+	e.desk.fallback.setTables(tables)
+	return leader, nil
+}
+
+// suspect makes the elector look for the leader now.
+func (e *elector) suspect() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run follows or becomes the leader until the context ends.
+func (e *elector) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !e.desk.silent() {
+			select {
+			case <-ctx.Done():
+			case <-e.wake:
+			case <-time.After(searchInterval):
+			}
+			continue
+		}
+		if !e.search(ctx) {
+			sleep(ctx, searchInterval)
+		}
+	}
+}
+
+// search looks for the leader in the store and claims the lead if there is none.
+// It returns false if the caller should wait before it searches again.
+func (e *elector) search(ctx context.Context) bool {
+	leader, err := e.readOwners(ctx)
+	if err != nil {
+		return false
+	}
+	e.watch.readNow()
+	address, err := netip.ParseAddrPort(leader.Address)
+	mine := err == nil && address == e.self
+	e.mu.Lock()
+	epoch := e.end
+	e.mu.Unlock()
+	if err == nil && !mine && e.desk.knows(address, leader.Member) {
+		return true // a new leader: ask it first
+	}
+	if err == nil && !mine {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		members, err := e.store.Members(call)
+		cancel()
+		if err != nil {
+			return false
+		}
+		for _, m := range members {
+			if m == leader.Member {
+				return false // the leader reaches the store
+			}
+		}
+	}
+	if e.clk.Now() < e.resigned || e.watch.config.Load() == nil {
+		return false
+	}
+	sleep(ctx, time.Duration(rand.Float64()*e.weight*float64(claimSpread)))
+	return e.claim(ctx, epoch)
+}
+
+// claim makes this host the leader if the records of the store have not changed
+// since they were read, and leads until it is deposed.
+func (e *elector) claim(ctx context.Context, at int64) bool {
+	value, err := json.Marshal(leaderRecord{Member: e.member, Address: e.self.String()})
+	if err != nil {
+		e.log.Error("the claim cannot be written", err)
+		return false
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	end, err := e.store.Append(call, at, []Record{{Key: leaderKey, Value: value}})
+	cancel()
+	if err != nil {
+		if !errors.Is(err, ErrOutdated) {
+			e.log.Warn("the lead cannot be claimed: " + err.Error())
+		}
+		return errors.Is(err, ErrOutdated)
+	}
+	l := newLeadership(e, at, end)
+	e.log.With("epoch", at).Info("this host leads")
+	l.run(ctx)
+	e.log.With("epoch", at).Info("this host no longer leads")
+	return true
+}
+
+// leadership is one time for which this host leads.
+type leadership struct {
+	*elector
+	core  *core
+	epoch int64
+
+	mu      sync.Mutex
+	end     int64 // of the ownership topic
+	contact time.Duration
+	fence   int64
+	first   map[topology.Service]bool
+	cancel  context.CancelFunc
+	calls   sync.WaitGroup
+	present int
+}
+
+func newLeadership(e *elector, epoch, end int64) *leadership {
+	l := &leadership{elector: e, epoch: epoch, end: end, contact: e.clk.Now(), fence: (epoch + 1) * fencesPerEpoch}
+	l.core = newCore(e.clk, e.peers.deliver)
+	return l
+}
+
+func (l *leadership) nextFence() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fence++
+	return l.fence
+}
+
+func (l *leadership) touch(sent time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.contact = max(l.contact, sent)
+}
+
+func (l *leadership) contactAge() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.clk.Now() - l.contact
+}
+
+// run leads until the context ends or the leadership is lost.
+func (l *leadership) run(parent context.Context) {
+	ctx, cancel := context.WithCancel(parent)
+	defer cancel()
+	l.cancel = cancel
+	l.watch.readNow()
+	l.configure()
+	l.peers.lead(l.core)
+	l.desk.lead(l.core, l.epoch)
+	var loops sync.WaitGroup
+	loops.Go(func() { l.keepMembership(ctx) })
+	loops.Go(func() { l.watchRecords(ctx) })
+	loops.Go(func() { l.storeTables(ctx) })
+	t := time.NewTicker(leaderTick)
+	defer t.Stop()
+	for ctx.Err() == nil {
+		l.tick(ctx)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+	}
+	l.peers.lead(nil)
+	l.desk.lead(nil, 0)
+	loops.Wait()
+	l.calls.Wait()
+	leave, done := context.WithTimeout(context.WithoutCancel(parent), grantTimeout)
+	defer done()
+	if err := l.store.Leave(leave, l.member); err != nil {
+		l.log.Warn("the membership cannot be ended: " + err.Error())
+	}
+}
+
+// configure adds the services of the present configuration.
+func (l *leadership) configure() {
+	cfg := l.watch.config.Load()
+	if cfg == nil {
+		return
+	}
+	l.elector.mu.Lock()
+	tables := l.tables
+	l.elector.mu.Unlock()
+	l.core.configure(cfg, tables, func(name topology.Service, table keymap.Map) *ownership.Leader {
+		first := table == nil
+		if first {
+			table = keymap.Empty()
+		}
+		return ownership.New(name, ownershipSettings, table, l.nextFence, l.clk.Now(), first)
+	})
+}
+
+func (l *leadership) tick(ctx context.Context) {
+	l.configure()
+	servers, _ := l.watch.servers()
+	age := l.contactAge()
+	orders := l.core.tick(servers, age < ownershipSettings.Autonomy, age < moveContact && len(servers) > 0)
+	l.carryOut(ctx, orders)
+	present, most := l.peers.tick()
+	l.desk.setHosts(present)
+	if l.present != present {
+		l.present = present
+	}
+	if most >= 3 && present*2 < most {
+		// Most hosts are gone or cut off from this one. If they are cut off,
+		// one of them takes over; if they are gone, this host leads again.
+		l.log.With("hosts", present).With("most", most).Warn("most hosts are silent, this host resigns")
+		l.resigned = l.clk.Now() + resignPause
+		l.cancel()
+	}
+}
+
+// carryOut makes the calls to servers.
+func (l *leadership) carryOut(ctx context.Context, orders []ownership.Order) {
+	for _, o := range orders {
+		l.calls.Add(1)
+		go func() {
+			defer l.calls.Done()
+			l.call(ctx, o)
+		}()
+	}
+}
+
+func (l *leadership) call(ctx context.Context, o ownership.Order) {
+	var handover string
+	var err error
+	if o.Kind == ownership.Grant {
+		call, cancel := context.WithTimeout(ctx, grantTimeout)
+		err = l.grants.Grant(call, o, ownershipSettings.Hold)
+		cancel()
+	} else {
+		call, cancel := context.WithTimeout(ctx, releaseTimeout)
+		handover, err = l.grants.Release(call, o)
+		cancel()
+	}
+	outcome := outcomeOf(err)
+	if outcome != ownership.Done {
+		l.log.With("server", string(o.Server)).With("from", o.From).With("to", o.To).With("fence", o.Fence).
+			With("kind", int(o.Kind)).With("outcome", int(outcome)).Info("an order to a server failed: " + err.Error())
+	}
+	deposed, next := l.core.result(o, outcome, handover)
+	if deposed {
+		l.verify(ctx)
+	}
+	if l.contactAge() < ownershipSettings.Autonomy && ctx.Err() == nil {
+		l.carryOut(ctx, next)
+	}
+}
+
+func outcomeOf(err error) ownership.Outcome {
+	var op *net.OpError
+	switch {
+	case err == nil:
+		return ownership.Done
+	case errors.Is(err, ErrFenced):
+		return ownership.Fenced
+	case errors.As(err, &op) && op.Op == "dial":
+		return ownership.Unsent
+	default:
+		return ownership.Unknown
+	}
+}
+
+// verify ends the leadership if the store names another leader.
+func (l *leadership) verify(ctx context.Context) {
+	sent := l.clk.Now()
+	leader, err := l.readOwners(ctx)
+	if err != nil {
+		return
+	}
+	if leader.Member != l.member {
+		l.log.With("leader", leader.Member).Info("another host leads")
+		l.cancel()
+		return
+	}
+	l.touch(sent)
+	l.elector.mu.Lock()
+	end := l.elector.end
+	l.elector.mu.Unlock()
+	l.mu.Lock()
+	l.end = max(l.end, end)
+	l.mu.Unlock()
+	l.core.checked()
+}
+
+// keepMembership shows the other hosts that the leader reaches the store.
+func (l *leadership) keepMembership(ctx context.Context) {
+	var generation int64
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		g, err := l.store.Join(call, l.member, generation, membershipTerm)
+		cancel()
+		if err == nil {
+			generation = g
+		}
+		sleep(ctx, joinInterval)
+	}
+}
+
+// watchRecords notices that another host has claimed the lead.
+func (l *leadership) watchRecords(ctx context.Context) {
+	for ctx.Err() == nil {
+		l.mu.Lock()
+		from := l.end
+		l.mu.Unlock()
+		sent := l.clk.Now()
+		call, cancel := context.WithTimeout(ctx, leaderWatch+callTimeout)
+		end, err := l.store.OwnersEnd(call, from, leaderWatch)
+		cancel()
+		if err != nil {
+			if strings.Contains(err.Error(), "dropped") {
+				l.verify(ctx)
+			}
+			sleep(ctx, callRetry)
+			continue
+		}
+		l.mu.Lock()
+		known := l.end
+		l.mu.Unlock()
+		if end > known {
+			l.verify(ctx)
+			sleep(ctx, callRetry)
+			continue
+		}
+		l.touch(sent)
+	}
+}
+
+// storeTables writes changed key maps to the store. Keys are granted to another
+// server only afterwards.
+func (l *leadership) storeTables(ctx context.Context) {
+	for ctx.Err() == nil {
+		tables := l.core.tables()
+		if len(tables) == 0 {
+			sleep(ctx, storeInterval)
+			continue
+		}
+		records := make([]Record, 0, len(tables))
+		for name, t := range tables {
+			value, err := t.Encode()
+			if err != nil {
+				l.log.Error("a key map cannot be written", err)
+				continue
+			}
+			records = append(records, Record{Key: tablePrefix + string(name), Value: value})
+		}
+		l.mu.Lock()
+		at := l.end
+		l.mu.Unlock()
+		sent := l.clk.Now()
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		end, err := l.store.Append(call, at, records)
+		cancel()
+		if err != nil {
+			l.core.stored(tables, false)
+			if errors.Is(err, ErrOutdated) {
+				l.verify(ctx)
+			} else {
+				l.log.Warn("key maps cannot be stored: " + err.Error())
+				sleep(ctx, callRetry)
+			}
+			continue
+		}
+		l.mu.Lock()
+		l.end = max(l.end, end)
+		l.mu.Unlock()
+		l.touch(sent)
+		l.carryOut(ctx, l.core.stored(tables, true))
+	}
+}
+
+// storeInterval is the interval at which freed keys are looked for; keys that
+// are freed within it share one append.
+const storeInterval = 10 * time.Millisecond
+
+// resign ends the leadership of a host that stops.
+func (e *elector) resign() { e.resigned = e.clk.Now() + time.Hour }
--- /dev/null
+++ b/internal/gateway/observe.go
@@ -0,0 +1,112 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/lycheerudder/lycheerudder/internal/clock"
+	"github.com/lycheerudder/lycheerudder/internal/logging"
+)
+
+// requestLog writes one line for each decision that is not the usual one. The
+// volume is bounded: lines beyond the bound are counted.
+type requestLog struct {
+	log logging.Logger
+	clk clock.Clock
+
+	mu      sync.Mutex
+	second  int64
+	lines   int
+	dropped int
+}
+
+// maxLines bounds the request lines of one second.
+const maxLines = 40
+
+func (l *requestLog) event(c *call, message, server, outcome string, cause error) {
+	l.mu.Lock()
+	now := l.clk.Now()
+	if s := int64(now / time.Second); s != l.second {
+		if l.dropped > 0 {
+			l.log.With("lines", l.dropped).Warn("request lines were dropped")
+		}
+		l.second, l.lines, l.dropped = s, 0, 0
+	}
+	l.lines++
+	drop := l.lines > maxLines
+	if drop {
+		l.dropped++
+	}
+	l.mu.Unlock()
+	if drop {
+		return
+	}
+	e := l.log.With("id", c.request.ID).With("route", c.route.Name).With("outcome", outcome).
+		With("sends", c.sends).With("may_have_run", c.ran).
+		With("took_ms", time.Since(c.start).Milliseconds()).With("left_ms", time.Until(c.deadline).Milliseconds())
+	if c.job.Key >= 0 {
+		e = e.With("key", c.job.Key)
+	}
+	if server != "" {
+		e = e.With("server", server)
+	}
+	if cause != nil {
+		e = e.With("cause", cause.Error())
+	}
+	e.Info(message)
+}
+
+// stats holds counters and histograms of latency per route.
+type stats struct {
+	counters  sync.Map // string -> *atomic.Int64
+	latencies sync.Map // string -> gometrics.Histogram
+}
+
+// latencySample is the number of latencies that a histogram keeps.
+const latencySample = 256
+
+// maxRoutes bounds the histograms; further routes share one.
+const maxRoutes = 500
+
+func (s *stats) count(name string) {
+	v, ok := s.counters.Load(name)
+	if !ok {
+		v, _ = s.counters.LoadOrStore(name, new(atomic.Int64))
+	}
+	v.(*atomic.Int64).Add(1)
+}
+
+func (s *stats) observe(route string, took time.Duration) {
+	v, ok := s.latencies.Load(route)
+	if !ok {
+		v, _ = s.latencies.LoadOrStore(route, gometrics.NewHistogram(gometrics.NewUniformSample(latencySample)))
+	}
+	v.(gometrics.Histogram).Update(took.Microseconds())
+}
+
+// write prints all metrics as text, one value a line.
+func (s *stats) write(w io.Writer) {
+	var lines []string
+	s.counters.Range(func(k, v any) bool {
+		lines = append(lines, fmt.Sprintf("lygate_events_total{event=%q} %d", k, v.(*atomic.Int64).Load()))
+		return true
+	})
+	s.latencies.Range(func(k, v any) bool {
+		h := v.(gometrics.Histogram).Snapshot()
+		for _, q := range []float64{0.5, 0.9, 0.99} {
+			lines = append(lines, fmt.Sprintf("lygate_latency_us{route=%q,quantile=\"%g\"} %.0f", k, q, h.Percentile(q)))
+		}
+		lines = append(lines, fmt.Sprintf("lygate_latency_us_count{route=%q} %d", k, h.Count()))
+		return true
+	})
+	slices.Sort(lines)
+	for _, l := range lines {
+		_, _ = fmt.Fprintln(w, l)
+	}
+}
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,223 @@
+package gateway
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/lycheerudder/lycheerudder/internal/clock"
+	"github.com/lycheerudder/lycheerudder/internal/hostlink"
+	"github.com/lycheerudder/lycheerudder/internal/schedule"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+)
+
+// peers answers the questions of other hosts while this host leads.
+type peers struct {
+	clk  clock.Clock
+	link *hostlink.Link
+	self uint64
+	// status returns the header of messages.
+	status func() hostlink.FromLeader
+	// local takes the decisions on requests of this host.
+	local func([]schedule.Decision)
+
+	mu    sync.Mutex
+	core  *core // nil while this host does not lead
+	hosts map[uint64]*peer
+	most  int // largest number of hosts that were heard at the same time
+}
+
+// peer is what the leader remembers of one host.
+type peer struct {
+	address netip.AddrPort
+	heard   time.Duration
+	reports uint32 // number of the last report in order
+	// recent holds the last decisions, to repeat those whose datagram was lost.
+	recent map[uint32]hostlink.Decision
+	order  []uint32
+	ackDue time.Duration
+}
+
+const (
+	recentDecisions = 64
+	// ackDelay is the time for which an acknowledgement waits for a decision to
+	// travel with; it is below reportRepeat.
+	ackDelay = 25 * time.Millisecond
+	// peerSilence is the time after which a host no longer counts as present.
+	peerSilence = 1500 * time.Millisecond
+)
+
+func (p *peers) lead(c *core) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.core = c
+	p.hosts = make(map[uint64]*peer)
+	p.most = 1
+}
+
+// handle takes a message of a host.
+func (p *peers) handle(from netip.AddrPort, m *hostlink.ToLeader) {
+	p.mu.Lock()
+	c := p.core
+	if c == nil {
+		p.mu.Unlock()
+		reply := hostlink.FromLeader{}
+		_ = p.link.FromLeader(from, &reply) // the host repeats its question
+		return
+	}
+	now := p.clk.Now()
+	h, ok := p.hosts[m.Host]
+	if !ok {
+		h = &peer{recent: make(map[uint32]hostlink.Decision)}
+		p.hosts[m.Host] = h
+	}
+	h.address, h.heard = from, now
+	reports := h.fresh(m)
+	var again []hostlink.Decision
+	var jobs []hostlink.Question
+	for _, q := range m.Questions {
+		if d, ok := h.recent[q.Number]; ok {
+			again = append(again, d)
+			continue
+		}
+		jobs = append(jobs, q)
+	}
+	if len(m.Reports) > 0 && h.ackDue == 0 {
+		h.ackDue = now + ackDelay
+	}
+	if len(m.Questions) == 0 && len(m.Reports) == 0 {
+		h.ackDue = now // a heartbeat
+	}
+	p.mu.Unlock()
+
+	for _, r := range reports {
+		c.done(decodeReport(m.Host, r))
+	}
+	for _, q := range jobs {
+		id := schedule.JobID{Host: m.Host, Number: q.Number}
+		c.add(q.Service, decodeQuestion(id, m.DataCentre, q, now))
+		if c.has(q.Service, id) {
+			again = append(again, hostlink.Decision{Number: q.Number, Kind: hostlink.KindQueued})
+		}
+	}
+	if len(again) > 0 {
+		p.reply(m.Host, again)
+	}
+}
+
+// fresh returns the reports that were not received before.
+func (h *peer) fresh(m *hostlink.ToLeader) []hostlink.Report {
+	if m.FirstReport > h.reports+1 {
+		h.reports = m.FirstReport - 1 // dropped by the host, or told to an earlier leader
+	}
+	skip := int(h.reports + 1 - m.FirstReport)
+	if skip >= len(m.Reports) {
+		return nil
+	}
+	h.reports = m.FirstReport + uint32(len(m.Reports)) - 1
+	return m.Reports[skip:]
+}
+
+func decodeReport(host uint64, r hostlink.Report) schedule.Report {
+	return schedule.Report{
+		ID: schedule.JobID{Host: host, Number: r.Number}, Result: schedule.Result(min(r.Result, uint8(schedule.Left))),
+		Took: time.Duration(r.TookMS) * time.Millisecond, Running: int(r.Running), Waiting: int(r.Waiting), Known: r.Running >= 0,
+	}
+}
+
+func decodeQuestion(id schedule.JobID, dc string, q hostlink.Question, now time.Duration) *schedule.Job {
+	j := &schedule.Job{
+		ID: id, Class: q.Class, Content: q.Content, Key: int(q.Key), Priority: int(q.Priority),
+		DataCentre: topology.DataCentre(dc),
+		Target:     now + time.Duration(q.TargetMS)*time.Millisecond,
+		Deadline:   now + time.Duration(q.DeadlineMS)*time.Millisecond,
+	}
+	for _, t := range q.Tried {
+		j.Tried = append(j.Tried, topology.ServerID(t))
+	}
+	return j
+}
+
+// deliver sends decisions of the core to their hosts.
+func (p *peers) deliver(list []schedule.Decision) {
+	if len(list) == 0 {
+		return
+	}
+	byHost := make(map[uint64][]hostlink.Decision)
+	var own []schedule.Decision
+	for _, d := range list {
+		if d.Job.ID.Host == p.self {
+			own = append(own, d)
+			continue
+		}
+		m := hostlink.Decision{Number: d.Job.ID.Number, Server: string(d.Server), Address: d.Address}
+		if d.Refused {
+			m.Kind, m.Reason = hostlink.KindRefused, uint8(d.Reason)
+			m.RetryAfterMS = uint32(d.RetryAfter.Milliseconds())
+		}
+		byHost[d.Job.ID.Host] = append(byHost[d.Job.ID.Host], m)
+	}
+	p.local(own)
+	for host, decisions := range byHost {
+		p.reply(host, decisions)
+	}
+}
+
+func (p *peers) reply(host uint64, decisions []hostlink.Decision) {
+	m := p.status()
+	p.mu.Lock()
+	h, ok := p.hosts[host]
+	if !ok {
+		p.mu.Unlock()
+		return
+	}
+	for _, d := range decisions {
+		if d.Kind == hostlink.KindQueued {
+			continue
+		}
+		h.recent[d.Number] = d
+		h.order = append(h.order, d.Number)
+		if len(h.order) > recentDecisions {
+			delete(h.recent, h.order[0])
+			h.order = h.order[1:]
+		}
+	}
+	m.Leads = p.core != nil
+	m.Reports = h.reports
+	m.Hosts = uint16(len(p.hosts) + 1)
+	h.ackDue = 0
+	address := h.address
+	p.mu.Unlock()
+	for len(decisions) > maxBatch {
+		m.Decisions = decisions[:maxBatch]
+		_ = p.link.FromLeader(address, &m) // lost decisions are asked for again
+		decisions = decisions[maxBatch:]
+	}
+	m.Decisions = decisions
+	_ = p.link.FromLeader(address, &m)
+}
+
+// tick sends acknowledgements that found no decision to travel with, and
+// forgets hosts that are gone. It returns the number of hosts, this one
+// included, and the largest number so far.
+func (p *peers) tick() (present, most int) {
+	p.mu.Lock()
+	now := p.clk.Now()
+	var due []uint64
+	for id, h := range p.hosts {
+		if h.ackDue != 0 && now >= h.ackDue {
+			due = append(due, id)
+		}
+		if now-h.heard > peerSilence {
+			delete(p.hosts, id)
+		}
+	}
+	present = len(p.hosts) + 1
+	p.most = max(p.most, present)
+	most = p.most
+	p.mu.Unlock()
+	for _, id := range due {
+		p.reply(id, nil)
+	}
+	return present, most
+}
--- /dev/null
+++ b/internal/gateway/ports.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/lycheerudder/lycheerudder/internal/fleet"
+	"github.com/lycheerudder/lycheerudder/internal/ownership"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+)
+
+// Names are the header names and paths of the surroundings.
+type Names struct {
+	RequestID   string
+	TimeLeft    string // in milliseconds
+	Target      string
+	Signature   string
+	NotExecuted string
+	ServerLoad  string
+	Key         string
+	ReadyPath   string
+}
+
+// Record is a record of a topic that keeps the newest record of each key.
+type Record struct {
+	Key   string
+	Value []byte
+}
+
+// ErrOutdated is returned by an append whose condition no longer holds.
+var ErrOutdated = eris.New("the store has newer records")
+
+// ErrFenced is returned by a grant that the server refused because it has seen a
+// higher fence.
+var ErrFenced = eris.New("the server has seen a higher fence")
+
+// ServerChange is a registration, or the end of one if Server is nil.
+type ServerChange struct {
+	ID     topology.ServerID
+	Server *fleet.Server
+}
+
+// ServerChanges is the result of one read of the registrations.
+type ServerChanges struct {
+	// Full is true if Changes holds all registrations.
+	Full    bool
+	Changes []ServerChange
+	Next    int64
+}
+
+// Store is the platform's store. All calls are linearizable. A call that
+// returns an error may have been carried out, or may be carried out seconds
+// later if its condition still holds.
+type Store interface {
+	// ConfigChange waits until the configuration changes after offset from and
+	// returns it, or nil if it has not changed in time.
+	ConfigChange(ctx context.Context, from int64, wait time.Duration) (*fleet.Config, int64, error)
+	// ServerChanges returns the registrations that changed since offset from,
+	// or all if from is negative.
+	ServerChanges(ctx context.Context, from int64) (ServerChanges, error)
+	// Owners returns the ownership records and the end of their topic.
+	Owners(ctx context.Context) ([]Record, int64, error)
+	// OwnersEnd waits until the ownership topic has records after offset from
+	// and returns its end.
+	OwnersEnd(ctx context.Context, from int64, wait time.Duration) (int64, error)
+	// Append adds ownership records if their topic ends at offset at, and
+	// returns its new end.
+	Append(ctx context.Context, at int64, records []Record) (int64, error)
+	// Join makes the leader a member of the leader's group for ttl. It gets the
+	// generation of its last call and returns the new one.
+	Join(ctx context.Context, member string, generation int64, ttl time.Duration) (int64, error)
+	// Leave ends a membership.
+	Leave(ctx context.Context, member string) error
+	// Members returns the members of the leader's group.
+	Members(ctx context.Context) ([]string, error)
+}
+
+// Grants carries the leader's orders to servers.
+type Grants interface {
+	Grant(ctx context.Context, o ownership.Order, hold time.Duration) error
+	Release(ctx context.Context, o ownership.Order) (handover string, err error)
+}
--- /dev/null
+++ b/internal/keyplace/keyplace.go
@@ -0,0 +1,311 @@
+// Package keyplace decides which server each key of a service should have.
+//
+// The load pattern that it answers: some keys are far busier than others, busy
+// keys are neighbours, and which keys are busy changes within seconds. Ranges
+// are therefore weighed by measured load, not by width, and cut at single keys.
+//
+// The package performs no I/O and reads no clock.
+package keyplace
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/lycheerudder/lycheerudder/internal/keymap"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+)
+
+// memory is the time constant of the measurement: hot sets last for seconds.
+const memory = 1500 * time.Millisecond
+
+// Meter measures the load of each key as the mean number of busy slots.
+type Meter struct {
+	loads []float64
+	// scale is the weight of a new observation; it grows with time instead of
+	// all loads shrinking.
+	scale float64
+	last  time.Duration
+	total float64
+}
+
+// NewMeter returns a Meter without load.
+func NewMeter() *Meter { return &Meter{loads: make([]float64, keymap.Keys), scale: 1} }
+
+const maxScale = 1e12
+
+// Add records a request with the given expected work in seconds.
+func (m *Meter) Add(key int, work float64, now time.Duration) {
+	m.advance(now)
+	m.loads[key] += work * m.scale
+	m.total += work * m.scale
+}
+
+func (m *Meter) advance(now time.Duration) {
+	if now <= m.last {
+		return
+	}
+	m.scale *= math.Exp(float64(now-m.last) / float64(memory))
+	m.last = now
+	if m.scale > maxScale {
+		for i := range m.loads {
+			m.loads[i] /= m.scale
+		}
+		m.total /= m.scale
+		m.scale = 1
+	}
+}
+
+// Sums returns the load of all keys before each key; entry Keys is the sum.
+func (m *Meter) Sums(now time.Duration) []float64 {
+	m.advance(now)
+	sums := make([]float64, keymap.Keys+1)
+	unit := 1 / (m.scale * memory.Seconds())
+	var sum float64
+	for i, l := range m.loads {
+		sums[i] = sum
+		sum += l * unit
+	}
+	sums[keymap.Keys] = sum
+	return sums
+}
+
+// Part is a range of keys with its present server.
+type Part struct {
+	From, To int
+	Server   topology.ServerID
+	// Next is the server that the range is moving to; empty if it stays.
+	Next topology.ServerID
+	// Movable ranges are held by a server that answers.
+	Movable bool
+	// Homeless ranges must get another server: theirs is leaving or lost.
+	Homeless bool
+}
+
+// Server is a server that may own keys.
+type Server struct {
+	ID topology.ServerID
+	// Capacity is the number of requests that the server works on at the same
+	// time, in units of a server of mean speed.
+	Capacity float64
+}
+
+// Move gives a range of keys to a server.
+type Move struct {
+	From, To int
+	Server   topology.ServerID
+}
+
+// Settings of Plan.
+type Settings struct {
+	// MaxMoves bounds the balance moves of one plan.
+	MaxMoves int
+	// MinGap is the difference in utilisation that a move must narrow.
+	MinGap float64
+	// MinUse is the utilisation below which a server gives nothing away.
+	MinUse float64
+}
+
+// emptyLoad is the load that the whole key space is taken to have in addition
+// to the measured one, spread evenly, so that keys without requests are divided
+// evenly as well.
+const emptyLoad = 0.5
+
+type planner struct {
+	sums    []float64
+	servers []*bin
+	byID    map[topology.ServerID]*bin
+	parts   []Part
+	moves   []Move
+}
+
+type bin struct {
+	Server
+	load float64
+}
+
+func (b *bin) use() float64 { return b.load / b.Capacity }
+
+// Plan returns the moves that are due: homeless ranges first, then moves that
+// even out the utilisation of servers.
+func Plan(parts []Part, servers []Server, sums []float64, set Settings) []Move {
+	if len(servers) == 0 {
+		return nil
+	}
+	p := &planner{sums: sums, byID: make(map[topology.ServerID]*bin), parts: slices.Clone(parts)}
+	for _, s := range servers {
+		b := &bin{Server: s}
+		p.servers = append(p.servers, b)
+		p.byID[s.ID] = b
+	}
+	slices.SortFunc(p.servers, func(a, b *bin) int { return cmp.Compare(a.ID, b.ID) })
+	for _, part := range p.parts {
+		if b := p.byID[part.owner()]; b != nil && !part.Homeless {
+			b.load += p.load(part.From, part.To)
+		}
+	}
+	p.house()
+	for range set.MaxMoves {
+		if !p.balance(set) {
+			break
+		}
+	}
+	return p.moves
+}
+
+// owner returns the server that carries the load of the range soon.
+func (p Part) owner() topology.ServerID {
+	if p.Next != "" {
+		return p.Next
+	}
+	return p.Server
+}
+
+// load returns the load of the keys from from to to.
+func (p *planner) load(from, to int) float64 {
+	return p.sums[to+1] - p.sums[from] + emptyLoad*float64(to+1-from)/keymap.Keys
+}
+
+// end returns the last key of a range that starts at from, ends at to at the
+// latest, and has at most the given load; from-1 if the first key has more.
+func (p *planner) end(from, to int, load float64) int {
+	lo, hi := from-1, to
+	for lo < hi {
+		mid := (lo + hi + 1) / 2
+		if p.load(from, mid) <= load {
+			lo = mid
+		} else {
+			hi = mid - 1
+		}
+	}
+	return lo
+}
+
+// start returns the first key of a range that ends at to, starts at from at the
+// earliest, and has at most the given load; to+1 if the last key has more.
+func (p *planner) start(from, to int, load float64) int {
+	lo, hi := from, to+1
+	for lo < hi {
+		mid := (lo + hi) / 2
+		if p.load(mid, to) <= load {
+			hi = mid
+		} else {
+			lo = mid + 1
+		}
+	}
+	return lo
+}
+
+// house gives homeless ranges to the servers with the least utilisation, cut so
+// that each server is filled up to the common mean.
+func (p *planner) house() {
+	var total, capacity float64
+	for _, b := range p.servers {
+		total += b.load
+		capacity += b.Capacity
+	}
+	for _, part := range p.parts {
+		if part.Homeless {
+			total += p.load(part.From, part.To)
+		}
+	}
+	mean := total / capacity
+	for _, part := range p.parts {
+		if !part.Homeless {
+			continue
+		}
+		for from := part.From; from <= part.To; {
+			b := p.idlest()
+			room := mean*b.Capacity - b.load
+			to := max(from, p.end(from, part.To, max(room, total/capacity/8)))
+			if rest := p.load(min(to+1, part.To), part.To); to < part.To && rest < room/8 {
+				to = part.To
+			}
+			b.load += p.load(from, to)
+			p.moves = append(p.moves, Move{From: from, To: to, Server: b.ID})
+			from = to + 1
+		}
+	}
+}
+
+func (p *planner) idlest() *bin {
+	return slices.MinFunc(p.servers, func(a, b *bin) int { return cmp.Compare(a.use(), b.use()) })
+}
+
+func (p *planner) busiest() *bin {
+	return slices.MaxFunc(p.servers, func(a, b *bin) int { return cmp.Compare(a.use(), b.use()) })
+}
+
+// balance moves a range from the busiest to the idlest server. It returns false
+// if no move is worth it.
+func (p *planner) balance(set Settings) bool {
+	high, low := p.busiest(), p.idlest()
+	if high.use() < set.MinUse || high.use()-low.use() < set.MinGap {
+		return false
+	}
+	level := (high.load + low.load) / (high.Capacity + low.Capacity)
+	want := min(high.load-level*high.Capacity, level*low.Capacity-low.load)
+	index, from, to := p.cut(high.ID, low.ID, want)
+	if index < 0 {
+		return false
+	}
+	moved := p.load(from, to)
+	high.load -= moved
+	low.load += moved
+	p.moves = append(p.moves, Move{From: from, To: to, Server: low.ID})
+	p.split(index, from, to, low.ID)
+	return true
+}
+
+// cut returns the part of a range of server high whose load comes closest to
+// want without exceeding it. Ranges beside a range of server low are preferred,
+// because the two are joined again.
+func (p *planner) cut(high, low topology.ServerID, want float64) (index, from, to int) {
+	index = -1
+	best := want / 4 // less is not worth a move
+	try := func(i, a, b int, bonus float64) {
+		if a > b {
+			return
+		}
+		if l := p.load(a, b) * bonus; l > best {
+			index, from, to, best = i, a, b, l
+		}
+	}
+	const besideLow = 1.2
+	for i, part := range p.parts {
+		if part.Server != high || part.Next != "" || !part.Movable || part.Homeless {
+			continue
+		}
+		left, right := 1.0, 1.0
+		if i > 0 && p.parts[i-1].owner() == low {
+			left = besideLow
+		}
+		if i+1 < len(p.parts) && p.parts[i+1].owner() == low {
+			right = besideLow
+		}
+		try(i, part.From, p.end(part.From, part.To, want), left)
+		try(i, p.start(part.From, part.To, want), part.To, right)
+	}
+	return index, from, to
+}
+
+// split records the planned move of the keys from from to to of one part.
+func (p *planner) split(index, from, to int, next topology.ServerID) {
+	old := p.parts[index]
+	var parts []Part
+	if old.From < from {
+		left := old
+		left.To = from - 1
+		parts = append(parts, left)
+	}
+	moved := old
+	moved.From, moved.To, moved.Next = from, to, next
+	parts = append(parts, moved)
+	if to < old.To {
+		right := old
+		right.From = to + 1
+		parts = append(parts, right)
+	}
+	p.parts = slices.Replace(p.parts, index, index+1, parts...)
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -3,6 +3,7 @@
 package logging
 
 import (
+	"io"
 	"os"
 
 	"github.com/apex/log"
@@ -42,6 +43,17 @@
 	return nil
 }
 
+// SetupTo directs all logs to w, one JSON object a line.
+func SetupTo(w io.Writer, level string) error {
+	l, err := log.ParseLevel(level)
+	if err != nil {
+		return err
+	}
+	log.SetLevel(l)
+	log.SetHandler(json.New(w))
+	return nil
+}
+
 // For returns the logger of one part.
 func For(p Part) Logger {
 	return Logger{prefix: string(p) + ": ", entry: log.WithField("part", string(p))}
--- /dev/null
+++ b/internal/ownership/ownership.go
@@ -0,0 +1,531 @@
+// Package ownership decides which grants and releases the leader of a keyed
+// service sends to servers, so that two servers never hold the same key.
+//
+// The table of key ranges in the store names, for each range, the only server
+// that may hold it. A leader gives a range to another server only after the
+// present one has released it or can hold it no longer, and after the change is
+// in the store. A new leader first grants each range to the server of the table
+// with a higher fence, which shuts the earlier leader out at that server.
+//
+// The package performs no I/O and reads no clock; times are durations since an
+// arbitrary origin.
+package ownership
+
+import (
+	"time"
+
+	"github.com/lycheerudder/lycheerudder/internal/keymap"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+)
+
+// Settings of a Leader.
+type Settings struct {
+	// Hold is the duration of a grant. It bounds the time for which the keys
+	// of a lost server stay without owner.
+	Hold time.Duration
+	// Renew is the interval between the renewals of a grant. Three renewals
+	// fit into a grant, so that one lost exchange does not end it.
+	Renew time.Duration
+	// Retry is the interval between attempts at a server that does not answer.
+	Retry time.Duration
+	// Autonomy is the longest time for which an earlier leader that lost the
+	// store goes on renewing its grants.
+	Autonomy time.Duration
+}
+
+// clockError is the part by which the clock of a server may run slow.
+const clockError = 0.02
+
+// transit covers the time of flight of a call that was given up on.
+const transit = 100 * time.Millisecond
+
+// Kind tells a grant from a release.
+type Kind uint8
+
+// Kinds of orders.
+const (
+	Grant Kind = iota
+	Release
+)
+
+// Order is one call to a server.
+type Order struct {
+	Kind     Kind
+	Service  topology.Service
+	Server   topology.ServerID
+	Address  string
+	From, To int
+	Fence    int64
+	Handover string
+	id       int
+}
+
+// Outcome says how a call ended.
+type Outcome uint8
+
+// Outcomes of a call.
+const (
+	// Done calls were answered with success.
+	Done Outcome = iota
+	// Unsent calls did not reach the server: no connection was made.
+	Unsent
+	// Unknown calls were sent and not answered; the server may carry them out.
+	Unknown
+	// Fenced grants were refused because the server has seen a higher fence.
+	Fenced
+	// Refused calls were answered with another failure.
+	Refused
+)
+
+// Server is what the leader knows of a server that may own keys.
+type Server struct {
+	Address string
+	Born    int64
+}
+
+type phase uint8
+
+const (
+	// unsecured: the server may hold the keys under an earlier leader or life.
+	unsecured phase = iota
+	// held: the server answered a grant of this leader.
+	held
+	// releasing: the server was told to stop work on the keys.
+	releasing
+	// waiting: the server cannot be reached; its hold runs out at mayHold.
+	waiting
+	// storing: no server holds the keys and the store is to name the next one.
+	storing
+)
+
+// segment is a range of keys that is granted and moved as a whole.
+type segment struct {
+	id       int
+	from, to int
+	server   topology.ServerID
+	born     int64
+	next     topology.ServerID
+	phase    phase
+	fence    int64
+	handover string
+	// sent is the time of the last call; busy is true while it is unanswered.
+	sent time.Duration
+	busy bool
+	// renewed is the send time of the last grant that was answered.
+	renewed time.Duration
+	// mayHold is the time until which the server may hold the keys.
+	mayHold time.Duration
+	// doubt is true while a grant that was sent under the present fence has not
+	// been answered: it may be carried out later.
+	doubt bool
+	// failures counts the calls without an answer since the last success.
+	failures int
+	appended bool
+}
+
+// Leader holds the grants of one keyed service. It is not safe for concurrent
+// use.
+type Leader struct {
+	service  topology.Service
+	set      Settings
+	fences   func() int64
+	servers  map[topology.ServerID]Server
+	segments []*segment // in the order of keys
+	nextID   int
+	// version changes whenever a key changes its owner or loses it.
+	version int
+	// deposed is true once a server has refused the newest fence.
+	deposed bool
+}
+
+// New returns the Leader that continues with the table of the store. Grants of
+// an earlier leader may last until its autonomy and a grant have passed since
+// now. The fences function returns growing fences above all earlier ones.
+func New(service topology.Service, set Settings, table keymap.Map, fences func() int64, now time.Duration, first bool) *Leader {
+	l := &Leader{service: service, set: set, fences: fences, servers: make(map[topology.ServerID]Server)}
+	mayHold := now + set.Autonomy + l.holdBound()
+	if first {
+		mayHold = now
+	}
+	for _, r := range table {
+		s := &segment{from: r.From, to: r.To, server: r.Server, fence: fences(), mayHold: mayHold, sent: -time.Hour}
+		if r.Server == "" {
+			s.phase = storing
+		}
+		l.add(s)
+	}
+	return l
+}
+
+func (l *Leader) add(s *segment) {
+	l.nextID++
+	s.id = l.nextID
+	l.segments = append(l.segments, s)
+}
+
+// holdBound is the longest time for which a server holds a grant after its
+// arrival.
+func (l *Leader) holdBound() time.Duration {
+	return time.Duration(float64(l.set.Hold)*(1+clockError)) + transit
+}
+
+// SetServers replaces the servers that can be reached through the directory. A
+// server with a later start holds nothing of its earlier life.
+func (l *Leader) SetServers(servers map[topology.ServerID]Server, now time.Duration) {
+	l.servers = servers
+	for _, s := range l.segments {
+		srv, ok := servers[s.server]
+		if !ok || s.born == srv.Born || s.phase == storing {
+			continue
+		}
+		if s.born != 0 && srv.Born > s.born {
+			s.mayHold = now
+			s.doubt = false
+			s.failures = 0
+			s.handover = ""
+			s.fence = l.fences()
+			s.sent = -time.Hour
+			s.busy = false
+			l.nextID++
+			s.id = l.nextID // a late answer speaks of the earlier life
+			s.phase = unsecured
+			l.version++
+		}
+		s.born = srv.Born
+	}
+}
+
+// Table returns the map that the store is to hold, and whether it differs from
+// what was stored.
+func (l *Leader) Table() (table keymap.Map, changed bool) {
+	for _, s := range l.segments {
+		server := s.server
+		if s.phase == storing && s.next != "" {
+			server = s.next
+			s.appended = true
+			changed = true
+		}
+		table = append(table, keymap.Range{From: s.from, To: s.to, Server: server})
+	}
+	return table, changed
+}
+
+// Stored tells that the last Table is in the store. The keys that waited for it
+// may be granted.
+func (l *Leader) Stored(now time.Duration) {
+	for _, s := range l.segments {
+		if s.phase != storing || !s.appended {
+			continue
+		}
+		s.appended = false
+		s.server, s.next = s.next, ""
+		s.born = l.servers[s.server].Born
+		s.phase = unsecured
+		s.fence = l.fences()
+		s.sent = -time.Hour
+		s.mayHold = now
+		s.doubt, s.failures, s.renewed = false, 0, -time.Hour
+		l.version++
+	}
+}
+
+// NotStored tells that the append of the last Table failed.
+func (l *Leader) NotStored() {
+	for _, s := range l.segments {
+		s.appended = false
+	}
+}
+
+// Move plans that the keys from from to to go to next, as far as they are held
+// by a server and do not move already. Keys without owner go there too.
+func (l *Leader) Move(from, to int, next topology.ServerID) {
+	l.split(from)
+	l.split(to + 1)
+	for _, s := range l.segments {
+		if s.from < from || s.to > to || s.appended {
+			continue
+		}
+		switch s.phase {
+		case storing, waiting:
+			s.next = next
+		case held, unsecured:
+			if s.server != next {
+				s.next = next
+			}
+		}
+	}
+}
+
+// split makes key the first key of a segment.
+func (l *Leader) split(key int) {
+	for i, s := range l.segments {
+		if key <= s.from || key > s.to {
+			continue
+		}
+		right := *s
+		right.from, s.to = key, key-1
+		if s.busy && s.phase == releasing {
+			// The release under way covers both parts; its answer is matched
+			// by id, so the parts ask again.
+			right.busy, s.busy = false, false
+			l.nextID++
+			s.id = l.nextID
+		}
+		if right.busy {
+			// The grant under way covers both parts. Its answer reaches the
+			// left part only; the right part stays in doubt.
+			right.busy, right.doubt = false, true
+		}
+		l.nextID++
+		right.id = l.nextID
+		l.segments = append(l.segments[:i+1], append([]*segment{&right}, l.segments[i+1:]...)...)
+		return
+	}
+}
+
+// merge joins neighbours that the same server holds, so that the number of
+// renewals stays small.
+func (l *Leader) merge() {
+	out := l.segments[:0]
+	for _, s := range l.segments {
+		if len(out) > 0 {
+			p := out[len(out)-1]
+			if mergeable(p, s) {
+				p.to = s.to
+				p.fence = l.fences()
+				p.mayHold = max(p.mayHold, s.mayHold)
+				p.renewed = min(p.renewed, s.renewed)
+				p.sent = min(p.sent, s.sent)
+				continue
+			}
+		}
+		out = append(out, s)
+	}
+	l.segments = out
+}
+
+func mergeable(a, b *segment) bool {
+	calm := func(s *segment) bool {
+		return s.phase == held && !s.busy && !s.doubt && s.failures == 0 && s.next == ""
+	}
+	if a.phase == storing && b.phase == storing && a.next == "" && b.next == "" && a.server == "" && b.server == "" {
+		return true
+	}
+	return calm(a) && calm(b) && a.server == b.server && a.born == b.born
+}
+
+// Step returns the calls that are due.
+func (l *Leader) Step(now time.Duration) []Order {
+	l.merge()
+	var orders []Order
+	for _, s := range l.segments {
+		l.advance(s, now)
+		if o, due := l.due(s, now); due {
+			s.sent, s.busy = now, true
+			o.Service, o.Server, o.From, o.To, o.Fence, o.id = l.service, s.server, s.from, s.to, s.fence, s.id
+			orders = append(orders, o)
+		}
+	}
+	return orders
+}
+
+// advance makes the transitions that depend on time or on the directory.
+func (l *Leader) advance(s *segment, now time.Duration) {
+	_, reachable := l.servers[s.server]
+	switch s.phase {
+	case unsecured, held:
+		if s.busy || s.next == "" {
+			return
+		}
+		switch {
+		case now >= s.mayHold:
+			l.freed(s)
+		case s.phase == held && reachable && s.failures == 0 && !s.doubt:
+			s.phase = releasing
+			s.sent = -time.Hour
+			l.version++
+		case !reachable || s.failures >= unreachableAfter:
+			s.phase = waiting
+			l.version++
+		}
+	case releasing, waiting:
+		if !s.busy && now >= s.mayHold {
+			l.freed(s)
+		}
+	}
+}
+
+// unreachableAfter is the number of calls without answer after which a server
+// counts as unreachable: one may have met a stale connection.
+const unreachableAfter = 2
+
+// freed records that no server holds the keys.
+func (l *Leader) freed(s *segment) {
+	s.phase = storing
+	s.doubt, s.failures = false, 0
+	l.version++
+}
+
+// due returns the call that a segment needs now.
+func (l *Leader) due(s *segment, now time.Duration) (Order, bool) {
+	if s.busy {
+		return Order{}, false
+	}
+	srv, reachable := l.servers[s.server]
+	if !reachable {
+		return Order{}, false
+	}
+	interval := l.set.Renew
+	if s.failures > 0 || s.phase == unsecured || s.phase == releasing {
+		interval = l.set.Retry
+	}
+	if now-s.sent < interval {
+		return Order{}, false
+	}
+	switch s.phase {
+	case unsecured, held:
+		if s.doubt {
+			// An answered grant with a higher fence makes the server refuse
+			// the unanswered one.
+			s.fence = l.fences()
+		}
+		return Order{Kind: Grant, Address: srv.Address, Handover: s.handover}, true
+	case releasing:
+		return Order{Kind: Release, Address: srv.Address}, true
+	default:
+		return Order{}, false
+	}
+}
+
+// Result records the end of a call. The time is that of the answer or of the
+// moment at which the call was given up.
+func (l *Leader) Result(o Order, outcome Outcome, handover string, now time.Duration) {
+	s := l.byID(o.id)
+	if s == nil {
+		l.orphan(o, outcome, now)
+		return
+	}
+	s.busy = false
+	if outcome == Unsent {
+		s.failures++
+		return
+	}
+	if o.Kind == Release {
+		l.released(s, o, outcome, handover)
+		return
+	}
+	l.granted(s, o, outcome, now)
+}
+
+func (l *Leader) released(s *segment, o Order, outcome Outcome, handover string) {
+	if outcome != Done || s.phase != releasing || s.from < o.From || s.to > o.To {
+		s.failures++
+		return
+	}
+	s.handover = handover
+	l.freed(s)
+}
+
+func (l *Leader) granted(s *segment, o Order, outcome Outcome, now time.Duration) {
+	switch outcome {
+	case Done:
+		s.mayHold = now + l.holdBound()
+		if s.phase == unsecured {
+			s.phase = held
+			l.version++
+		}
+		s.renewed = s.sent
+		s.failures, s.handover = 0, ""
+		if o.Fence == s.fence {
+			s.doubt = false
+		}
+	case Unknown:
+		s.mayHold = now + l.holdBound()
+		s.doubt = true
+		s.failures++
+	case Fenced:
+		s.failures++
+		if s.failures > 1 {
+			l.deposed = true
+		}
+		s.fence = l.fences()
+		s.sent = -time.Hour
+	default:
+		s.failures++
+	}
+}
+
+// orphan records the end of a call whose segment was split or replaced since.
+// A grant may still hold for the keys of that call.
+func (l *Leader) orphan(o Order, outcome Outcome, now time.Duration) {
+	if o.Kind != Grant || (outcome != Done && outcome != Unknown) {
+		return
+	}
+	for _, s := range l.segments {
+		if s.server == o.Server && s.from <= o.To && s.to >= o.From && s.fence <= o.Fence {
+			s.mayHold = max(s.mayHold, now+l.holdBound())
+			s.doubt = s.doubt || outcome == Unknown
+		}
+	}
+}
+
+func (l *Leader) byID(id int) *segment {
+	for _, s := range l.segments {
+		if s.id == id {
+			return s
+		}
+	}
+	return nil
+}
+
+// Renew makes the grant of a key due at once: its server has told that it does
+// not hold the key.
+func (l *Leader) Renew(key int, server topology.ServerID) {
+	for _, s := range l.segments {
+		if key >= s.from && key <= s.to && s.server == server && s.phase == held && !s.busy {
+			s.fence = l.fences()
+			s.phase = unsecured
+			s.sent = -time.Hour
+			l.version++
+		}
+	}
+}
+
+// Deposed reports whether a server has refused this leader's newest fence.
+func (l *Leader) Deposed() bool { return l.deposed }
+
+// Checked tells that the store still names this leader.
+func (l *Leader) Checked() { l.deposed = false }
+
+// Version changes whenever a key changes its owner or loses it.
+func (l *Leader) Version() int { return l.version }
+
+// Part is a range of keys as the leader sees it.
+type Part struct {
+	From, To int
+	// Server is the server that may hold the keys; empty if none may.
+	Server topology.ServerID
+	// Next is the server that the keys are going to.
+	Next topology.ServerID
+	// Held is true if the server can be sent requests on these keys.
+	Held bool
+	// Free is the time at which a key that is not held can be granted anew at
+	// the latest; zero if it is not known.
+	Free time.Duration
+	// Lost is true if the server does not answer grants.
+	Lost bool
+}
+
+// Parts calls f for each range in the order of keys.
+func (l *Leader) Parts(now time.Duration, f func(Part)) {
+	for _, s := range l.segments {
+		f(Part{
+			From: s.from, To: s.to, Server: s.server, Next: s.next,
+			Held: s.usable(now, l.set.Hold), Free: s.mayHold, Lost: s.failures >= unreachableAfter,
+		})
+	}
+}
+
+func (s *segment) usable(now, hold time.Duration) bool {
+	return s.phase == held && now < s.renewed+hold
+}
--- /dev/null
+++ b/internal/upstream/peek.go
@@ -0,0 +1,28 @@
+package upstream
+
+import (
+	"net"
+	"syscall"
+)
+
+// quiet reports whether an idle connection is open and has no bytes to read. A
+// connection that the server has closed, or on which a late answer has arrived,
+// is found before a request is written to it.
+func quiet(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = e == syscall.EAGAIN || e == syscall.EWOULDBLOCK
+		return true
+	})
+	return err == nil && open
+}
