Gate moves on the last answer of the store

Cause: the age of the leader's last proof is at least the length of its long poll, so moves were blocked most of the time and one server kept all keys. Change: moves depend on the time since the store last answered; only the autonomy of the leader depends on the age of the proof. A server without keys gets some at once. Ruled out: the meter and the planner; the plan was never asked for.

--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lycheerudder/lycheerudder/internal/clock"
@@ -76,7 +77,7 @@
 
 	wake chan struct{}
 	// resigned is the time until which this host claims nothing.
-	resigned time.Duration
+	resigned atomic.Int64
 
 	mu     sync.Mutex
 	tables map[topology.Service]keymap.Map // as last read
@@ -170,7 +171,7 @@
 			}
 		}
 	}
-	if e.clk.Now() < e.resigned || e.watch.config.Load() == nil {
+	if e.clk.Now() < time.Duration(e.resigned.Load()) || e.watch.config.Load() == nil {
 		return false
 	}
 	sleep(ctx, time.Duration(rand.Float64()*e.weight*float64(claimSpread)))
@@ -208,17 +209,17 @@
 	epoch int64
 
 	mu      sync.Mutex
-	end     int64 // of the ownership topic
-	contact time.Duration
+	end     int64         // of the ownership topic
+	contact time.Duration // send time of the last read that showed this leader
+	seen    time.Duration // time of the last answer of the store
 	fence   int64
-	first   map[topology.Service]bool
 	cancel  context.CancelFunc
 	calls   sync.WaitGroup
 	present int
 }
 
 func newLeadership(e *elector, epoch, end int64) *leadership {
-	l := &leadership{elector: e, epoch: epoch, end: end, contact: e.clk.Now(), fence: (epoch + 1) * fencesPerEpoch}
+	l := &leadership{elector: e, epoch: epoch, end: end, contact: e.clk.Now(), seen: e.clk.Now(), fence: (epoch + 1) * fencesPerEpoch}
 	l.core = newCore(e.clk, e.peers.deliver)
 	return l
 }
@@ -234,12 +235,24 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.contact = max(l.contact, sent)
+	l.seen = l.clk.Now()
 }
 
-func (l *leadership) contactAge() time.Duration {
+// answered records that the store answers, without proof that it names this
+// leader.
+func (l *leadership) answered() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.clk.Now() - l.contact
+	l.seen = l.clk.Now()
+}
+
+// contactAge returns the age of the last proof that the store names this leader,
+// and the time since the store last answered.
+func (l *leadership) contactAge() (proof, seen time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clk.Now()
+	return now - l.contact, now - l.seen
 }
 
 // run leads until the context ends or the leadership is lost.
@@ -296,8 +309,8 @@
 func (l *leadership) tick(ctx context.Context) {
 	l.configure()
 	servers, _ := l.watch.servers()
-	age := l.contactAge()
-	orders := l.core.tick(servers, age < ownershipSettings.Autonomy, age < moveContact && len(servers) > 0)
+	proof, seen := l.contactAge()
+	orders := l.core.tick(servers, proof < ownershipSettings.Autonomy, seen < moveContact && len(servers) > 0)
 	l.carryOut(ctx, orders)
 	present, most := l.peers.tick()
 	l.desk.setHosts(present)
@@ -308,7 +321,7 @@
 		// Most hosts are gone or cut off from this one. If they are cut off,
 		// one of them takes over; if they are gone, this host leads again.
 		l.log.With("hosts", present).With("most", most).Warn("most hosts are silent, this host resigns")
-		l.resigned = l.clk.Now() + resignPause
+		l.resigned.Store(int64(l.clk.Now() + resignPause))
 		l.cancel()
 	}
 }
@@ -345,7 +358,7 @@
 	if deposed {
 		l.verify(ctx)
 	}
-	if l.contactAge() < ownershipSettings.Autonomy && ctx.Err() == nil {
+	if proof, _ := l.contactAge(); proof < ownershipSettings.Autonomy && ctx.Err() == nil {
 		l.carryOut(ctx, next)
 	}
 }
@@ -395,6 +408,7 @@
 		cancel()
 		if err == nil {
 			generation = g
+			l.answered()
 		}
 		sleep(ctx, joinInterval)
 	}
@@ -475,6 +489,3 @@
 // storeInterval is the interval at which freed keys are looked for; keys that
 // are freed within it share one append.
 const storeInterval = 10 * time.Millisecond
-
-// resign ends the leadership of a host that stops.
-func (e *elector) resign() { e.resigned = e.clk.Now() + time.Hour }
--- a/internal/keyplace/keyplace.go
+++ b/internal/keyplace/keyplace.go
@@ -241,7 +241,8 @@
 // if no move is worth it.
 func (p *planner) balance(set Settings) bool {
 	high, low := p.busiest(), p.idlest()
-	if high.use() < set.MinUse || high.use()-low.use() < set.MinGap {
+	empty := low.load == 0 && high != low
+	if !empty && (high.use() < set.MinUse || high.use()-low.use() < set.MinGap) {
 		return false
 	}
 	level := (high.load + low.load) / (high.Capacity + low.Capacity)
