--- a/cmd/lygate/main.go
+++ b/cmd/lygate/main.go
@@ -4,7 +4,9 @@
 import (
 	"context"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/lycheerudder/lycheerudder/internal/gateway"
 	"github.com/lycheerudder/lycheerudder/internal/logging"
@@ -41,6 +43,25 @@
 		}
 		st := gateway.NewStats()
 		store := platform.NewStore(set.StoreAddress, func(path string) { st.Count("store" + path) })
+		reload := make(chan os.Signal, 1)
+		signal.Notify(reload, syscall.SIGHUP)
+		go func() {
+			for range reload {
+				reloadSettings(o.Settings)
+			}
+		}()
 		return gateway.Run(ctx, set, platform.Names, store, platform.NewGrants(), st)
 	})
 }
+
+// reloadSettings checks the settings file again. The addresses, the limits and
+// the bounds of a process hold from its start on; a change of them takes effect
+// with the next start.
+func reloadSettings(path string) {
+	log := logging.For(logging.Router)
+	if _, err := platform.ReadSettings(path); err != nil {
+		log.Error("the changed settings are not valid and are not used", err)
+		return
+	}
+	log.Info("settings were read again")
+}
