Keep one holder of a key through late grants, restarts and rival leaders

Cause: a random model of servers, leaders and the store found four ways to two holders: a grant in flight was not counted when its range was split; an unanswered grant shortened the wait for an earlier leader; a restarted server has no fence and could be granted to by a leader that had been replaced; DRAIN broke because a host that became responsible decided on an old list of servers. Ruled out: fences of the store's end; shortening the autonomy, which does not remove any of the four.

--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -21,6 +21,8 @@
 	clk clock.Clock
 	// deliver takes decisions; it is called without the lock.
 	deliver func([]schedule.Decision)
+	// trusted reports whether the list of servers is fresh enough.
+	trusted func() bool
 
 	mu       sync.Mutex
 	services map[uint32]*domain // by hash of the name
@@ -61,8 +63,8 @@
 	return h.Sum32()
 }
 
-func newCore(clk clock.Clock, deliver func([]schedule.Decision)) *core {
-	return &core{clk: clk, deliver: deliver, services: make(map[uint32]*domain)}
+func newCore(clk clock.Clock, deliver func([]schedule.Decision), trusted func() bool) *core {
+	return &core{clk: clk, deliver: deliver, trusted: trusted, services: make(map[uint32]*domain)}
 }
 
 // configure adds the services of the configuration.
@@ -124,11 +126,20 @@
 		d.meter.Add(j.Key, d.sched.Work(j.Class), now)
 	}
 	d.sched.Add(j, now)
-	out := d.sched.Run(now)
+	out := c.decide(d, now)
 	c.mu.Unlock()
 	c.deliver(out)
 }
 
+// decide returns the decisions on the requests of a service, none while the list
+// of servers is too old.
+func (c *core) decide(d *domain, now time.Duration) []schedule.Decision {
+	if !c.trusted() {
+		return nil
+	}
+	return d.sched.Run(now)
+}
+
 // unknownRetry is the time after which a request to a service that is not known
 // yet can succeed.
 const unknownRetry = 300 * time.Millisecond
@@ -147,7 +158,7 @@
 			d.grants.Renew(j.Key, srv)
 			d.refreshOwners(now)
 		}
-		out = d.sched.Run(now)
+		out = c.decide(d, now)
 		break
 	}
 	c.mu.Unlock()
@@ -173,7 +184,7 @@
 	now := c.clk.Now()
 	var out []schedule.Decision
 	for _, d := range c.services {
-		out = append(out, d.sched.Run(now)...)
+		out = append(out, c.decide(d, now)...)
 	}
 	c.mu.Unlock()
 	c.deliver(out)
@@ -277,7 +288,7 @@
 }
 
 // tick advances the grants of all services and returns the calls that are due.
-func (c *core) tick(servers []fleet.Server, mayGrant, mayMove bool) []ownership.Order {
+func (c *core) tick(servers []fleet.Server, proof time.Duration, mayMove bool) []ownership.Order {
 	c.refresh(servers)
 	c.mu.Lock()
 	now := c.clk.Now()
@@ -294,12 +305,10 @@
 				}
 				d.plan(usable, now)
 			}
-			if mayGrant {
-				orders = append(orders, d.grants.Step(now)...)
-			}
+			orders = append(orders, d.grants.Step(now, proof)...)
 			d.refreshOwners(now)
 		}
-		out = append(out, d.sched.Run(now)...)
+		out = append(out, c.decide(d, now)...)
 	}
 	c.mu.Unlock()
 	c.deliver(out)
@@ -308,7 +317,7 @@
 
 // result records the end of a call to a server. It reports whether a server has
 // refused the newest fence.
-func (c *core) result(o ownership.Order, outcome ownership.Outcome, handover string) (deposed bool, next []ownership.Order) {
+func (c *core) result(o ownership.Order, outcome ownership.Outcome, handover string, proof time.Duration) (deposed bool, next []ownership.Order) {
 	c.mu.Lock()
 	d, ok := c.services[hash32(string(o.Service))]
 	if !ok || d.grants == nil {
@@ -317,9 +326,9 @@
 	}
 	now := c.clk.Now()
 	d.grants.Result(o, outcome, handover, now)
-	next = d.grants.Step(now)
+	next = d.grants.Step(now, proof)
 	d.refreshOwners(now)
-	out := d.sched.Run(now)
+	out := c.decide(d, now)
 	deposed = d.grants.Deposed()
 	c.mu.Unlock()
 	c.deliver(out)
@@ -354,7 +363,7 @@
 }
 
 // stored records the end of an append of tables.
-func (c *core) stored(tables map[topology.Service]keymap.Map, ok bool) []ownership.Order {
+func (c *core) stored(tables map[topology.Service]keymap.Map, ok bool, proof time.Duration) []ownership.Order {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clk.Now()
@@ -366,7 +375,7 @@
 			continue
 		}
 		d.grants.Stored(now)
-		orders = append(orders, d.grants.Step(now)...)
+		orders = append(orders, d.grants.Step(now, proof)...)
 		d.refreshOwners(now)
 	}
 	return orders
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -73,12 +73,12 @@
 	version   int64         // of the configuration that the leader knows
 }
 
-func newDesk(clk clock.Clock, link *hostlink.Link, host uint64, dc topology.DataCentre, suspect func()) *desk {
+func newDesk(clk clock.Clock, link *hostlink.Link, host uint64, dc topology.DataCentre, suspect func(), trusted func() bool) *desk {
 	d := &desk{
 		clk: clk, link: link, host: host, dataCentre: dc, suspect: suspect,
 		questions: make(map[uint32]*question), first: 1, hosts: 1,
 	}
-	d.fallback = newCore(clk, d.decide)
+	d.fallback = newCore(clk, d.decide, trusted)
 	return d
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,7 +102,7 @@
 		Signature: names.Signature, NotExecuted: names.NotExecuted, ServerLoad: names.ServerLoad,
 	})
 	g.watch = newWatch(clk, store, g.need, g.changed)
-	g.desk = newDesk(clk, link, incarnation, set.DataCentre, func() { g.elector.suspect() })
+	g.desk = newDesk(clk, link, incarnation, set.DataCentre, func() { g.elector.suspect() }, g.watch.trusted)
 	g.peers = &peers{clk: clk, link: link, self: incarnation, status: g.status, local: g.desk.decide}
 	g.elector = &elector{
 		clk: clk, store: store, grants: grants, desk: g.desk, peers: g.peers, watch: g.watch,
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -52,6 +52,7 @@
 	Hold:     2200 * time.Millisecond,
 	Renew:    650 * time.Millisecond,
 	Retry:    200 * time.Millisecond,
+	Flight:   grantTimeout,
 	Autonomy: 10 * time.Second,
 }
 
@@ -212,6 +213,7 @@
 	end     int64         // of the ownership topic
 	contact time.Duration // send time of the last read that showed this leader
 	seen    time.Duration // time of the last answer of the store
+	proved  time.Duration // time of the last read after a failed call
 	fence   int64
 	cancel  context.CancelFunc
 	calls   sync.WaitGroup
@@ -220,7 +222,7 @@
 
 func newLeadership(e *elector, epoch, end int64) *leadership {
 	l := &leadership{elector: e, epoch: epoch, end: end, contact: e.clk.Now(), seen: e.clk.Now(), fence: (epoch + 1) * fencesPerEpoch}
-	l.core = newCore(e.clk, e.peers.deliver)
+	l.core = newCore(e.clk, e.peers.deliver, e.watch.trusted)
 	return l
 }
 
@@ -246,13 +248,12 @@
 	l.seen = l.clk.Now()
 }
 
-// contactAge returns the age of the last proof that the store names this leader,
-// and the time since the store last answered.
-func (l *leadership) contactAge() (proof, seen time.Duration) {
+// proof returns the time of the last proof that the store names this leader, and
+// the time since the store last answered.
+func (l *leadership) proof() (at, seen time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.clk.Now()
-	return now - l.contact, now - l.seen
+	return l.contact, l.clk.Now() - l.seen
 }
 
 // run leads until the context ends or the leadership is lost.
@@ -309,8 +310,8 @@
 func (l *leadership) tick(ctx context.Context) {
 	l.configure()
 	servers, _ := l.watch.servers()
-	proof, seen := l.contactAge()
-	orders := l.core.tick(servers, proof < ownershipSettings.Autonomy, seen < moveContact && len(servers) > 0)
+	proof, seen := l.proof()
+	orders := l.core.tick(servers, proof, seen < moveContact && len(servers) > 0)
 	l.carryOut(ctx, orders)
 	present, most := l.peers.tick()
 	l.desk.setHosts(present)
@@ -354,11 +355,15 @@
 		l.log.With("server", string(o.Server)).With("from", o.From).With("to", o.To).With("fence", o.Fence).
 			With("kind", int(o.Kind)).With("outcome", int(outcome)).Info("an order to a server failed: " + err.Error())
 	}
-	deposed, next := l.core.result(o, outcome, handover)
+	proof, _ := l.proof()
+	if outcome != ownership.Done {
+		proof = l.prove(ctx)
+	}
+	deposed, next := l.core.result(o, outcome, handover, proof)
 	if deposed {
 		l.verify(ctx)
 	}
-	if proof, _ := l.contactAge(); proof < ownershipSettings.Autonomy && ctx.Err() == nil {
+	if ctx.Err() == nil {
 		l.carryOut(ctx, next)
 	}
 }
@@ -399,6 +404,33 @@
 	l.core.checked()
 }
 
+// proveInterval bounds the rate of reads that prove the lead after failed calls.
+const proveInterval = 100 * time.Millisecond
+
+// prove reads from the store whether this host still leads: after a failed call
+// a server gets a grant only with a later proof. It returns the time of the last
+// proof.
+func (l *leadership) prove(ctx context.Context) time.Duration {
+	l.mu.Lock()
+	now := l.clk.Now()
+	if now-l.proved < proveInterval {
+		l.mu.Unlock()
+		proof, _ := l.proof()
+		return proof
+	}
+	l.proved = now
+	from := l.end
+	l.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	end, err := l.store.OwnersEnd(call, from, 0)
+	if err == nil && end == from {
+		l.touch(now)
+	}
+	proof, _ := l.proof()
+	return proof
+}
+
 // keepMembership shows the other hosts that the leader reaches the store.
 func (l *leadership) keepMembership(ctx context.Context) {
 	var generation int64
@@ -469,7 +501,7 @@
 		end, err := l.store.Append(call, at, records)
 		cancel()
 		if err != nil {
-			l.core.stored(tables, false)
+			l.core.stored(tables, false, 0)
 			if errors.Is(err, ErrOutdated) {
 				l.verify(ctx)
 			} else {
@@ -482,7 +514,7 @@
 		l.end = max(l.end, end)
 		l.mu.Unlock()
 		l.touch(sent)
-		l.carryOut(ctx, l.core.stored(tables, true))
+		l.carryOut(ctx, l.core.stored(tables, true, sent))
 	}
 }
 
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -28,6 +28,9 @@
 	hostPoll   = 4 * time.Second
 	urgentPoll = 500 * time.Millisecond
 	staleList  = 800 * time.Millisecond
+	// freshList is the age of the list up to which requests are sent; it leaves
+	// the time that a request needs to reach its server.
+	freshList = 1400 * time.Millisecond
 )
 
 // watch keeps the configuration and the list of servers up to date.
@@ -47,8 +50,8 @@
 	mu        sync.Mutex
 	directory *fleet.Directory
 	next      int64
-	list      []fleet.Server
-	listAt    time.Duration
+	failedAt  time.Duration // time of the last failed read
+	failed    bool
 }
 
 func newWatch(clk clock.Clock, store Store, need func() (time.Duration, int64), changed func()) *watch {
@@ -187,12 +190,14 @@
 	w.mu.Unlock()
 	sent := w.clk.Now()
 	c, err := w.store.ServerChanges(call, from)
-	if err != nil {
-		return err
-	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.clk.Now()
+	w.failed = err != nil
+	if err != nil {
+		w.failedAt = now
+		return err
+	}
 	w.directory.Confirm(sent)
 	w.next = c.Next
 	if c.Full {
@@ -225,6 +230,19 @@
 	return list, w.directory.Age(now)
 }
 
+// trusted reports whether requests may be sent to the servers of the list: it is
+// fresh, or the store was asked in vain. A host that has just become responsible
+// for the list reads it first: servers may have announced their shutdown since.
+func (w *watch) trusted() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.clk.Now()
+	if w.directory.Known() && w.directory.Age(now) < freshList {
+		return true
+	}
+	return w.failed && now-w.failedAt < 2*callTimeout
+}
+
 // sleep waits for d or the end of the context.
 func sleep(ctx context.Context, d time.Duration) {
 	select {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -28,6 +28,8 @@
 	Renew time.Duration
 	// Retry is the interval between attempts at a server that does not answer.
 	Retry time.Duration
+	// Flight is the time after which a call is given up.
+	Flight time.Duration
 	// Autonomy is the longest time for which an earlier leader that lost the
 	// store goes on renewing its grants.
 	Autonomy time.Duration
@@ -115,11 +117,15 @@
 	renewed time.Duration
 	// mayHold is the time until which the server may hold the keys.
 	mayHold time.Duration
+	// before is mayHold without the grant under way.
+	before time.Duration
 	// doubt is true while a grant that was sent under the present fence has not
 	// been answered: it may be carried out later.
 	doubt bool
-	// failures counts the calls without an answer since the last success.
+	// failures counts the calls without an answer since the last success, failed
+	// is the time of the last of them.
 	failures int
+	failed   time.Duration
 	appended bool
 }
 
@@ -132,6 +138,8 @@
 	servers  map[topology.ServerID]Server
 	segments []*segment // in the order of keys
 	nextID   int
+	// rivals is the time until which grants of earlier leaders may arrive.
+	rivals time.Duration
 	// version changes whenever a key changes its owner or loses it.
 	version int
 	// deposed is true once a server has refused the newest fence.
@@ -143,10 +151,11 @@
 // now. The fences function returns growing fences above all earlier ones.
 func New(service topology.Service, set Settings, table keymap.Map, fences func() int64, now time.Duration, first bool) *Leader {
 	l := &Leader{service: service, set: set, fences: fences, servers: make(map[topology.ServerID]Server)}
-	mayHold := now + set.Autonomy + l.holdBound()
+	l.rivals = now + set.Autonomy + set.Flight
 	if first {
-		mayHold = now
+		l.rivals = now
 	}
+	mayHold := l.rivals + l.holdBound()
 	for _, r := range table {
 		s := &segment{from: r.From, to: r.To, server: r.Server, fence: fences(), mayHold: mayHold, sent: -time.Hour}
 		if r.Server == "" {
@@ -180,6 +189,10 @@
 		}
 		if s.born != 0 && srv.Born > s.born {
 			s.mayHold = now
+			if now < l.rivals {
+				// The new life has seen no fence yet.
+				s.mayHold = l.rivals + l.holdBound()
+			}
 			s.doubt = false
 			s.failures = 0
 			s.handover = ""
@@ -314,14 +327,24 @@
 	return calm(a) && calm(b) && a.server == b.server && a.born == b.born
 }
 
-// Step returns the calls that are due.
-func (l *Leader) Step(now time.Duration) []Order {
+// Step returns the calls that are due. The time proof is that of the last proof
+// that the store names this leader.
+func (l *Leader) Step(now, proof time.Duration) []Order {
 	l.merge()
+	if now-proof > l.set.Autonomy {
+		return nil
+	}
 	var orders []Order
 	for _, s := range l.segments {
 		l.advance(s, now)
-		if o, due := l.due(s, now); due {
+		if o, due := l.due(s, now, proof); due {
 			s.sent, s.busy = now, true
+			if o.Kind == Grant {
+				// The grant counts from its arrival, which can be as late as
+				// the moment at which it is given up.
+				s.before = s.mayHold
+				s.mayHold = max(s.mayHold, now+l.set.Flight+l.holdBound())
+			}
 			o.Service, o.Server, o.From, o.To, o.Fence, o.id = l.service, s.server, s.from, s.to, s.fence, s.id
 			orders = append(orders, o)
 		}
@@ -367,7 +390,7 @@
 }
 
 // due returns the call that a segment needs now.
-func (l *Leader) due(s *segment, now time.Duration) (Order, bool) {
+func (l *Leader) due(s *segment, now, proof time.Duration) (Order, bool) {
 	if s.busy {
 		return Order{}, false
 	}
@@ -384,6 +407,11 @@
 	}
 	switch s.phase {
 	case unsecured, held:
+		if s.failures > 0 && s.failed >= proof {
+			// The server may have started again and forgotten the fence of a
+			// later leader, which only the store can tell of.
+			return Order{}, false
+		}
 		if s.doubt {
 			// An answered grant with a higher fence makes the server refuse
 			// the unanswered one.
@@ -407,19 +435,27 @@
 	}
 	s.busy = false
 	if outcome == Unsent {
-		s.failures++
+		if o.Kind == Grant {
+			s.mayHold = s.before
+		}
+		s.fail(now)
 		return
 	}
 	if o.Kind == Release {
-		l.released(s, o, outcome, handover)
+		l.released(s, o, outcome, handover, now)
 		return
 	}
 	l.granted(s, o, outcome, now)
 }
 
-func (l *Leader) released(s *segment, o Order, outcome Outcome, handover string) {
+func (s *segment) fail(now time.Duration) {
+	s.failures++
+	s.failed = now
+}
+
+func (l *Leader) released(s *segment, o Order, outcome Outcome, handover string, now time.Duration) {
 	if outcome != Done || s.phase != releasing || s.from < o.From || s.to > o.To {
-		s.failures++
+		s.fail(now)
 		return
 	}
 	s.handover = handover
@@ -440,18 +476,18 @@
 			s.doubt = false
 		}
 	case Unknown:
-		s.mayHold = now + l.holdBound()
+		s.mayHold = max(s.mayHold, now+l.holdBound())
 		s.doubt = true
-		s.failures++
+		s.fail(now)
 	case Fenced:
-		s.failures++
+		s.fail(now)
 		if s.failures > 1 {
 			l.deposed = true
 		}
 		s.fence = l.fences()
 		s.sent = -time.Hour
 	default:
-		s.failures++
+		s.fail(now)
 	}
 }
 
