--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -23,6 +23,11 @@
 	deliver func([]schedule.Decision)
 	// trusted reports whether the list of servers is fresh enough.
 	trusted func() bool
+	// may reports whether this host may send grants, rivals returns the time
+	// after which no grant of an earlier leader arrives. Both are nil in the core
+	// of a host that does not lead.
+	may    func() bool
+	rivals func() time.Duration
 
 	mu       sync.Mutex
 	services map[uint32]*domain // by hash of the name
@@ -55,6 +60,7 @@
 	MaxMoves: 3,    // moves under way hold up requests
 	MinGap:   0.15, // in slots per slot
 	MinUse:   0.30, // below, requests rarely wait
+	MaxParts: 2.5,  // each part costs a renewal, in bytes between data centres
 }
 
 func hash32(s string) uint32 {
@@ -305,7 +311,7 @@
 				}
 				d.plan(usable, now)
 			}
-			orders = append(orders, d.grants.Step(now, proof)...)
+			orders = append(orders, c.step(d, now, proof)...)
 			d.refreshOwners(now)
 		}
 		out = append(out, c.decide(d, now)...)
@@ -315,6 +321,60 @@
 	return orders
 }
 
+// summary describes the load of a service for the log.
+type summary struct {
+	service                 topology.Service
+	waiting, running, slots int
+	parts, moving, unowned  int
+	busiest, mean           float64
+	hottest                 float64 // load of the busiest key
+}
+
+// summaries returns the load of all services.
+func (c *core) summaries() []summary {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clk.Now()
+	var out []summary
+	for _, d := range c.services {
+		s := summary{service: d.name}
+		s.waiting, s.running, s.slots = d.sched.Counts()
+		if d.grants != nil && d.meter != nil {
+			sums := d.meter.Sums(now)
+			for k := range keymap.Keys {
+				s.hottest = max(s.hottest, sums[k+1]-sums[k])
+			}
+			load := make(map[topology.ServerID]float64)
+			d.grants.Parts(now, func(p ownership.Part) {
+				s.parts++
+				if p.Next != "" {
+					s.moving++
+				}
+				if !p.Held {
+					s.unowned++
+				}
+				load[p.Server] += sums[p.To+1] - sums[p.From]
+			})
+			for id, l := range load {
+				l *= d.sched.Slowness(id) / 2
+				s.busiest = max(s.busiest, l)
+				s.mean += l / float64(len(load))
+			}
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// step returns the calls that are due for a service.
+func (c *core) step(d *domain, now, proof time.Duration) []ownership.Order {
+	d.grants.SetRivals(c.rivals())
+	if !c.may() {
+		return nil
+	}
+	return d.grants.Step(now, proof)
+}
+
 // result records the end of a call to a server. It reports whether a server has
 // refused the newest fence.
 func (c *core) result(o ownership.Order, outcome ownership.Outcome, handover string, proof time.Duration) (deposed bool, next []ownership.Order) {
@@ -326,7 +386,7 @@
 	}
 	now := c.clk.Now()
 	d.grants.Result(o, outcome, handover, now)
-	next = d.grants.Step(now, proof)
+	next = c.step(d, now, proof)
 	d.refreshOwners(now)
 	out := c.decide(d, now)
 	deposed = d.grants.Deposed()
@@ -362,6 +422,23 @@
 	return out
 }
 
+// revert gives keys whose move cannot be stored back to their servers. It must be
+// called only if the store has refused the append.
+func (c *core) revert(proof time.Duration) []ownership.Order {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clk.Now()
+	var orders []ownership.Order
+	for _, d := range c.services {
+		if d.grants != nil {
+			d.grants.Revert(now)
+			orders = append(orders, c.step(d, now, proof)...)
+			d.refreshOwners(now)
+		}
+	}
+	return orders
+}
+
 // stored records the end of an append of tables.
 func (c *core) stored(tables map[topology.Service]keymap.Map, ok bool, proof time.Duration) []ownership.Order {
 	c.mu.Lock()
@@ -375,7 +452,7 @@
 			continue
 		}
 		d.grants.Stored(now)
-		orders = append(orders, d.grants.Step(now, proof)...)
+		orders = append(orders, c.step(d, now, proof)...)
 		d.refreshOwners(now)
 	}
 	return orders
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -71,6 +72,12 @@
 	hosts     int
 	dirAge    time.Duration // of the leader's list of servers, at heard
 	version   int64         // of the configuration that the leader knows
+	// peers holds addresses of other hosts, asked in turn when the leader does
+	// not answer.
+	peers  []netip.AddrPort
+	turn   int
+	asked  time.Duration // last message to a peer
+	depose func()        // ends the lead of this host
 }
 
 func newDesk(clk clock.Clock, link *hostlink.Link, host uint64, dc topology.DataCentre, suspect func(), trusted func() bool) *desk {
@@ -200,7 +207,7 @@
 	d.mu.Lock()
 	now := d.clk.Now()
 	m := &hostlink.ToLeader{
-		Host: d.host, DataCentre: string(d.dataCentre), Questions: questions,
+		Host: d.host, DataCentre: string(d.dataCentre), Epoch: d.epoch, Questions: questions,
 		FirstReport: d.first, Reports: d.reports[:min(len(d.reports), maxBatch)],
 	}
 	d.told = now
@@ -251,9 +258,26 @@
 	}
 }
 
-// HandleFromLeader takes a message of the leader.
+// handle takes a message of the leader, or of a host that was taken for it.
 func (d *desk) handle(from netip.AddrPort, m *hostlink.FromLeader) {
 	d.mu.Lock()
+	if m.Epoch > d.epoch {
+		// A later leader makes itself known, or another host knows it.
+		leader, err := from, error(nil)
+		if !m.Leads {
+			leader, err = netip.ParseAddrPort(m.Leader)
+		}
+		own := d.own != nil
+		d.mu.Unlock()
+		switch {
+		case err != nil:
+		case own:
+			d.depose()
+		default:
+			d.follow(leader, m.Epoch)
+		}
+		return
+	}
 	if d.own != nil || from != d.leader {
 		d.mu.Unlock()
 		return
@@ -264,6 +288,7 @@
 		d.suspect()
 		return
 	}
+	d.learn(m.Peers)
 	d.heard, d.misses = d.clk.Now(), 0
 	d.hosts = max(1, int(m.Hosts))
 	d.dirAge = time.Duration(m.DirectoryAgeMS) * time.Millisecond
@@ -292,7 +317,65 @@
 	d.decide(answers)
 }
 
+// learn remembers the addresses of other hosts.
+func (d *desk) learn(list []string) {
+	if len(list) == 0 {
+		return
+	}
+	d.peers = d.peers[:0]
+	for _, text := range list {
+		if a, err := netip.ParseAddrPort(text); err == nil {
+			d.peers = append(d.peers, a)
+		}
+	}
+}
+
+// announce makes this host known as the leader to its peers and to others.
+func (d *desk) announce(m hostlink.FromLeader, others []netip.AddrPort) {
+	d.mu.Lock()
+	m.Leads, m.Epoch = true, d.epoch
+	list := append(slices.Clone(d.peers), others...)
+	d.mu.Unlock()
+	for _, a := range list {
+		_ = d.link.FromLeader(a, &m) // hosts that miss it ask the store or their peers
+	}
+}
+
+// inquire asks another host for the leader: this host may reach neither the
+// leader nor the store.
+func (d *desk) inquire(now time.Duration) {
+	d.mu.Lock()
+	if len(d.peers) == 0 || now-d.asked < inquireInterval {
+		d.mu.Unlock()
+		return
+	}
+	d.asked = now
+	d.turn++
+	a := d.peers[d.turn%len(d.peers)]
+	d.mu.Unlock()
+	_ = d.link.ToLeader(a, &hostlink.ToLeader{Host: d.host, DataCentre: string(d.dataCentre), FirstReport: 1})
+}
+
+// blind reports whether the leader says that it has lost the store.
+func (d *desk) blind() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.own == nil && d.leader.IsValid() && d.dirAge > blindAge && d.clk.Now()-d.heard < leaderSilence*4
+}
+
+// followed returns the leader and its epoch.
+func (d *desk) followed() (netip.AddrPort, int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.leader, d.epoch
+}
+
 const (
+	// inquireInterval is the interval at which peers are asked for the leader.
+	inquireInterval = 100 * time.Millisecond
+	// blindAge is the age of the leader's list of servers above which a host
+	// that reaches the store takes the lead.
+	blindAge = 1100 * time.Millisecond
 	// heartbeat is the interval at which a host without requests shows itself.
 	heartbeat = 700 * time.Millisecond
 	// leaderSilence is the time without a message after which the leader is
@@ -330,6 +413,10 @@
 	}
 	if silent {
 		d.suspect()
+		d.inquire(now)
+	}
+	if d.blind() {
+		d.suspect()
 	}
 	d.fallback.run()
 }
@@ -373,14 +460,14 @@
 
 // knows makes the desk follow the leader at addr if it did not ask it before.
 // It returns false if that leader is the one that does not answer.
-func (d *desk) knows(addr netip.AddrPort, member string) bool {
+func (d *desk) knows(addr netip.AddrPort, member string, epoch int64) bool {
 	d.mu.Lock()
-	known := d.member == member && d.leader == addr
+	known := d.member == member || epoch < d.epoch
 	d.member = member
 	d.mu.Unlock()
 	if known {
 		return false
 	}
-	d.follow(addr, 0)
+	d.follow(addr, epoch)
 	return true
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/lycheerudder/lycheerudder/internal/clock"
+	"github.com/lycheerudder/lycheerudder/internal/front"
 	"github.com/lycheerudder/lycheerudder/internal/hostlink"
 	"github.com/lycheerudder/lycheerudder/internal/logging"
 	"github.com/lycheerudder/lycheerudder/internal/upstream"
@@ -32,8 +33,10 @@
 	trimInterval = 2 * time.Second
 	// readHeaderTimeout is used until the configuration states one.
 	readHeaderTimeout = 10 * time.Second
-	// callerIdle is above the time for which callers keep idle connections.
-	callerIdle = 2 * time.Minute
+	// defaultLimits hold until a configuration is known.
+	defaultHeaderBytes = 16 << 10
+	defaultBodyBytes   = 64 << 20
+	defaultIdle        = 15 * time.Second
 	// notReadyTime is the time for which a stopping host still takes requests:
 	// the balancer needs two misses in a row, a second apart.
 	notReadyTime = 2300 * time.Millisecond
@@ -103,12 +106,13 @@
 	})
 	g.watch = newWatch(clk, store, g.need, g.changed)
 	g.desk = newDesk(clk, link, incarnation, set.DataCentre, func() { g.elector.suspect() }, g.watch.trusted)
-	g.peers = &peers{clk: clk, link: link, self: incarnation, status: g.status, local: g.desk.decide}
+	g.peers = &peers{clk: clk, link: link, self: incarnation, status: g.status, local: g.desk.decide, known: g.desk.followed}
 	g.elector = &elector{
 		clk: clk, store: store, grants: grants, desk: g.desk, peers: g.peers, watch: g.watch,
 		log: logging.For(logging.Lead), member: string(set.Host) + "#" + strconv.FormatUint(incarnation, 36),
 		self: address, weight: 1 / max(set.CPUShare, minCPUShare), wake: make(chan struct{}, 1),
 	}
+	g.desk.depose = g.elector.depose
 	g.ingress = &ingress{
 		clk: clk, names: names, desk: g.desk, watch: g.watch, upstream: g.upstream,
 		budget: newRetryBudget(clk, set.Bounds), log: &requestLog{log: logging.For(logging.Frontend), clk: clk}, stats: st,
@@ -126,7 +130,7 @@
 	switch {
 	case s.leads:
 		return leaderPoll, s.configVersion
-	case s.directoryAge > staleList || g.desk.silent():
+	case s.directoryAge > staleList || g.desk.silent() || g.desk.blind():
 		return urgentPoll, s.configVersion
 	default:
 		return hostPoll, s.configVersion
@@ -150,7 +154,8 @@
 // status is the header of messages to hosts.
 func (g *gateway) status() hostlink.FromLeader {
 	_, age := g.watch.servers()
-	m := hostlink.FromLeader{DirectoryAgeMS: uint32(min(age, time.Minute).Milliseconds())}
+	_, epoch := g.desk.followed()
+	m := hostlink.FromLeader{Epoch: epoch, DirectoryAgeMS: uint32(min(age, time.Minute).Milliseconds())}
 	if cfg := g.watch.config.Load(); cfg != nil {
 		m.ConfigVersion = cfg.Version
 	}
@@ -174,14 +179,20 @@
 	go g.tick(work)
 
 	ready := &http.Server{Handler: http.HandlerFunc(g.ready), ReadHeaderTimeout: readHeaderTimeout}
-	callers := &http.Server{Handler: g.ingress, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdle}
+	callers := front.New(g.ingress.handle, g.limits)
 	failed := make(chan error, 2)
 	if err := listen(g.set.ReadyAddress, ready, failed); err != nil {
 		return err
 	}
-	if err := listen(g.set.CallerAddress, callers, failed); err != nil {
-		return err
+	l, err := net.Listen("tcp4", g.set.CallerAddress)
+	if err != nil {
+		return eris.Wrap(err, "listen")
 	}
+	go func() {
+		if err := callers.Serve(l); !errors.Is(err, net.ErrClosed) {
+			failed <- err
+		}
+	}()
 	select {
 	case err := <-failed:
 		return err
@@ -206,7 +217,7 @@
 
 // stop lets the balancer turn away from this host, hands the lead over, and
 // ends once all requests are answered.
-func (g *gateway) stop(callers *http.Server, stopLead func()) {
+func (g *gateway) stop(callers *front.Server, stopLead func()) {
 	g.log.Info("host stops")
 	g.stopping.Store(true)
 	began := time.Now()
@@ -220,6 +231,29 @@
 	g.log.Info("host has stopped")
 }
 
+// limits returns the limits of callers that are in force.
+func (g *gateway) limits() front.Limits {
+	l := front.Limits{
+		HeaderBytes: defaultHeaderBytes, BodyBytes: defaultBodyBytes,
+		HeaderTimeout: readHeaderTimeout, IdleTimeout: defaultIdle,
+	}
+	cfg := g.watch.config.Load()
+	if cfg == nil {
+		return l
+	}
+	if cfg.Limits.MaxHeaderBytes > 0 {
+		l.HeaderBytes = cfg.Limits.MaxHeaderBytes
+	}
+	if cfg.Limits.MaxBodyBytes > 0 {
+		l.BodyBytes = cfg.Limits.MaxBodyBytes
+	}
+	if cfg.Limits.HeaderTimeout > 0 {
+		l.HeaderTimeout = cfg.Limits.HeaderTimeout
+	}
+	l.IdleTimeout = max(l.IdleTimeout, cfg.Limits.IdleTimeout)
+	return l
+}
+
 // ready answers the balancer.
 func (g *gateway) ready(w http.ResponseWriter, _ *http.Request) {
 	if g.stopping.Load() || g.watch.config.Load() == nil {
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -13,6 +13,7 @@
 
 	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/fleet"
+	"github.com/lycheerudder/lycheerudder/internal/front"
 	"github.com/lycheerudder/lycheerudder/internal/schedule"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 	"github.com/lycheerudder/lycheerudder/internal/upstream"
@@ -28,8 +29,6 @@
 	maxSends = 4
 	// minRetryTime is the time left below which a request is not sent again.
 	minRetryTime = 40 * time.Millisecond
-	// maxHeldBodies bounds the bytes of request bodies that a host holds.
-	maxHeldBodies = 96 << 20
 )
 
 // ingress takes the requests of callers.
@@ -42,7 +41,6 @@
 	budget   *retryBudget
 	log      *requestLog
 	stats    *stats
-	bodies   atomic.Int64
 	points   atomic.Uint64
 }
 
@@ -61,42 +59,28 @@
 	runs int
 }
 
-// ServeHTTP implements http.Handler.
-func (in *ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	start := time.Now()
+// handle answers one request.
+func (in *ingress) handle(parent context.Context, r *front.Request) *front.Response {
 	cfg := in.watch.config.Load()
 	if cfg == nil {
-		in.refuse(w, nil, "no configuration is known", unknownRetry)
-		return
+		return in.refuse(nil, "no-configuration", unknownRetry)
 	}
 	route := cfg.Match(r.Host, r.URL.Path)
 	if route == nil {
 		in.stats.count("unknown-route")
-		w.WriteHeader(http.StatusNotFound)
-		return
+		return &front.Response{Status: http.StatusNotFound}
 	}
-	c, err := in.accept(r, route, start, cfg)
-	if err != nil {
-		in.stats.count("unreadable")
-		status := http.StatusBadRequest
-		if errors.Is(err, errTooLarge) {
-			status = http.StatusRequestEntityTooLarge
-		}
-		w.WriteHeader(status)
-		return
-	}
-	defer in.bodies.Add(-int64(len(c.request.Body)))
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	c := in.accept(r, route)
+	ctx, cancel := context.WithDeadline(parent, c.deadline)
 	defer cancel()
 	in.budget.request(c.service)
-	in.run(ctx, w, c)
-	in.stats.observe(route.Name, time.Since(start))
+	answer := in.run(ctx, c)
+	in.stats.observe(route.Name, time.Since(c.start))
+	return answer
 }
 
-var errTooLarge = errors.New("request body is too large")
-
-// accept reads the whole request. A body that breaks off has not been run.
-func (in *ingress) accept(r *http.Request, route *fleet.Route, start time.Time, cfg *fleet.Config) (*call, error) {
+// accept prepares a request.
+func (in *ingress) accept(r *front.Request, route *fleet.Route) *call {
 	left := defaultTimeLeft
 	if ms, err := strconv.ParseFloat(r.Header.Get(in.names.TimeLeft), 64); err == nil && ms > 0 {
 		left = time.Duration(ms * float64(time.Millisecond))
@@ -105,19 +89,8 @@
 	if route.Timeout > 0 {
 		left = min(left, route.Timeout)
 	}
-	c := &call{route: route, start: start, deadline: start.Add(left)}
-	limit := cfg.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = maxHeldBodies
-	}
-	if r.ContentLength > limit {
-		return nil, errTooLarge
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
-	if err != nil {
-		return nil, err
-	}
-	in.bodies.Add(int64(len(body)))
+	c := &call{route: route, start: r.Arrived, deadline: r.Arrived.Add(left)}
+	left = time.Until(c.deadline)
 	// Consecutive requests fall on points that divide the unit interval evenly
 	// (the golden ratio), so shares hold over short times as well.
 	const golden = 0.6180339887498949
@@ -126,7 +99,7 @@
 	c.service = hash32(string(service))
 	c.request = upstream.Request{
 		ID: r.Header.Get(in.names.RequestID), Method: r.Method, URI: r.RequestURI, Host: r.Host,
-		Header: in.forwarded(r.Header), Body: body,
+		Header: in.forwarded(r.Header), Body: r.Content,
 	}
 	key := schedule.NoKey
 	if n, err := strconv.Atoi(r.Header.Get(in.names.Key)); err == nil {
@@ -134,18 +107,18 @@
 	}
 	now := in.clk.Now()
 	c.job = schedule.Job{
-		Class: hash32(route.Name), Content: contentOf(r, body), Key: key, Priority: route.Priority,
-		Target: now + route.Target - wayBack, Deadline: now + left,
+		Class: hash32(route.Name), Content: contentOf(r), Key: key, Priority: route.Priority,
+		Target: now + route.Target - time.Since(c.start) - wayBack, Deadline: now + left,
 	}
-	return c, nil
+	return c
 }
 
 // contentOf identifies a request apart from its id.
-func contentOf(r *http.Request, body []byte) uint64 {
+func contentOf(r *front.Request) uint64 {
 	h := fnv.New64a()
 	_, _ = io.WriteString(h, r.Method)
 	_, _ = io.WriteString(h, r.RequestURI)
-	_, _ = h.Write(body)
+	_, _ = h.Write(r.Content)
 	return h.Sum64()
 }
 
@@ -171,28 +144,24 @@
 }
 
 // run sends the request to servers until it has an answer.
-func (in *ingress) run(ctx context.Context, w http.ResponseWriter, c *call) {
+func (in *ingress) run(ctx context.Context, c *call) *front.Response {
 	for {
 		d, number, err := in.desk.ask(ctx, c.service, c.job)
 		if err != nil {
-			in.giveUp(ctx, w, c)
-			return
+			return in.giveUp(ctx, c)
 		}
 		if d.Refused {
 			if c.ran {
-				in.fail(w, c, http.StatusBadGateway, "no further attempt: "+d.Reason.String())
-				return
+				return in.fail(c, http.StatusBadGateway, "no further attempt: "+d.Reason.String())
 			}
-			in.refuse(w, c, d.Reason.String(), d.RetryAfter)
-			return
+			return in.refuse(c, d.Reason.String(), d.RetryAfter)
 		}
 		id := schedule.JobID{Host: in.desk.host, Number: number}
 		if in.left(d.Server) {
 			in.desk.report(schedule.Report{ID: id, Result: schedule.Elsewhere})
 			c.job.Tried = append(c.job.Tried, d.Server)
 			if c.sends++; c.sends >= maxSends {
-				in.refuse(w, c, "server is leaving", unknownRetry)
-				return
+				return in.refuse(c, "server-leaving", unknownRetry)
 			}
 			sleep(ctx, callRetry)
 			continue
@@ -206,12 +175,10 @@
 			c.runs++
 		}
 		if out.Answer != nil && (out.Result == schedule.Answered || !in.again(c, out)) {
-			in.answer(w, c, d.Server, out.Answer)
-			return
+			return in.answer(c, d.Server, out.Answer)
 		}
 		if out.Answer == nil && !in.again(c, out) {
-			in.end(ctx, w, c, d.Server, out)
-			return
+			return in.end(ctx, c, d.Server, out)
 		}
 		in.stats.count("retry-" + out.Result.String())
 		in.log.event(c, "request is sent again", string(d.Server), out.Result.String(), out.Cause)
@@ -250,83 +217,73 @@
 }
 
 // end answers a request whose exchange failed and that is not sent again.
-func (in *ingress) end(ctx context.Context, w http.ResponseWriter, c *call, server topology.ServerID, out upstream.Outcome) {
+func (in *ingress) end(ctx context.Context, c *call, server topology.ServerID, out upstream.Outcome) *front.Response {
 	switch {
 	case out.Result == schedule.Left:
 		in.stats.count("left")
 		in.log.event(c, "caller has left", string(server), out.Result.String(), nil)
+		return nil
 	case !c.ran:
-		in.refuse(w, c, out.Result.String(), unknownRetry)
+		return in.refuse(c, out.Result.String(), unknownRetry)
 	case out.Result == schedule.TimedOut || ctx.Err() != nil:
-		in.fail(w, c, http.StatusGatewayTimeout, "server "+string(server)+" did not answer in time")
+		return in.fail(c, http.StatusGatewayTimeout, "server "+string(server)+" did not answer in time")
 	default:
-		in.fail(w, c, http.StatusBadGateway, "server "+string(server)+": "+out.Result.String())
+		return in.fail(c, http.StatusBadGateway, "server "+string(server)+": "+out.Result.String())
 	}
 }
 
 // giveUp answers a request that got no decision in time.
-func (in *ingress) giveUp(ctx context.Context, w http.ResponseWriter, c *call) {
+func (in *ingress) giveUp(ctx context.Context, c *call) *front.Response {
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		in.stats.count("left")
+		return nil
 	case c.ran:
-		in.fail(w, c, http.StatusGatewayTimeout, "no time for a further attempt")
+		return in.fail(c, http.StatusGatewayTimeout, "no time for a further attempt")
 	default:
-		in.refuse(w, c, "no server in time", minRetry)
+		return in.refuse(c, "no-server-in-time", minRetry)
 	}
 }
 
 const minRetry = 50 * time.Millisecond
 
 // refuse answers that the request has not run and never will.
-func (in *ingress) refuse(w http.ResponseWriter, c *call, reason string, after time.Duration) {
-	in.stats.count("refused-" + strings.ReplaceAll(reason, " ", "-"))
+func (in *ingress) refuse(c *call, reason string, after time.Duration) *front.Response {
+	in.stats.count("refused-" + reason)
 	if c != nil {
 		in.log.event(c, "request is refused", "", reason, nil)
 	}
-	w.Header().Set("Retry-After", strconv.FormatFloat(max(after, minRetry).Seconds(), 'f', 2, 64))
-	in.identify(w, c)
-	w.WriteHeader(http.StatusServiceUnavailable)
+	r := in.own(c, http.StatusServiceUnavailable)
+	r.Header.Set("Retry-After", strconv.FormatFloat(max(after, minRetry).Seconds(), 'f', 2, 64))
+	return r
 }
 
 // fail answers that the outcome of the request is unknown.
-func (in *ingress) fail(w http.ResponseWriter, c *call, status int, reason string) {
+func (in *ingress) fail(c *call, status int, reason string) *front.Response {
 	in.stats.count("failed-" + strconv.Itoa(status))
 	in.log.event(c, "outcome of request is unknown", "", reason, nil)
-	in.identify(w, c)
-	w.WriteHeader(status)
+	return in.own(c, status)
 }
 
-func (in *ingress) identify(w http.ResponseWriter, c *call) {
+// own returns an answer of this host.
+func (in *ingress) own(c *call, status int) *front.Response {
+	r := &front.Response{Status: status, Header: make(http.Header)}
 	if c != nil {
-		w.Header().Set(in.names.RequestID, c.request.ID)
+		r.Header.Set(in.names.RequestID, c.request.ID)
 	}
-	w.Header()["Content-Type"] = nil
+	return r
 }
 
 // answer passes on the answer of a server.
-func (in *ingress) answer(w http.ResponseWriter, c *call, server topology.ServerID, a *upstream.Answer) {
+func (in *ingress) answer(c *call, server topology.ServerID, a *upstream.Answer) *front.Response {
 	in.stats.count("answered-" + strconv.Itoa(a.Status/100) + "xx")
-	h := w.Header()
-	for name, v := range a.Header {
-		switch name {
-		case "Connection", "Keep-Alive", "Transfer-Encoding", "Trailer", "Upgrade", "Proxy-Connection", "Content-Length", http.CanonicalHeaderKey(in.names.ServerLoad):
-			continue
-		}
-		h[name] = v
-	}
-	if _, ok := h["Content-Type"]; !ok {
-		h["Content-Type"] = nil
-	}
-	if _, ok := h["Date"]; !ok {
-		h["Date"] = nil
-	}
-	if a.Status != http.StatusNoContent && a.Status != http.StatusNotModified && c.request.Method != http.MethodHead {
-		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	for _, name := range []string{
+		"Connection", "Keep-Alive", "Transfer-Encoding", "Trailer", "Upgrade", "Proxy-Connection", "Content-Length", in.names.ServerLoad,
+	} {
+		a.Header.Del(name)
 	}
 	if a.Status >= 400 {
 		in.log.event(c, "server answered with a failure", string(server), strconv.Itoa(a.Status), nil)
 	}
-	w.WriteHeader(a.Status)
-	_, _ = w.Write(a.Body) // an error means that the caller has left
+	return &front.Response{Status: a.Status, Header: a.Header, Body: a.Body}
 }
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/keymap"
 	"github.com/lycheerudder/lycheerudder/internal/logging"
+	"github.com/lycheerudder/lycheerudder/internal/mandate"
 	"github.com/lycheerudder/lycheerudder/internal/ownership"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
@@ -30,7 +32,7 @@
 	joinInterval   = 400 * time.Millisecond
 	// leaderWatch is the time for which the store holds the leader's read of its
 	// own records open.
-	leaderWatch = 1500 * time.Millisecond
+	leaderWatch = time.Second
 	// searchInterval is the pause between looks for a leader.
 	searchInterval = 200 * time.Millisecond
 	// claimSpread spreads the claims of hosts that miss the leader at the same
@@ -49,17 +51,40 @@
 )
 
 var ownershipSettings = ownership.Settings{
-	Hold:     2200 * time.Millisecond,
-	Renew:    650 * time.Millisecond,
-	Retry:    200 * time.Millisecond,
-	Flight:   grantTimeout,
+	Hold:   2200 * time.Millisecond,
+	Renew:  650 * time.Millisecond,
+	Retry:  200 * time.Millisecond,
+	Flight: grantTimeout,
+}
+
+var mandateSettings = mandate.Settings{
+	// A proof is at most two leaderWatch old while the store answers.
+	Alone: 2500 * time.Millisecond,
+	// Outages of the store last up to 9 s.
 	Autonomy: 10 * time.Second,
+	// Two heartbeats of a host fit into it.
+	Window: 1500 * time.Millisecond,
+	Flight: grantTimeout,
 }
 
 // leaderRecord names the leader in the store.
 type leaderRecord struct {
 	Member  string `json:"member"`
 	Address string `json:"address"`
+	Epoch   int64  `json:"epoch"`
+	Process uint64 `json:"process"`
+	// List holds the hosts whose majority lets the leader act without the store.
+	List []uint64 `json:"list,omitempty"`
+	// Earlier holds earlier leaders that may still act.
+	Earlier []mandate.Term `json:"earlier,omitempty"`
+}
+
+// terms returns the leaders that may still act when another one claims the lead.
+func (r leaderRecord) terms() []mandate.Term {
+	if r.Member == "" {
+		return nil
+	}
+	return append(slices.Clone(r.Earlier), mandate.Term{Address: r.Address, Process: r.Process, List: r.List})
 }
 
 // elector finds or becomes the leader.
@@ -83,6 +108,18 @@
 	mu     sync.Mutex
 	tables map[topology.Service]keymap.Map // as last read
 	end    int64
+	// cancel ends the present lead of this host; nil if it does not lead.
+	cancel context.CancelFunc
+}
+
+// depose ends the lead of this host: a later leader has made itself known.
+func (e *elector) depose() {
+	e.mu.Lock()
+	cancel := e.cancel
+	e.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
 }
 
 // readOwners reads the leader and the key maps from the store.
@@ -129,7 +166,7 @@
 // run follows or becomes the leader until the context ends.
 func (e *elector) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !e.desk.silent() {
+		if !e.desk.silent() && !(e.desk.blind() && e.watch.fresh()) {
 			select {
 			case <-ctx.Done():
 			case <-e.wake:
@@ -154,9 +191,9 @@
 	address, err := netip.ParseAddrPort(leader.Address)
 	mine := err == nil && address == e.self
 	e.mu.Lock()
-	epoch := e.end
+	end := e.end
 	e.mu.Unlock()
-	if err == nil && !mine && e.desk.knows(address, leader.Member) {
+	if err == nil && !mine && e.desk.knows(address, leader.Member, leader.Epoch) {
 		return true // a new leader: ask it first
 	}
 	if err == nil && !mine {
@@ -176,13 +213,17 @@
 		return false
 	}
 	sleep(ctx, time.Duration(rand.Float64()*e.weight*float64(claimSpread)))
-	return e.claim(ctx, epoch)
+	return e.claim(ctx, end, leader)
 }
 
 // claim makes this host the leader if the records of the store have not changed
 // since they were read, and leads until it is deposed.
-func (e *elector) claim(ctx context.Context, at int64) bool {
-	value, err := json.Marshal(leaderRecord{Member: e.member, Address: e.self.String()})
+func (e *elector) claim(ctx context.Context, at int64, earlier leaderRecord) bool {
+	record := leaderRecord{
+		Member: e.member, Address: e.self.String(), Epoch: at + 1, Process: e.desk.host, Earlier: earlier.terms(),
+	}
+	claimed := e.clk.Now()
+	value, err := json.Marshal(record)
 	if err != nil {
 		e.log.Error("the claim cannot be written", err)
 		return false
@@ -196,10 +237,10 @@
 		}
 		return errors.Is(err, ErrOutdated)
 	}
-	l := newLeadership(e, at, end)
-	e.log.With("epoch", at).Info("this host leads")
+	l := newLeadership(e, record, claimed, end)
+	e.log.With("epoch", at+1).Info("this host leads")
 	l.run(ctx)
-	e.log.With("epoch", at).Info("this host no longer leads")
+	e.log.With("epoch", at+1).Info("this host no longer leads")
 	return true
 }
 
@@ -210,6 +251,9 @@
 	epoch int64
 
 	mu      sync.Mutex
+	mandate *mandate.Mandate
+	record  leaderRecord  // as in the store
+	settled time.Duration // time since which the hosts differ from the record
 	end     int64         // of the ownership topic
 	contact time.Duration // send time of the last read that showed this leader
 	seen    time.Duration // time of the last answer of the store
@@ -218,14 +262,38 @@
 	cancel  context.CancelFunc
 	calls   sync.WaitGroup
 	present int
+	summed  time.Duration
 }
 
-func newLeadership(e *elector, epoch, end int64) *leadership {
-	l := &leadership{elector: e, epoch: epoch, end: end, contact: e.clk.Now(), seen: e.clk.Now(), fence: (epoch + 1) * fencesPerEpoch}
+func newLeadership(e *elector, record leaderRecord, claimed time.Duration, end int64) *leadership {
+	l := &leadership{
+		elector: e, epoch: record.Epoch, record: record, end: end,
+		contact: claimed, seen: e.clk.Now(), fence: record.Epoch * fencesPerEpoch,
+		// The claim is in the store from some moment of its call on: an earlier
+		// leader may have had a proof until its answer.
+		mandate: mandate.New(mandateSettings, e.desk.host, e.clk.Now(), record.Earlier),
+	}
 	l.core = newCore(e.clk, e.peers.deliver, e.watch.trusted)
+	l.core.may = func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.mandate.May(l.clk.Now())
+	}
+	l.core.rivals = func() time.Duration {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.mandate.Rivals()
+	}
 	return l
 }
 
+// heard records that a host follows this leader.
+func (l *leadership) heard(host uint64, address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mandate.Heard(host, address, l.clk.Now())
+}
+
 func (l *leadership) nextFence() int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -237,6 +305,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.contact = max(l.contact, sent)
+	l.mandate.Proof(sent)
 	l.seen = l.clk.Now()
 }
 
@@ -261,10 +330,14 @@
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	l.cancel = cancel
+	l.elector.mu.Lock()
+	l.elector.cancel = cancel
+	l.elector.mu.Unlock()
 	l.watch.readNow()
 	l.configure()
-	l.peers.lead(l.core)
+	l.peers.lead(l.core, l.epoch, l.heard)
 	l.desk.lead(l.core, l.epoch)
+	l.desk.announce(l.peers.status(), l.predecessors())
 	var loops sync.WaitGroup
 	loops.Go(func() { l.keepMembership(ctx) })
 	loops.Go(func() { l.watchRecords(ctx) })
@@ -278,8 +351,8 @@
 		case <-t.C:
 		}
 	}
-	l.peers.lead(nil)
-	l.desk.lead(nil, 0)
+	l.peers.lead(nil, 0, nil)
+	l.desk.lead(nil, l.epoch)
 	loops.Wait()
 	l.calls.Wait()
 	leave, done := context.WithTimeout(context.WithoutCancel(parent), grantTimeout)
@@ -289,6 +362,18 @@
 	}
 }
 
+// predecessors returns the addresses of leaders that may still act. As soon as
+// they follow this leader, keys of servers that do not answer can be moved.
+func (l *leadership) predecessors() []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, t := range l.record.Earlier {
+		if a, err := netip.ParseAddrPort(t.Address); err == nil && a != l.self {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
 // configure adds the services of the present configuration.
 func (l *leadership) configure() {
 	cfg := l.watch.config.Load()
@@ -303,7 +388,11 @@
 		if first {
 			table = keymap.Empty()
 		}
-		return ownership.New(name, ownershipSettings, table, l.nextFence, l.clk.Now(), first)
+		rivals := l.core.rivals()
+		if first {
+			rivals = 0 // no earlier leader can have granted keys that were never stored
+		}
+		return ownership.New(name, ownershipSettings, table, l.nextFence, rivals)
 	})
 }
 
@@ -313,6 +402,14 @@
 	proof, seen := l.proof()
 	orders := l.core.tick(servers, proof, seen < moveContact && len(servers) > 0)
 	l.carryOut(ctx, orders)
+	if now := l.clk.Now(); now-l.summed > time.Second {
+		l.summed = now
+		for _, s := range l.core.summaries() {
+			l.log.With("service", string(s.service)).With("waiting", s.waiting).With("running", s.running).With("slots", s.slots).
+				With("parts", s.parts).With("moving", s.moving).With("unowned", s.unowned).
+				With("busiest", s.busiest).With("mean", s.mean).With("hottest", s.hottest).Info("load of a service")
+		}
+	}
 	present, most := l.peers.tick()
 	l.desk.setHosts(present)
 	if l.present != present {
@@ -361,7 +458,7 @@
 	}
 	deposed, next := l.core.result(o, outcome, handover, proof)
 	if deposed {
-		l.verify(ctx)
+		l.verify(ctx, true)
 	}
 	if ctx.Err() == nil {
 		l.carryOut(ctx, next)
@@ -382,11 +479,17 @@
 	}
 }
 
-// verify ends the leadership if the store names another leader.
-func (l *leadership) verify(ctx context.Context) {
+// verify ends the leadership if the store names another leader. If fenced is
+// true, a server has refused the newest fence: then the leadership ends as well
+// if the store does not answer, since only a later leader has higher fences.
+func (l *leadership) verify(ctx context.Context, fenced bool) {
 	sent := l.clk.Now()
 	leader, err := l.readOwners(ctx)
 	if err != nil {
+		if fenced && ctx.Err() == nil {
+			l.log.Warn("a server has seen a higher fence and the store does not answer, this host resigns")
+			l.cancel()
+		}
 		return
 	}
 	if leader.Member != l.member {
@@ -458,7 +561,7 @@
 		cancel()
 		if err != nil {
 			if strings.Contains(err.Error(), "dropped") {
-				l.verify(ctx)
+				l.verify(ctx, false)
 			}
 			sleep(ctx, callRetry)
 			continue
@@ -467,7 +570,7 @@
 		known := l.end
 		l.mu.Unlock()
 		if end > known {
-			l.verify(ctx)
+			l.verify(ctx, false)
 			sleep(ctx, callRetry)
 			continue
 		}
@@ -478,13 +581,27 @@
 // storeTables writes changed key maps to the store. Keys are granted to another
 // server only afterwards.
 func (l *leadership) storeTables(ctx context.Context) {
+	// doubt is true while the store may hold, or may still take, a table of an
+	// append that was not answered.
+	doubt := false
 	for ctx.Err() == nil {
 		tables := l.core.tables()
-		if len(tables) == 0 {
+		record, changed := l.nextRecord()
+		if len(tables) == 0 && !changed {
 			sleep(ctx, storeInterval)
 			continue
 		}
-		records := make([]Record, 0, len(tables))
+		records := make([]Record, 0, len(tables)+1)
+		if changed {
+			value, err := json.Marshal(record)
+			if err != nil {
+				l.log.Error("the record of the leader cannot be written", err)
+				continue
+			}
+			records = append(records, Record{Key: leaderKey, Value: value})
+			// Until the store has answered, neither list may be counted on alone.
+			l.setList(nil)
+		}
 		for name, t := range tables {
 			value, err := t.Encode()
 			if err != nil {
@@ -502,22 +619,67 @@
 		cancel()
 		if err != nil {
 			l.core.stored(tables, false, 0)
-			if errors.Is(err, ErrOutdated) {
-				l.verify(ctx)
-			} else {
+			switch proof, _ := l.proof(); {
+			case errors.Is(err, ErrNotDone) && !doubt:
+				l.carryOut(ctx, l.core.revert(proof))
+				sleep(ctx, callRetry)
+			case errors.Is(err, ErrOutdated):
+				l.verify(ctx, false)
+			default:
+				doubt = doubt || !errors.Is(err, ErrNotDone)
 				l.log.Warn("key maps cannot be stored: " + err.Error())
 				sleep(ctx, callRetry)
 			}
 			continue
 		}
+		doubt = false
 		l.mu.Lock()
 		l.end = max(l.end, end)
 		l.mu.Unlock()
 		l.touch(sent)
+		if changed {
+			l.mu.Lock()
+			l.record = record
+			l.mu.Unlock()
+			l.setList(record.List)
+		}
 		l.carryOut(ctx, l.core.stored(tables, true, sent))
 	}
 }
 
+// settleTime is the time for which the hosts must differ from the record before
+// it is written again: hosts come and go in series.
+const settleTime = 1500 * time.Millisecond
+
+// nextRecord returns the record of this leader with the hosts that follow it now,
+// and whether it is to be stored.
+func (l *leadership) nextRecord() (leaderRecord, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clk.Now()
+	record := l.record
+	record.List = l.mandate.Members(now)
+	record.Earlier = l.mandate.Terms(now)
+	if slices.Equal(record.List, l.record.List) && len(record.Earlier) == len(l.record.Earlier) {
+		l.settled = 0
+		return record, false
+	}
+	if l.settled == 0 {
+		l.settled = now
+	}
+	if now-l.settled < settleTime || now-l.seen > moveContact {
+		return record, false
+	}
+	l.settled = 0
+	return record, true
+}
+
+func (l *leadership) setList(list []uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mandate.SetList(list)
+}
+
 // storeInterval is the interval at which freed keys are looked for; keys that
 // are freed within it share one append.
 const storeInterval = 10 * time.Millisecond
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -21,8 +21,14 @@
 	// local takes the decisions on requests of this host.
 	local func([]schedule.Decision)
 
-	mu    sync.Mutex
-	core  *core // nil while this host does not lead
+	// known returns the leader that this host follows and its epoch.
+	known func() (netip.AddrPort, int64)
+
+	mu   sync.Mutex
+	core *core // nil while this host does not lead
+	// heard takes the hosts that follow the leader of epoch.
+	heard func(host uint64, address string)
+	epoch int64
 	hosts map[uint64]*peer
 	most  int // largest number of hosts that were heard at the same time
 }
@@ -36,6 +42,8 @@
 	recent map[uint32]hostlink.Decision
 	order  []uint32
 	ackDue time.Duration
+	// listed is the time at which the host was last told of its peers.
+	listed time.Duration
 }
 
 const (
@@ -43,14 +51,18 @@
 	// ackDelay is the time for which an acknowledgement waits for a decision to
 	// travel with; it is below reportRepeat.
 	ackDelay = 25 * time.Millisecond
+	// listInterval is the interval at which hosts are told of maxPeers others.
+	listInterval = 2 * time.Second
+	maxPeers     = 12
 	// peerSilence is the time after which a host no longer counts as present.
 	peerSilence = 1500 * time.Millisecond
 )
 
-func (p *peers) lead(c *core) {
+// lead makes this host answer questions with c; nil ends it.
+func (p *peers) lead(c *core, epoch int64, heard func(host uint64, address string)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.core = c
+	p.core, p.epoch, p.heard = c, epoch, heard
 	p.hosts = make(map[uint64]*peer)
 	p.most = 1
 }
@@ -61,7 +73,11 @@
 	c := p.core
 	if c == nil {
 		p.mu.Unlock()
-		reply := hostlink.FromLeader{}
+		leader, epoch := p.known()
+		reply := hostlink.FromLeader{Epoch: epoch}
+		if leader.IsValid() && leader != from {
+			reply.Leader = leader.String()
+		}
 		_ = p.link.FromLeader(from, &reply) // the host repeats its question
 		return
 	}
@@ -72,6 +88,10 @@
 		p.hosts[m.Host] = h
 	}
 	h.address, h.heard = from, now
+	heard := p.heard
+	if m.Epoch != p.epoch {
+		heard = nil
+	}
 	reports := h.fresh(m)
 	var again []hostlink.Decision
 	var jobs []hostlink.Question
@@ -90,6 +110,9 @@
 	}
 	p.mu.Unlock()
 
+	if heard != nil {
+		heard(m.Host, from.String())
+	}
 	for _, r := range reports {
 		c.done(decodeReport(m.Host, r))
 	}
@@ -186,6 +209,10 @@
 	m.Reports = h.reports
 	m.Hosts = uint16(len(p.hosts) + 1)
 	h.ackDue = 0
+	if now := p.clk.Now(); h.listed == 0 || now-h.listed > listInterval {
+		h.listed = now
+		m.Peers = p.some(h)
+	}
 	address := h.address
 	p.mu.Unlock()
 	for len(decisions) > maxBatch {
@@ -197,6 +224,17 @@
 	_ = p.link.FromLeader(address, &m)
 }
 
+// some returns the addresses of some hosts other than h.
+func (p *peers) some(h *peer) []string {
+	var list []string
+	for _, other := range p.hosts { // the order is random, so all get known
+		if other != h && len(list) < maxPeers {
+			list = append(list, other.address.String())
+		}
+	}
+	return list
+}
+
 // tick sends acknowledgements that found no decision to travel with, and
 // forgets hosts that are gone. It returns the number of hosts, this one
 // included, and the largest number so far.
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -32,6 +32,10 @@
 // ErrOutdated is returned by an append whose condition no longer holds.
 var ErrOutdated = eris.New("the store has newer records")
 
+// ErrNotDone is returned by a call that the store has refused without doing
+// anything.
+var ErrNotDone = eris.New("the store has refused the call")
+
 // ErrFenced is returned by a grant that the server refused because it has seen a
 // higher fence.
 var ErrFenced = eris.New("the server has seen a higher fence")
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -230,6 +230,13 @@
 	return list, w.directory.Age(now)
 }
 
+// fresh reports whether this host reaches the store.
+func (w *watch) fresh() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.directory.Known() && !w.failed && w.directory.Age(w.clk.Now()) < freshList
+}
+
 // trusted reports whether requests may be sent to the servers of the list: it is
 // fresh, or the store was asked in vain. A host that has just become responsible
 // for the list reads it first: servers may have announced their shutdown since.
--- a/internal/hostlink/hostlink.go
+++ b/internal/hostlink/hostlink.go
@@ -47,7 +47,9 @@
 	// Host is the incarnation of the sender's process.
 	Host       uint64
 	DataCentre string
-	Questions  []Question
+	// Epoch is that of the leader whom the sender follows.
+	Epoch     int64
+	Questions []Question
 	// Reports holds all reports that the leader has not acknowledged; the first
 	// one has the number FirstReport.
 	FirstReport uint32
@@ -91,6 +93,12 @@
 	// ConfigVersion is the version of the configuration that the leader knows.
 	ConfigVersion int64
 	Decisions     []Decision
+	// Leader is the address of the leader of Epoch as far as the sender knows it,
+	// if the sender does not lead.
+	Leader string
+	// Peers holds addresses of hosts that the leader hears of, for hosts that
+	// lose the leader and the store at the same time.
+	Peers []string
 }
 
 // maxDatagram is the largest message that is received; messages are kept below
--- a/internal/keyplace/keyplace.go
+++ b/internal/keyplace/keyplace.go
@@ -103,6 +103,9 @@
 	MaxMoves int
 	// MinGap is the difference in utilisation that a move must narrow.
 	MinGap float64
+	// MaxParts is the number of ranges for each server above which cold ranges
+	// are joined with a neighbour.
+	MaxParts float64
 	// MinUse is the utilisation below which a server gives nothing away.
 	MinUse float64
 }
@@ -146,14 +149,96 @@
 		}
 	}
 	p.house()
+	p.isolate()
 	for range set.MaxMoves {
 		if !p.balance(set) {
 			break
 		}
 	}
+	for range joinsPerPlan {
+		if float64(len(p.parts)) <= set.MaxParts*float64(len(p.servers)) || !p.join() {
+			break
+		}
+	}
 	return p.moves
 }
 
+const (
+	// hotShare is the load of a single key, as a part of its server's capacity,
+	// from which on the key goes to a faster server.
+	hotShare = 0.7
+	// fasterBy is the factor by which that server must be faster.
+	fasterBy = 1.25
+)
+
+// isolate moves the hottest key to a faster server if it fills its own: no split
+// can divide a single key.
+func (p *planner) isolate() {
+	for _, part := range p.parts {
+		b := p.byID[part.Server]
+		if b == nil || part.Next != "" || !part.Movable || part.Homeless {
+			continue
+		}
+		limit := hotShare * b.Capacity
+		key := p.hottest(part, limit)
+		if key < 0 {
+			continue
+		}
+		fast := slices.MaxFunc(p.servers, func(a, b *bin) int { return cmp.Compare(a.Capacity, b.Capacity) })
+		if fast.Capacity < fasterBy*b.Capacity {
+			continue
+		}
+		l := p.load(key, key)
+		b.load -= l
+		fast.load += l
+		p.moves = append(p.moves, Move{From: key, To: key, Server: fast.ID})
+		i := slices.IndexFunc(p.parts, func(q Part) bool { return q.From == part.From })
+		p.split(i, key, key, fast.ID)
+		return
+	}
+}
+
+const (
+	// joinsPerPlan bounds the moves that only join ranges.
+	joinsPerPlan = 2
+	// maxJoinLoad is the load of a range, as a part of the receiver's capacity,
+	// up to which it is moved only to join it with its neighbour.
+	maxJoinLoad = 0.04
+)
+
+// join moves the range with the least load to the server of a neighbour. It
+// returns false if there is none that is cold enough.
+func (p *planner) join() bool {
+	index, best := -1, maxJoinLoad
+	var to *bin
+	for i, part := range p.parts {
+		if part.Next != "" || !part.Movable || part.Homeless {
+			continue
+		}
+		for _, j := range []int{i - 1, i + 1} {
+			if j < 0 || j >= len(p.parts) {
+				continue
+			}
+			n := p.parts[j]
+			b := p.byID[n.Server]
+			if n.Next != "" || n.Homeless || !n.Movable || b == nil || n.Server == part.Server {
+				continue
+			}
+			if l := p.load(part.From, part.To) / b.Capacity; l < best {
+				index, best, to = i, l, b
+			}
+		}
+	}
+	if index < 0 {
+		return false
+	}
+	part := p.parts[index]
+	to.load += p.load(part.From, part.To)
+	p.moves = append(p.moves, Move{From: part.From, To: part.To, Server: to.ID})
+	p.parts[index].Next = to.ID
+	return true
+}
+
 // owner returns the server that carries the load of the range soon.
 func (p Part) owner() topology.ServerID {
 	if p.Next != "" {
@@ -233,18 +318,29 @@
 	return slices.MinFunc(p.servers, func(a, b *bin) int { return cmp.Compare(a.use(), b.use()) })
 }
 
-func (p *planner) busiest() *bin {
-	return slices.MaxFunc(p.servers, func(a, b *bin) int { return cmp.Compare(a.use(), b.use()) })
-}
-
-// balance moves a range from the busiest to the idlest server. It returns false
-// if no move is worth it.
+// balance moves a range from a busy server to the idlest one. It returns false if
+// no move is worth it.
 func (p *planner) balance(set Settings) bool {
-	high, low := p.busiest(), p.idlest()
-	empty := low.load == 0 && high != low
-	if !empty && (high.use() < set.MinUse || high.use()-low.use() < set.MinGap) {
-		return false
+	low := p.idlest()
+	busy := slices.Clone(p.servers)
+	slices.SortStableFunc(busy, func(a, b *bin) int { return cmp.Compare(b.use(), a.use()) })
+	for _, high := range busy {
+		empty := low.load == 0 && high != low
+		if !empty && (high.use() < set.MinUse || high.use()-low.use() < set.MinGap) {
+			return false
+		}
+		// The busiest server may have nothing to give: its ranges move already,
+		// or a single key makes it busy.
+		if p.shift(high, low) {
+			return true
+		}
 	}
+	return false
+}
+
+// shift moves a range from high to low so that both come closer to their common
+// level.
+func (p *planner) shift(high, low *bin) bool {
 	level := (high.load + low.load) / (high.Capacity + low.Capacity)
 	want := min(high.load-level*high.Capacity, level*low.Capacity-low.load)
 	index, from, to := p.cut(high.ID, low.ID, want)
@@ -259,12 +355,15 @@
 	return true
 }
 
+// minShare is the part of the wanted load below which a move is not worth it.
+const minShare = 0.08
+
 // cut returns the part of a range of server high whose load comes closest to
 // want without exceeding it. Ranges beside a range of server low are preferred,
 // because the two are joined again.
 func (p *planner) cut(high, low topology.ServerID, want float64) (index, from, to int) {
 	index = -1
-	best := want / 4 // less is not worth a move
+	best := want * minShare
 	try := func(i, a, b int, bonus float64) {
 		if a > b {
 			return
@@ -287,10 +386,28 @@
 		}
 		try(i, part.From, p.end(part.From, part.To, want), left)
 		try(i, p.start(part.From, part.To, want), part.To, right)
+		if at := p.hottest(part, want); at >= 0 {
+			// A hot key at the inner of the range keeps the ends small: the
+			// range is cut beside it.
+			try(i, part.From, at-1, left)
+			try(i, at+1, part.To, right)
+		}
 	}
 	return index, from, to
 }
 
+// hottest returns the key of a range with more load than limit; -1 if none has.
+func (p *planner) hottest(part Part, limit float64) int {
+	if p.load(part.From, part.To) <= limit {
+		return -1
+	}
+	at := p.end(part.From, part.To, limit) + 1
+	if at <= part.To && p.load(at, at) > limit {
+		return at
+	}
+	return -1
+}
+
 // split records the planned move of the keys from from to to of one part.
 func (p *planner) split(index, from, to int, next topology.ServerID) {
 	old := p.parts[index]
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -30,9 +30,6 @@
 	Retry time.Duration
 	// Flight is the time after which a call is given up.
 	Flight time.Duration
-	// Autonomy is the longest time for which an earlier leader that lost the
-	// store goes on renewing its grants.
-	Autonomy time.Duration
 }
 
 // clockError is the part by which the clock of a server may run slow.
@@ -119,6 +116,8 @@
 	mayHold time.Duration
 	// before is mayHold without the grant under way.
 	before time.Duration
+	// rival is true while grants of an earlier leader may count at the server.
+	rival bool
 	// doubt is true while a grant that was sent under the present fence has not
 	// been answered: it may be carried out later.
 	doubt bool
@@ -147,17 +146,12 @@
 }
 
 // New returns the Leader that continues with the table of the store. Grants of
-// an earlier leader may last until its autonomy and a grant have passed since
-// now. The fences function returns growing fences above all earlier ones.
-func New(service topology.Service, set Settings, table keymap.Map, fences func() int64, now time.Duration, first bool) *Leader {
-	l := &Leader{service: service, set: set, fences: fences, servers: make(map[topology.ServerID]Server)}
-	l.rivals = now + set.Autonomy + set.Flight
-	if first {
-		l.rivals = now
-	}
-	mayHold := l.rivals + l.holdBound()
+// earlier leaders may arrive until the time rivals. The fences function returns
+// growing fences above all earlier ones.
+func New(service topology.Service, set Settings, table keymap.Map, fences func() int64, rivals time.Duration) *Leader {
+	l := &Leader{service: service, set: set, fences: fences, rivals: rivals, servers: make(map[topology.ServerID]Server)}
 	for _, r := range table {
-		s := &segment{from: r.From, to: r.To, server: r.Server, fence: fences(), mayHold: mayHold, sent: -time.Hour}
+		s := &segment{from: r.From, to: r.To, server: r.Server, fence: fences(), rival: true, sent: -time.Hour, mayHold: -time.Hour}
 		if r.Server == "" {
 			s.phase = storing
 		}
@@ -166,6 +160,17 @@
 	return l
 }
 
+// SetRivals replaces the time until which grants of earlier leaders may arrive.
+func (l *Leader) SetRivals(until time.Duration) { l.rivals = until }
+
+// free returns the time after which the server of a segment holds nothing.
+func (l *Leader) free(s *segment) time.Duration {
+	if s.rival {
+		return max(s.mayHold, l.rivals+l.holdBound())
+	}
+	return s.mayHold
+}
+
 func (l *Leader) add(s *segment) {
 	l.nextID++
 	s.id = l.nextID
@@ -189,10 +194,7 @@
 		}
 		if s.born != 0 && srv.Born > s.born {
 			s.mayHold = now
-			if now < l.rivals {
-				// The new life has seen no fence yet.
-				s.mayHold = l.rivals + l.holdBound()
-			}
+			s.rival = true // the new life has seen no fence yet
 			s.doubt = false
 			s.failures = 0
 			s.handover = ""
@@ -237,6 +239,26 @@
 		s.fence = l.fences()
 		s.sent = -time.Hour
 		s.mayHold = now
+		s.rival = false
+		s.doubt, s.failures, s.renewed = false, 0, -time.Hour
+		l.version++
+	}
+}
+
+// Revert gives keys that were released for a move back to their servers, because
+// the store cannot take the move. The store must not hold a table that names
+// the next servers, and no append of one may be under way.
+func (l *Leader) Revert(now time.Duration) {
+	for _, s := range l.segments {
+		if _, ok := l.servers[s.server]; s.phase != storing || s.appended || s.server == "" || !ok {
+			continue
+		}
+		s.next = ""
+		s.phase = unsecured
+		s.fence = l.fences()
+		s.sent = -time.Hour
+		s.mayHold = now
+		s.rival = true
 		s.doubt, s.failures, s.renewed = false, 0, -time.Hour
 		l.version++
 	}
@@ -331,9 +353,6 @@
 // that the store names this leader.
 func (l *Leader) Step(now, proof time.Duration) []Order {
 	l.merge()
-	if now-proof > l.set.Autonomy {
-		return nil
-	}
 	var orders []Order
 	for _, s := range l.segments {
 		l.advance(s, now)
@@ -361,7 +380,7 @@
 			return
 		}
 		switch {
-		case now >= s.mayHold:
+		case now >= l.free(s):
 			l.freed(s)
 		case s.phase == held && reachable && s.failures == 0 && !s.doubt:
 			s.phase = releasing
@@ -372,7 +391,7 @@
 			l.version++
 		}
 	case releasing, waiting:
-		if !s.busy && now >= s.mayHold {
+		if !s.busy && now >= l.free(s) {
 			l.freed(s)
 		}
 	}
@@ -466,6 +485,7 @@
 	switch outcome {
 	case Done:
 		s.mayHold = now + l.holdBound()
+		s.rival = false
 		if s.phase == unsecured {
 			s.phase = held
 			l.version++
@@ -557,7 +577,7 @@
 	for _, s := range l.segments {
 		f(Part{
 			From: s.from, To: s.to, Server: s.server, Next: s.next,
-			Held: s.usable(now, l.set.Hold), Free: s.mayHold, Lost: s.failures >= unreachableAfter,
+			Held: s.usable(now, l.set.Hold), Free: l.free(s), Lost: s.failures >= unreachableAfter,
 		})
 	}
 }
--- a/internal/ownership/property_test.go
+++ b/internal/ownership/property_test.go
@@ -20,9 +20,12 @@
 
 var settings = ownership.Settings{
 	Hold: 2200 * time.Millisecond, Renew: 650 * time.Millisecond, Retry: 200 * time.Millisecond,
-	Flight: maxFlight, Autonomy: 3 * time.Second,
+	Flight: maxFlight,
 }
 
+// autonomy is the time for which a leader without the store goes on.
+const autonomy = 3 * time.Second
+
 // probes are the keys at which the model looks.
 var probes = []int{0, 9, 10, 11, 5000, 20000, 20001, 40000, 65535}
 
@@ -101,7 +104,11 @@
 	if first {
 		table = keymap.Empty()
 	}
-	h.leader = ownership.New("booking", settings, slices.Clone(table), func() int64 { h.fence++; return h.fence }, w.now, first)
+	rivals := w.now + autonomy + maxFlight
+	if first {
+		rivals = w.now
+	}
+	h.leader = ownership.New("booking", settings, slices.Clone(table), func() int64 { h.fence++; return h.fence }, rivals)
 	w.hosts = append(w.hosts, h)
 }
 
@@ -137,6 +144,9 @@
 		if !h.cut {
 			h.leader.SetServers(w.known(), w.now)
 		}
+		if w.now-h.contact > autonomy {
+			continue
+		}
 		for _, o := range h.leader.Step(w.now, h.contact) {
 			w.call(h, o)
 		}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -13,6 +13,7 @@
 package schedule
 
 import (
+	"math"
 	"time"
 
 	"github.com/lycheerudder/lycheerudder/internal/topology"
@@ -145,8 +146,35 @@
 	fullUntil time.Duration
 	avoid     time.Duration // until this time other servers are preferred
 	waiting   []*Job        // jobs on keys of this server
+	// demand is the mean number of busy slots that arriving jobs ask for.
+	demand   float64
+	demanded time.Duration // time of the last update of demand
 }
 
+// demandMemory is the time constant of the demand: a queue that grows for longer
+// does not empty by itself before its jobs are late.
+const demandMemory = 700 * time.Millisecond
+
+// ask adds the work of a job to the demand.
+func (srv *server) ask(work float64, now time.Duration) {
+	srv.decay(now)
+	srv.demand += work / demandMemory.Seconds()
+}
+
+func (srv *server) decay(now time.Duration) {
+	srv.demand *= math.Exp(-float64(now-srv.demanded) / float64(demandMemory))
+	srv.demanded = now
+}
+
+// saturated reports whether more work arrives than the server can do.
+func (srv *server) saturated(now time.Duration) bool {
+	srv.decay(now)
+	return srv.demand*srv.slowness > saturation*float64(srv.Slots)
+}
+
+// saturation is the part of the slots that the demand must exceed.
+const saturation = 1.0
+
 // Service schedules the requests of one service.
 type Service struct {
 	set     Settings
@@ -208,6 +236,11 @@
 func (s *Service) Add(j *Job, now time.Duration) {
 	j.arrived = now
 	s.jobs[j.ID] = j
+	if s.keyed {
+		if srv := s.servers[s.owner(j.Key).Server]; srv != nil {
+			srv.ask(s.Work(j.Class), now)
+		}
+	}
 	s.enqueue(j)
 }
 
@@ -323,6 +356,7 @@
 		return out
 	}
 	backlog := s.wait(srv.waiting, len(srv.running), srv.Slots, srv.slowness)
+	saturated := srv.saturated(now)
 	keep := srv.waiting[:0]
 	for _, j := range srv.waiting {
 		work := s.expected(j, srv.slowness)
@@ -331,6 +365,11 @@
 		if !hopeless && j.arrived == now && now+backlog+work > j.Deadline {
 			hopeless = true
 		}
+		// A late job of a saturated server waits in vain: there are always jobs
+		// that can still meet their target.
+		if saturated && now+work*8/10 > j.Target {
+			hopeless = true
+		}
 		if hopeless {
 			out = append(out, s.refuse(j, Overloaded, max(minRetryAfter, backlog/2)))
 			continue
