--- /dev/null
+++ b/internal/mandate/mandate_test.go
@@ -0,0 +1,146 @@
+package mandate_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/lycheerudder/lycheerudder/internal/mandate"
+)
+
+var settings = mandate.Settings{
+	Alone: 2500 * time.Millisecond, Autonomy: 10 * time.Second, Window: 1500 * time.Millisecond, Flight: 350 * time.Millisecond,
+}
+
+const ms = time.Millisecond
+
+// Guards against keys that stop in an outage of the whole store, and against a
+// leader that goes on alone.
+func TestMay(t *testing.T) {
+	g := NewWithT(t)
+	m := mandate.New(settings, 1, 0, nil)
+	g.Expect(m.May(2500 * ms)).To(BeTrue())
+	g.Expect(m.May(2501 * ms)).To(BeFalse(), "no list is in the store")
+	m.SetList([]uint64{1, 2, 3})
+	g.Expect(m.May(2501 * ms)).To(BeFalse(), "no host follows")
+	m.Heard(2, "b", 2500*ms)
+	g.Expect(m.May(4000 * ms)).To(BeTrue())
+	g.Expect(m.May(4001 * ms)).To(BeFalse(), "the message of the follower is too old")
+	m.Heard(9, "c", 5000*ms)
+	g.Expect(m.May(5000 * ms)).To(BeFalse(), "a host that is not on the list does not count")
+	m.Heard(3, "d", 10000*ms)
+	g.Expect(m.May(10000 * ms)).To(BeTrue())
+	m.Heard(3, "d", 10001*ms)
+	g.Expect(m.May(10001 * ms)).To(BeFalse(), "autonomy has ended")
+	m.Proof(10000 * ms)
+	g.Expect(m.May(12000 * ms)).To(BeTrue())
+}
+
+// Guards against a new leader that waits ten seconds for keys of lost servers
+// although the earlier leader has ended.
+func TestRivals(t *testing.T) {
+	earlier := []mandate.Term{{Address: "a", Process: 1, List: []uint64{1, 2, 3, 4, 5}}}
+	for _, c := range []struct {
+		name string
+		hear func(m *mandate.Mandate)
+		want time.Duration
+	}{
+		{"nobody follows", func(*mandate.Mandate) {}, 10350 * ms},
+		{"a minority follows", func(m *mandate.Mandate) { m.Heard(3, "c", 100*ms) }, 10350 * ms},
+		{"a majority follows", func(m *mandate.Mandate) { m.Heard(3, "c", 100*ms); m.Heard(4, "d", 200*ms) }, 2850 * ms},
+		{"a majority follows late", func(m *mandate.Mandate) { m.Heard(3, "c", 4000*ms); m.Heard(4, "d", 4100*ms) }, 5950 * ms},
+		{"messages of a majority are not of the same time", func(m *mandate.Mandate) { m.Heard(3, "c", 100*ms); m.Heard(4, "d", 1700*ms) }, 10350 * ms},
+		{"the earlier leader follows", func(m *mandate.Mandate) { m.Heard(1, "a", 300*ms) }, 650 * ms},
+		{"another process has its address", func(m *mandate.Mandate) { m.Heard(77, "a", 300*ms) }, 650 * ms},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := mandate.New(settings, 2, 0, earlier)
+			c.hear(m)
+			NewWithT(t).Expect(m.Rivals()).To(Equal(c.want))
+		})
+	}
+}
+
+// model plays leaders that are cut off from the store and hosts that follow one
+// leader each.
+type model struct {
+	now     time.Duration
+	record  []mandate.Term // leaders that may act, the newest last
+	claims  []*leader
+	follows map[uint64]int // claim that a host follows
+}
+
+type leader struct {
+	claim int
+	self  uint64
+	m     *mandate.Mandate
+	cut   bool
+	hears map[uint64]bool
+}
+
+// Guards against an earlier leader that still acts after the time at which the
+// new one counts it as ended, whatever hosts hear of whom and whenever the store
+// is away.
+func TestNoRivalAfterItsTime(t *testing.T) {
+	const hosts = 5
+	rapid.Check(t, func(t *rapid.T) {
+		w := &model{follows: make(map[uint64]int)}
+		claim := func(self uint64) {
+			l := &leader{claim: len(w.claims) + 1, self: self, m: mandate.New(settings, self, w.now, w.record), hears: make(map[uint64]bool)}
+			w.claims = append(w.claims, l)
+			w.follows[self] = l.claim
+			w.record = append(l.m.Terms(w.now), mandate.Term{Address: string(rune('a' + self)), Process: self})
+			for h := range uint64(hosts) {
+				l.hears[h] = true
+			}
+		}
+		claim(0)
+		for range rapid.IntRange(10, 80).Draw(t, "rounds") {
+			last := w.claims[len(w.claims)-1]
+			switch rapid.IntRange(0, 5).Draw(t, "action") {
+			case 0:
+				last.cut = rapid.Bool().Draw(t, "cut")
+				claim(rapid.Uint64Range(0, hosts-1).Draw(t, "claims"))
+			case 1:
+				l := rapid.SampledFrom(w.claims).Draw(t, "leader")
+				h := rapid.Uint64Range(0, hosts-1).Draw(t, "unheard")
+				l.hears[h] = !l.hears[h]
+			case 2:
+				if !last.cut {
+					list := last.m.Members(w.now)
+					last.m.SetList(list)
+					w.record = append(last.m.Terms(w.now), mandate.Term{Address: string(rune('a' + last.self)), Process: last.self, List: list})
+				}
+			case 3:
+				h := rapid.Uint64Range(0, hosts-1).Draw(t, "host")
+				w.follows[h] = max(w.follows[h], rapid.IntRange(1, len(w.claims)).Draw(t, "follows"))
+			}
+			for range rapid.IntRange(1, 40).Draw(t, "steps") {
+				w.step(t, hosts)
+			}
+		}
+	})
+}
+
+func (w *model) step(t *rapid.T, hosts uint64) {
+	w.now += 50 * ms
+	last := w.claims[len(w.claims)-1]
+	for _, l := range w.claims {
+		if l == last && !l.cut {
+			l.m.Proof(w.now)
+		}
+		for h := range hosts {
+			if h != l.self && w.follows[h] == l.claim && l.hears[h] {
+				l.m.Heard(h, string(rune('a'+h)), w.now)
+			}
+		}
+	}
+	for _, l := range w.claims[:len(w.claims)-1] {
+		acts := w.follows[l.self] == l.claim && l.m.May(w.now)
+		if acts && w.now > last.m.Rivals() {
+			t.Fatalf("at %v claim %d acts, which claim %d counts as ended at %v", w.now, l.claim, last.claim, last.m.Rivals())
+		}
+	}
+}
