--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -50,7 +50,7 @@
 
 const (
 	// remoteCost reflects that bytes between data centres are dear.
-	remoteCost = 1.6
+	remoteCost = 4
 	// planInterval is the interval between placement decisions: hot sets last
 	// for a few seconds.
 	planInterval = 250 * time.Millisecond
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -28,8 +28,8 @@
 	leaderTick = 40 * time.Millisecond
 	// membershipTerm is the time after its last call for which the store lists
 	// the leader as present; it bounds the time to a takeover.
-	membershipTerm = 1200 * time.Millisecond
-	joinInterval   = 400 * time.Millisecond
+	membershipTerm = 1000 * time.Millisecond
+	joinInterval   = 300 * time.Millisecond
 	// leaderWatch is the time for which the store holds the leader's read of its
 	// own records open.
 	leaderWatch = time.Second
@@ -52,7 +52,7 @@
 	// moveContact is the age of the last contact with the store above which no
 	// key is moved: a move needs the store to be completed.
 	moveContact    = 1500 * time.Millisecond
-	grantTimeout   = 350 * time.Millisecond
+	grantTimeout   = 250 * time.Millisecond
 	releaseTimeout = 1500 * time.Millisecond
 )
 
@@ -278,7 +278,7 @@
 		contact: claimed, seen: e.clk.Now(), fence: record.Epoch * fencesPerEpoch,
 		// The claim is in the store from some moment of its call on: an earlier
 		// leader may have had a proof until its answer.
-		mandate: mandate.New(mandateSettings, e.desk.host, e.clk.Now(), record.Earlier),
+		mandate: mandate.New(mandateSettings, e.desk.host, e.self.String(), e.clk.Now(), record.Earlier),
 	}
 	l.core = newCore(e.clk, e.peers.deliver, e.watch.trusted)
 	l.core.may = func() bool {
--- a/internal/mandate/mandate.go
+++ b/internal/mandate/mandate.go
@@ -67,10 +67,12 @@
 
 // New returns the mandate of a leader that claimed the lead at the given time,
 // after the given leaders that may still act.
-func New(set Settings, self uint64, claim time.Duration, earlier []Term) *Mandate {
+func New(set Settings, self uint64, address string, claim time.Duration, earlier []Term) *Mandate {
 	m := &Mandate{set: set, self: self, claim: claim, proof: claim, heard: make(map[uint64]time.Duration)}
 	for _, t := range earlier {
-		if t.Process != self {
+		// This process leads no longer by an earlier claim, and an earlier process
+		// with its address has ended.
+		if t.Process != self && t.Address != address {
 			m.former = append(m.former, &former{Term: t})
 		}
 	}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -102,6 +102,7 @@
 	id       int
 	from, to int
 	server   topology.ServerID
+	address  string // last known address of server
 	born     int64
 	next     topology.ServerID
 	phase    phase
@@ -189,6 +190,9 @@
 	l.servers = servers
 	for _, s := range l.segments {
 		srv, ok := servers[s.server]
+		if ok {
+			s.address = srv.Address
+		}
 		if !ok || s.born == srv.Born || s.phase == storing {
 			continue
 		}
@@ -234,7 +238,7 @@
 		}
 		s.appended = false
 		s.server, s.next = s.next, ""
-		s.born = l.servers[s.server].Born
+		s.born, s.address = l.servers[s.server].Born, l.servers[s.server].Address
 		s.phase = unsecured
 		s.fence = l.fences()
 		s.sent = -time.Hour
@@ -373,7 +377,7 @@
 
 // advance makes the transitions that depend on time or on the directory.
 func (l *Leader) advance(s *segment, now time.Duration) {
-	_, reachable := l.servers[s.server]
+	_, listed := l.servers[s.server]
 	switch s.phase {
 	case unsecured, held:
 		if s.busy || s.next == "" {
@@ -382,11 +386,12 @@
 		switch {
 		case now >= l.free(s):
 			l.freed(s)
-		case s.phase == held && reachable && s.failures == 0 && !s.doubt:
+		case s.phase == held && s.failures == 0 && !s.doubt:
+			// A server without registration may still answer.
 			s.phase = releasing
 			s.sent = -time.Hour
 			l.version++
-		case !reachable || s.failures >= unreachableAfter:
+		case !listed || s.failures >= unreachableAfter:
 			s.phase = waiting
 			l.version++
 		}
@@ -413,37 +418,48 @@
 	if s.busy {
 		return Order{}, false
 	}
-	srv, reachable := l.servers[s.server]
-	if !reachable {
-		return Order{}, false
-	}
 	interval := l.set.Renew
-	if s.failures > 0 || s.phase == unsecured || s.phase == releasing {
+	if s.failures > 0 || s.phase != held {
 		interval = l.set.Retry
 	}
 	if now-s.sent < interval {
 		return Order{}, false
 	}
+	_, listed := l.servers[s.server]
 	switch s.phase {
 	case unsecured, held:
-		if s.failures > 0 && s.failed >= proof {
-			// The server may have started again and forgotten the fence of a
-			// later leader, which only the store can tell of.
-			return Order{}, false
-		}
-		if s.doubt {
-			// An answered grant with a higher fence makes the server refuse
-			// the unanswered one.
-			s.fence = l.fences()
-		}
-		return Order{Kind: Grant, Address: srv.Address, Handover: s.handover}, true
+		return l.grant(s, proof), listed && l.mayGrant(s, proof)
 	case releasing:
-		return Order{Kind: Release, Address: srv.Address}, true
+		return Order{Kind: Release, Address: s.address}, s.address != ""
+	case waiting:
+		// A server that can be reached again gives its keys up at once. Under an
+		// earlier leader's grant it first needs one of this leader, as long as
+		// that does not prolong the wait.
+		if s.rival {
+			return l.grant(s, proof), listed && now+l.set.Flight <= l.rivals && l.mayGrant(s, proof)
+		}
+		return Order{Kind: Release, Address: s.address}, s.address != ""
 	default:
 		return Order{}, false
 	}
 }
 
+// mayGrant reports whether a grant can be sent. After a failed call the server
+// may have started again and forgotten the fence of a later leader, which only
+// the store can tell of.
+func (l *Leader) mayGrant(s *segment, proof time.Duration) bool {
+	return s.failures == 0 || s.failed < proof
+}
+
+// grant returns a grant. After an unanswered one it has a higher fence, which
+// makes the server refuse the unanswered one.
+func (l *Leader) grant(s *segment, proof time.Duration) Order {
+	if s.doubt && l.mayGrant(s, proof) {
+		s.fence = l.fences()
+	}
+	return Order{Kind: Grant, Address: s.address, Handover: s.handover}
+}
+
 // Result records the end of a call. The time is that of the answer or of the
 // moment at which the call was given up.
 func (l *Leader) Result(o Order, outcome Outcome, handover string, now time.Duration) {
@@ -473,10 +489,16 @@
 }
 
 func (l *Leader) released(s *segment, o Order, outcome Outcome, handover string, now time.Duration) {
-	if outcome != Done || s.phase != releasing || s.from < o.From || s.to > o.To {
+	if outcome != Done || (s.phase != releasing && s.phase != waiting) || s.from < o.From || s.to > o.To || s.rival {
 		s.fail(now)
 		return
 	}
+	if s.doubt {
+		// An unanswered grant may still be carried out after the release. The
+		// server answers again, so a grant with a higher fence comes first.
+		s.phase, s.failures = unsecured, 0
+		return
+	}
 	s.handover = handover
 	l.freed(s)
 }
@@ -486,9 +508,15 @@
 	case Done:
 		s.mayHold = now + l.holdBound()
 		s.rival = false
-		if s.phase == unsecured {
+		switch s.phase {
+		case unsecured:
 			s.phase = held
 			l.version++
+		case waiting:
+			// The server answers again: whether its keys should move is to be
+			// decided anew.
+			s.phase, s.next = held, ""
+			l.version++
 		}
 		s.renewed = s.sent
 		s.failures, s.handover = 0, ""
--- a/internal/ownership/property_test.go
+++ b/internal/ownership/property_test.go
@@ -164,6 +164,9 @@
 
 // call carries an order out with a drawn fault.
 func (w *world) call(h *host, o ownership.Order) {
+	if o.Address != string(o.Server) {
+		w.t.Fatalf("order for server %s goes to %q", o.Server, o.Address)
+	}
 	s := w.servers[o.Server]
 	if h.unreachable[o.Server] {
 		h.leader.Result(o, ownership.Unsent, "", w.now)
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -178,8 +178,23 @@
 	return srv.demand*srv.slowness > saturation*float64(srv.Slots)
 }
 
+// margin is the factor on the expected work that a job must still have before its
+// target to count as one that can meet it. At a saturated server there are always
+// others with more time left, so jobs on the edge are not worth a slot.
+func (srv *server) margin(now time.Duration) float64 {
+	if srv.saturated(now) {
+		return saturatedMargin
+	}
+	return usualMargin
+}
+
+const (
+	usualMargin     = 0.8
+	saturatedMargin = 1.1
+)
+
 // saturation is the part of the slots that the demand must exceed.
-const saturation = 1.0
+const saturation = 1.25
 
 // Service schedules the requests of one service.
 type Service struct {
@@ -198,7 +213,9 @@
 	expired          time.Duration      // time of the last check of flights
 	// dirty lists the servers whose state has changed since the last Run.
 	dirty []*server
-	swept time.Duration // time of the last Run that looked at all servers
+	// unownedNew is true if unowned has jobs that the last Run did not see.
+	unownedNew bool
+	swept      time.Duration // time of the last Run that looked at all servers
 }
 
 // New returns a Service without servers. A keyed service gets the owners of its
@@ -265,6 +282,7 @@
 		return
 	}
 	s.unowned = append(s.unowned, j)
+	s.unownedNew = true
 }
 
 // touch makes the next Run look at a server.
@@ -335,6 +353,10 @@
 	if now-s.swept >= sweepInterval {
 		s.swept = now
 		look = s.order
+		s.unownedNew = true
+	}
+	if s.unownedNew {
+		s.unownedNew = false
 		out = s.refuseUnowned(now, out)
 	}
 	for _, srv := range s.dirty {
@@ -344,7 +366,7 @@
 	for _, srv := range look {
 		srv.waiting = s.live(srv.waiting)
 		for len(srv.waiting) > 0 && now >= srv.fullUntil && len(srv.running) < srv.Slots+s.set.Ahead {
-			i := s.best(srv.waiting, now, srv.slowness)
+			i := s.best(srv.waiting, now, srv.slowness*srv.margin(now))
 			j := srv.waiting[i]
 			srv.waiting = append(srv.waiting[:i], srv.waiting[i+1:]...)
 			out = append(out, s.start(j, srv))
@@ -385,6 +407,7 @@
 	}
 	backlog := s.wait(srv.waiting, len(srv.running), srv.Slots, srv.slowness)
 	saturated := srv.saturated(now)
+	margin := srv.margin(now)
 	keep := srv.waiting[:0]
 	for _, j := range srv.waiting {
 		work := s.expected(j, srv.slowness)
@@ -395,7 +418,7 @@
 		}
 		// A late job of a saturated server waits in vain: there are always jobs
 		// that can still meet their target.
-		if saturated && now+work*8/10 > j.Target {
+		if saturated && now+time.Duration(float64(work)*margin) > j.Target {
 			hopeless = true
 		}
 		if hopeless {
@@ -490,7 +513,7 @@
 func (s *Service) best(queue []*Job, now time.Duration, slowness float64) int {
 	best, bestLate, bestTime := -1, false, time.Duration(0)
 	for i, j := range queue {
-		late := now+s.expected(j, slowness)*8/10 > j.Target
+		late := now+s.expected(j, slowness) > j.Target
 		at := j.Target
 		if late {
 			at = j.Deadline
--- /dev/null
+++ b/internal/schedule/schedule_test.go
@@ -0,0 +1,243 @@
+package schedule_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lycheerudder/lycheerudder/internal/schedule"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+)
+
+const ms = time.Millisecond
+
+func id(i int) topology.ServerID { return topology.ServerID(fmt.Sprintf("s%02d", i)) }
+
+// pool returns n servers with two slots each.
+func pool(n int) map[topology.ServerID]schedule.Server {
+	m := make(map[topology.ServerID]schedule.Server)
+	for i := range n {
+		m[id(i)] = schedule.Server{Address: string(id(i)), DataCentre: "a", Slots: 2}
+	}
+	return m
+}
+
+var numbers uint32
+
+func job(key, priority int, now, target, left time.Duration) *schedule.Job {
+	numbers++
+	return &schedule.Job{
+		ID: schedule.JobID{Host: 1, Number: numbers}, Class: uint32(priority), Key: key, Priority: priority,
+		DataCentre: "a", Target: now + target, Deadline: now + left,
+	}
+}
+
+func keyed(owner func(key int) schedule.Owner, servers int) *schedule.Service {
+	s := schedule.New(true, schedule.Settings{RemoteCost: 2})
+	s.SetServers(pool(servers))
+	s.SetOwners(1, owner)
+	return s
+}
+
+func always(server topology.ServerID) func(int) schedule.Owner {
+	return func(int) schedule.Owner { return schedule.Owner{Server: server, Held: true} }
+}
+
+// Guards against more requests at a server than it has slots: they would wait
+// where they can no longer be reordered or refused.
+func TestSlotsAreExact(t *testing.T) {
+	g := NewWithT(t)
+	s := keyed(always(id(0)), 2)
+	var first *schedule.Job
+	sent := 0
+	for range 6 {
+		j := job(1, 1, 0, 300*ms, 2*time.Second)
+		if first == nil {
+			first = j
+		}
+		s.Add(j, 0)
+		sent += len(s.Run(0))
+	}
+	g.Expect(sent).To(Equal(2))
+	s.Done(schedule.Report{ID: first.ID, Result: schedule.Answered, Took: 50 * ms}, 50*ms)
+	g.Expect(s.Run(50 * ms)).To(HaveLen(1))
+}
+
+// Guards against a request that is sent after its caller has left.
+func TestRemovedJobIsNotSent(t *testing.T) {
+	g := NewWithT(t)
+	s := keyed(always(id(0)), 1)
+	var jobs []*schedule.Job
+	for range 3 {
+		jobs = append(jobs, job(1, 1, 0, 300*ms, 2*time.Second))
+		s.Add(jobs[len(jobs)-1], 0)
+		s.Run(0)
+	}
+	s.Remove(jobs[2].ID)
+	s.Done(schedule.Report{ID: jobs[0].ID, Result: schedule.Answered, Took: 50 * ms}, 50*ms)
+	g.Expect(s.Run(50 * ms)).To(BeEmpty())
+}
+
+// Replays a queue with requests of unequal urgency and age. Guards against a
+// late request that takes the slot of one that can still meet its target.
+func TestOrder(t *testing.T) {
+	g := NewWithT(t)
+	s := keyed(always(id(0)), 1)
+	running := job(1, 1, 0, 300*ms, 2*time.Second)
+	other := job(1, 1, 0, 300*ms, 2*time.Second)
+	s.Add(running, 0)
+	s.Add(other, 0)
+	s.Run(0)
+	late := job(1, 0, 0, 60*ms, 2*time.Second)
+	relaxed := job(1, 2, 0, 900*ms, 2*time.Second)
+	soon := job(1, 1, 0, 400*ms, 2*time.Second)
+	for _, j := range []*schedule.Job{late, relaxed, soon} {
+		s.Add(j, 10*ms)
+	}
+	s.Run(10 * ms)
+	var order []*schedule.Job
+	for _, j := range []*schedule.Job{running, other, soon} {
+		s.Done(schedule.Report{ID: j.ID, Result: schedule.Answered, Took: 100 * ms}, 100*ms)
+		for _, d := range s.Run(100 * ms) {
+			order = append(order, d.Job)
+		}
+	}
+	g.Expect(order).To(Equal([]*schedule.Job{soon, relaxed, late}))
+}
+
+// Replays a key that asks for three times what its server can do, for three
+// seconds. Guards against requests that are held until their deadline although
+// it is known that they cannot be served, and against a server that idles while
+// requests are refused.
+func TestSaturatedServer(t *testing.T) {
+	g := NewWithT(t)
+	s := keyed(always(id(0)), 1)
+	const work = 100 * ms
+	type run struct {
+		job *schedule.Job
+		end time.Duration
+	}
+	var running []run
+	asked := make(map[schedule.JobID]time.Duration)
+	var onTime, served, refused int
+	var held time.Duration
+	take := func(now time.Duration, list []schedule.Decision) {
+		for _, d := range list {
+			if d.Refused {
+				refused++
+				g.Expect(d.RetryAfter).To(BeNumerically(">", 0))
+				held = max(held, now-asked[d.Job.ID])
+				continue
+			}
+			running = append(running, run{d.Job, now + work})
+		}
+	}
+	for now := time.Duration(0); now < 3*time.Second; now += ms {
+		if now%(17*ms) == 0 { // 59 requests/s; the server does 20
+			j := job(1, 1, now, 300*ms, 800*ms)
+			asked[j.ID] = now
+			s.Add(j, now)
+		}
+		keep := running[:0]
+		for _, r := range running {
+			if now < r.end {
+				keep = append(keep, r)
+				continue
+			}
+			s.Done(schedule.Report{ID: r.job.ID, Result: schedule.Answered, Took: work}, now)
+			served++
+			if now <= r.job.Target {
+				onTime++
+			}
+		}
+		running = keep
+		take(now, s.Run(now))
+	}
+	g.Expect(served).To(BeNumerically(">=", 56), "two slots, 100 ms each, for three seconds")
+	g.Expect(onTime).To(BeNumerically(">=", 50))
+	g.Expect(refused).To(BeNumerically(">", 80))
+	g.Expect(held).To(BeNumerically("<", 400*ms), "half of the time that callers have")
+}
+
+// Guards against requests that wait for an owner that will not come in time.
+func TestUnownedKeyIsRefusedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	free := 2 * time.Second
+	s := keyed(func(int) schedule.Owner { return schedule.Owner{Server: id(0), Free: free} }, 1)
+	s.Add(job(1, 1, 0, 300*ms, 800*ms), 0)
+	out := s.Run(0)
+	g.Expect(out).To(HaveLen(1))
+	g.Expect(out[0].Reason).To(Equal(schedule.NoOwner))
+	g.Expect(out[0].RetryAfter).To(BeNumerically("~", free, 10*ms))
+}
+
+// Guards against requests that are lost or refused while their key moves for a
+// moment.
+func TestJobsMoveWithTheirKey(t *testing.T) {
+	g := NewWithT(t)
+	owner := schedule.Owner{Server: id(0)}
+	s := keyed(func(int) schedule.Owner { return owner }, 2)
+	j := job(1, 1, 0, 300*ms, 800*ms)
+	s.Add(j, 0)
+	g.Expect(s.Run(0)).To(BeEmpty())
+	owner = schedule.Owner{Server: id(1), Held: true}
+	s.SetOwners(2, func(int) schedule.Owner { return owner })
+	out := s.Run(100 * ms)
+	g.Expect(out).To(HaveLen(1))
+	g.Expect(out[0].Server).To(Equal(id(1)))
+}
+
+// Replays servers of unequal speed, one of which fails. Guards against a choice
+// by turns.
+func TestPickPrefersFastAndSound(t *testing.T) {
+	g := NewWithT(t)
+	s := schedule.New(false, schedule.Settings{RemoteCost: 2})
+	servers := pool(4)
+	servers["far"] = schedule.Server{Address: "far", DataCentre: "b", Slots: 2}
+	s.SetServers(servers)
+	took := map[topology.ServerID]time.Duration{id(0): 50 * ms, id(1): 100 * ms, id(2): 300 * ms, id(3): 100 * ms, "far": 100 * ms}
+	counts := make(map[topology.ServerID]int)
+	now := time.Duration(0)
+	for range 400 {
+		now += 10 * ms
+		j := job(schedule.NoKey, 1, now, 300*ms, time.Second)
+		s.Add(j, now)
+		for _, d := range s.Run(now) {
+			counts[d.Server]++
+			result := schedule.Answered
+			if d.Server == id(3) {
+				result = schedule.Broken
+			}
+			s.Done(schedule.Report{ID: d.Job.ID, Result: result, Took: took[d.Server]}, now+took[d.Server])
+		}
+	}
+	g.Expect(counts[id(0)]).To(BeNumerically(">", 200))
+	g.Expect(counts[id(2)] + counts[id(3)] + counts["far"]).To(BeNumerically("<", 60))
+}
+
+// Guards against a request that goes again to the server that failed it.
+func TestTriedServerIsAvoided(t *testing.T) {
+	g := NewWithT(t)
+	s := schedule.New(false, schedule.Settings{RemoteCost: 2})
+	s.SetServers(pool(2))
+	j := job(schedule.NoKey, 1, 0, 300*ms, time.Second)
+	j.Tried = []topology.ServerID{id(0)}
+	s.Add(j, 0)
+	g.Expect(s.Run(0)[0].Server).To(Equal(id(1)))
+}
+
+// Guards against slots that stay in use after their host was lost.
+func TestFlightsOfLostHostsEnd(t *testing.T) {
+	g := NewWithT(t)
+	s := keyed(always(id(0)), 1)
+	for range 2 {
+		s.Add(job(1, 1, 0, 300*ms, 800*ms), 0)
+		s.Run(0)
+	}
+	waiting := job(1, 1, time.Second, 300*ms, 5*time.Second)
+	s.Add(waiting, time.Second)
+	g.Expect(s.Run(time.Second)).To(BeEmpty())
+	g.Expect(s.Run(1300 * ms)).To(HaveLen(1))
+}
