Ask again when a decision names a server that is known to leave

Change: such a decision is dropped and asked for again after 80 ms until the leader has read the list; it does not count as a send. Ruled out: sending to the server for a while longer; a host that reads every 4 s does not know since when it leaves.

--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -24,6 +24,9 @@
 	defaultTimeLeft = 5 * time.Second
 	// wayBack is kept from the time of a caller for the way of the answer.
 	wayBack = 15 * time.Millisecond
+	// leavingPause is the time after which a decision for a leaving server is
+	// asked for again.
+	leavingPause = 80 * time.Millisecond
 	// maxSends bounds the servers that a request is sent to, including those
 	// that refused it without running it.
 	maxSends = 4
@@ -158,12 +161,9 @@
 		}
 		id := schedule.JobID{Host: in.desk.host, Number: number}
 		if in.left(d.Server) {
-			in.desk.report(schedule.Report{ID: id, Result: schedule.Elsewhere})
-			c.job.Tried = append(c.job.Tried, d.Server)
-			if c.sends++; c.sends >= maxSends {
-				return in.refuse(c, "server-leaving", unknownRetry)
-			}
-			sleep(ctx, callRetry)
+			// The leader reads the same list and learns of it soon.
+			in.desk.report(schedule.Report{ID: id, Result: schedule.Left})
+			sleep(ctx, leavingPause)
 			continue
 		}
 		out := in.upstream.Do(ctx, d.Server, d.Address, c.deadline, &c.request)
