--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -215,7 +215,7 @@
 				}
 			}
 		}
-		d.sched.SetServers(usable)
+		d.sched.SetServers(usable, now)
 		if d.grants != nil {
 			d.grants.SetServers(reachable, now)
 		}
--- a/internal/schedule/report.go
+++ b/internal/schedule/report.go
@@ -76,6 +76,9 @@
 		return j, ""
 	}
 	srv.observe(r, s.Work(j.Class), now)
+	if r.Result == Broken {
+		s.harm.broke(srv.id, j.Content, now)
+	}
 	if r.Result == Answered {
 		s.observeClass(j.Class, r.Took)
 	}
@@ -126,9 +129,12 @@
 }
 
 // SetServers replaces the servers that may be sent requests.
-func (s *Service) SetServers(servers map[topology.ServerID]Server) {
+func (s *Service) SetServers(servers map[topology.ServerID]Server, now time.Duration) {
 	for id, d := range servers {
 		srv, ok := s.servers[id]
+		if ok && srv.Born != d.Born {
+			s.harm.crashed(id, now)
+		}
 		if !ok || srv.Born != d.Born {
 			srv = &server{id: id, running: make(map[JobID]bool), slowness: 1}
 			if d.Cold > 0 {
@@ -145,6 +151,7 @@
 		if _, ok := servers[id]; !ok {
 			delete(s.servers, id)
 			s.drop(srv)
+			s.harm.crashed(id, now)
 		}
 	}
 	s.order = s.order[:0]
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -132,6 +132,8 @@
 	// unownedWait is the longest time for which a request waits for the owner of
 	// its key if the end of the gap is not known.
 	unownedWait = 1200 * time.Millisecond
+	// harmfulRetry tells callers of a harmful request to stay away.
+	harmfulRetry = 5 * time.Second
 	// minRetryAfter keeps refused callers from returning at once.
 	minRetryAfter = 50 * time.Millisecond
 )
@@ -213,6 +215,9 @@
 	expired          time.Duration      // time of the last check of flights
 	// dirty lists the servers whose state has changed since the last Run.
 	dirty []*server
+	harm  *harm
+	// refused holds jobs that were refused when they came.
+	refused []Decision
 	// unownedNew is true if unowned has jobs that the last Run did not see.
 	unownedNew bool
 	swept      time.Duration // time of the last Run that looked at all servers
@@ -227,6 +232,7 @@
 		flights: make(map[JobID]*server),
 		jobs:    make(map[JobID]*Job),
 		classes: make(map[uint32]float64),
+		harm:    newHarm(),
 		owner:   func(int) Owner { return Owner{} },
 	}
 }
@@ -261,6 +267,10 @@
 // Add takes a job.
 func (s *Service) Add(j *Job, now time.Duration) {
 	j.arrived = now
+	if s.harm.harmful(j.Content, now) {
+		s.refused = append(s.refused, Decision{Job: j, Refused: true, Reason: Harmful, RetryAfter: harmfulRetry})
+		return
+	}
 	s.jobs[j.ID] = j
 	if s.keyed {
 		if srv := s.servers[s.owner(j.Key).Server]; srv != nil {
@@ -326,7 +336,8 @@
 // Run returns the decisions that are due.
 func (s *Service) Run(now time.Duration) []Decision {
 	s.expire(now)
-	var out []Decision
+	out := s.refused
+	s.refused = nil
 	if s.keyed {
 		out = s.runKeyed(now, out)
 	} else {
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -36,7 +36,7 @@
 
 func keyed(owner func(key int) schedule.Owner, servers int) *schedule.Service {
 	s := schedule.New(true, schedule.Settings{RemoteCost: 2})
-	s.SetServers(pool(servers))
+	s.SetServers(pool(servers), 0)
 	s.SetOwners(1, owner)
 	return s
 }
@@ -196,7 +196,7 @@
 	s := schedule.New(false, schedule.Settings{RemoteCost: 2})
 	servers := pool(4)
 	servers["far"] = schedule.Server{Address: "far", DataCentre: "b", Slots: 2}
-	s.SetServers(servers)
+	s.SetServers(servers, 0)
 	took := map[topology.ServerID]time.Duration{id(0): 50 * ms, id(1): 100 * ms, id(2): 300 * ms, id(3): 100 * ms, "far": 100 * ms}
 	counts := make(map[topology.ServerID]int)
 	now := time.Duration(0)
@@ -221,7 +221,7 @@
 func TestTriedServerIsAvoided(t *testing.T) {
 	g := NewWithT(t)
 	s := schedule.New(false, schedule.Settings{RemoteCost: 2})
-	s.SetServers(pool(2))
+	s.SetServers(pool(2), 0)
 	j := job(schedule.NoKey, 1, 0, 300*ms, time.Second)
 	j.Tried = []topology.ServerID{id(0)}
 	s.Add(j, 0)
@@ -241,3 +241,42 @@
 	g.Expect(s.Run(time.Second)).To(BeEmpty())
 	g.Expect(s.Run(1300 * ms)).To(HaveLen(1))
 }
+
+// Replays a request that crashes each server that runs it and comes again.
+// Guards against a content that takes down one server after the other, and
+// against the refusal of requests that only lost their connection.
+func TestHarmfulContent(t *testing.T) {
+	g := NewWithT(t)
+	s := schedule.New(false, schedule.Settings{RemoteCost: 2})
+	servers := pool(3)
+	s.SetServers(servers, 0)
+	now := time.Duration(0)
+	play := func(content uint64, crash bool) (refused bool) {
+		now += time.Second
+		j := job(schedule.NoKey, 1, now, 300*ms, 800*ms)
+		j.Content = content
+		s.Add(j, now)
+		d := s.Run(now)[0]
+		if d.Refused {
+			g.Expect(d.Reason).To(Equal(schedule.Harmful))
+			return true
+		}
+		s.Done(schedule.Report{ID: j.ID, Result: schedule.Broken}, now)
+		if crash {
+			now += time.Second
+			again := servers[d.Server]
+			again.Born++
+			servers[d.Server] = again
+			s.SetServers(servers, now)
+		}
+		return false
+	}
+	for range 3 {
+		g.Expect(play(666, true)).To(BeFalse())
+		g.Expect(play(5, false)).To(BeFalse())
+	}
+	g.Expect(play(666, true)).To(BeTrue())
+	for range 5 {
+		g.Expect(play(5, false)).To(BeFalse())
+	}
+}
