Let the leader tell of new configurations; read less often

Change: the leader holds its read open for 1 s and tells all hosts of a new version; the others hold theirs for 20 s, 1.5 s without a sound leader, and none while reads fail; hosts read registrations and key maps every 4 s, with many hosts every 0.15 s for each.

--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -79,6 +79,7 @@
 	turn   int
 	asked  time.Duration // last message to a peer
 	depose func()        // ends the lead of this host
+	behind func(version int64)
 }
 
 func newDesk(clk clock.Clock, link *hostlink.Link, host uint64, dc topology.DataCentre, suspect func(), trusted func() bool) *desk {
@@ -293,6 +294,7 @@
 	d.heard, d.misses = d.clk.Now(), 0
 	d.hosts = max(1, int(m.Hosts))
 	d.dirAge = time.Duration(m.DirectoryAgeMS) * time.Millisecond
+	newer := m.ConfigVersion > d.version
 	d.version = m.ConfigVersion
 	if n := int32(m.Reports - d.first + 1); n > 0 {
 		d.reports = d.reports[min(int(n), len(d.reports)):]
@@ -315,6 +317,9 @@
 		})
 	}
 	d.mu.Unlock()
+	if newer {
+		d.behind(m.ConfigVersion)
+	}
 	d.decide(answers)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,6 +113,12 @@
 		self: address, weight: 1 / max(set.CPUShare, minCPUShare), wake: make(chan struct{}, 1),
 	}
 	g.desk.strength = uint16(min(set.CPUShare*100, 60000))
+	g.watch.readOwners = func(ctx context.Context) {
+		if _, err := g.elector.readOwners(ctx); err != nil && ctx.Err() == nil {
+			g.log.Warn("the key maps cannot be read: " + err.Error())
+		}
+	}
+	g.desk.behind = g.watch.behind
 	g.desk.depose = g.elector.depose
 	g.ingress = &ingress{
 		clk: clk, names: names, desk: g.desk, watch: g.watch, upstream: g.upstream,
@@ -124,17 +130,18 @@
 // minCPUShare bounds the delay with which weak hosts claim the lead.
 const minCPUShare = 0.1
 
-// need returns the interval at which the registrations are read and the version
-// of the configuration that the leader knows.
-func (g *gateway) need() (time.Duration, int64) {
+// need returns what this host needs of the store: the leader reads for all, the
+// others read in its place when they do not hear of it or it has lost the store.
+func (g *gateway) need() need {
 	s := g.desk.state()
 	switch {
 	case s.leads:
-		return leaderPoll, s.configVersion
+		return need{leaderPoll, leaderConfigWait, s.configVersion, false}
 	case s.directoryAge > staleList || g.desk.silent() || g.desk.blind():
-		return urgentPoll, s.configVersion
+		return need{urgentPoll, urgentConfigWait, s.configVersion, false}
 	default:
-		return hostPoll, s.configVersion
+		poll := max(hostPoll, time.Duration(s.hosts)*hostPollEach)
+		return need{poll, hostConfigWait, s.configVersion, true}
 	}
 }
 
@@ -148,6 +155,7 @@
 	g.elector.mu.Lock()
 	tables := g.elector.tables
 	g.elector.mu.Unlock()
+	g.peers.tell(cfg.Version)
 	g.desk.fallback.configure(cfg, tables, nil)
 	g.desk.fallback.refresh(servers)
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -30,7 +30,8 @@
 	heard func(host uint64, address string)
 	epoch int64
 	hosts map[uint64]*peer
-	most  int // largest number of hosts that were heard at the same time
+	told  int64 // version of the configuration that all hosts were told of
+	most  int   // largest number of hosts that were heard at the same time
 }
 
 // peer is what the leader remembers of one host.
@@ -225,6 +226,24 @@
 	_ = p.link.FromLeader(address, &m)
 }
 
+// tell makes a new version of the configuration known to all hosts.
+func (p *peers) tell(version int64) {
+	p.mu.Lock()
+	if p.core == nil || version <= p.told {
+		p.mu.Unlock()
+		return
+	}
+	p.told = version
+	list := make([]uint64, 0, len(p.hosts))
+	for id := range p.hosts {
+		list = append(list, id)
+	}
+	p.mu.Unlock()
+	for _, id := range list {
+		p.reply(id, nil)
+	}
+}
+
 // some returns the addresses of some hosts other than h.
 func (p *peers) some(h *peer) []string {
 	var list []string
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -13,8 +13,14 @@
 
 const (
 	// configWait is the time for which the store holds a read of the
-	// configuration open. A connection that went silent is noticed after it.
-	configWait = 4 * time.Second
+	// configuration open, by the role of the host. The leader tells the others of
+	// a new version, so they need the read only as a reserve. A connection can go
+	// silent; a host that is responsible for itself notices it after a short
+	// wait, since a configuration must be in force within seconds.
+	leaderConfigWait = time.Second
+	hostConfigWait   = 20 * time.Second
+	urgentConfigWait = 1500 * time.Millisecond
+	configCheck      = 200 * time.Millisecond
 	// callTimeout ends calls to the store, which answers within milliseconds
 	// unless it is slow or down.
 	callTimeout = 1200 * time.Millisecond
@@ -23,14 +29,21 @@
 	// leaderPoll is the interval at which the leader reads the registrations. A
 	// server may be sent requests for LeaveNotice after its announcement.
 	leaderPoll = 450 * time.Millisecond
-	// hostPoll is the interval for hosts whose leader does it for them,
+	// hostPoll is the interval for hosts whose leader does it for them, which need
+	// the list and the key maps if they lose leader and store together,
 	// urgentPoll that for hosts whose leader's list is older than staleList.
-	hostPoll   = 4 * time.Second
-	urgentPoll = 500 * time.Millisecond
-	staleList  = 800 * time.Millisecond
+	// With many hosts the interval grows by hostPollEach for each, so that all
+	// together make a bounded number of calls.
+	hostPoll     = 4 * time.Second
+	hostPollEach = 150 * time.Millisecond
+	urgentPoll   = 500 * time.Millisecond
+	staleList    = 800 * time.Millisecond
 	// freshList is the age of the list up to which requests are sent; it leaves
 	// the time that a request needs to reach its server.
 	freshList = 1400 * time.Millisecond
+	// fullRead is the age of the list above which reading all registrations is
+	// less than reading all changes: servers renew theirs about once a second.
+	fullRead = 4 * time.Second
 )
 
 // watch keeps the configuration and the list of servers up to date.
@@ -38,15 +51,19 @@
 	clk   clock.Clock
 	store Store
 	log   logging.Logger
-	// need returns the interval at which the list of servers is read, and the
-	// version of the configuration that other hosts know.
-	need func() (poll time.Duration, version int64)
+	// need returns what the host needs in its present role.
+	need func() need
 	// changed is called after the configuration or the list has changed.
 	changed func()
+	// readOwners reads the key maps.
+	readOwners func(ctx context.Context)
 
 	config atomic.Pointer[fleet.Config]
 	hurry  chan struct{}
 
+	pollMu sync.Mutex
+	poll   configPoll
+
 	mu        sync.Mutex
 	directory *fleet.Directory
 	next      int64
@@ -55,7 +72,26 @@
 	asked     time.Duration // send time of the read under way; zero if none is
 }
 
-func newWatch(clk clock.Clock, store Store, need func() (time.Duration, int64), changed func()) *watch {
+// need is what a host needs of the store in its present role.
+type need struct {
+	// poll is the interval at which the list of servers is read.
+	poll time.Duration
+	// wait is the time for which a read of the configuration is held open.
+	wait time.Duration
+	// version is that of the configuration that the leader knows.
+	version int64
+	// owners is true if the key maps are read along with the list.
+	owners bool
+}
+
+// configPoll is the read of the configuration that is under way.
+type configPoll struct {
+	cancel  context.CancelFunc // nil if none is held open
+	started time.Duration
+	version int64 // in force when it began
+}
+
+func newWatch(clk clock.Clock, store Store, need func() need, changed func()) *watch {
 	return &watch{
 		clk: clk, store: store, log: logging.For(logging.Platform), need: need, changed: changed,
 		directory: fleet.NewDirectory(), next: -1, hurry: make(chan struct{}, 1),
@@ -64,30 +100,34 @@
 
 // runConfig follows the configuration until the context ends.
 func (w *watch) runConfig(ctx context.Context) {
+	go w.checkConfig(ctx)
 	from := int64(-1)
 	failing := false
 	for ctx.Err() == nil {
-		wait := configWait
+		wait := w.need().wait
 		cfg := w.config.Load()
-		if cfg == nil {
+		if cfg == nil || failing {
+			// A read that is held open shows the store's return late.
 			wait = 0
 		}
 		call, cancel := context.WithTimeout(ctx, wait+callTimeout)
-		stop := w.interruptWhenBehind(call, cancel, cfg)
-		next, config, err := w.readConfig(call, from, wait)
-		stop()
+		if wait > 0 {
+			w.setPoll(configPoll{cancel: cancel, started: w.clk.Now(), version: cfg.Version})
+		}
+		config, next, err := w.store.ConfigChange(call, from, wait)
+		w.setPoll(configPoll{})
+		ended := call.Err() != nil
 		cancel()
 		if err != nil {
-			if !failing && ctx.Err() == nil {
+			if !failing && ctx.Err() == nil && !ended {
 				w.log.Warn("configuration cannot be read: " + err.Error())
 			}
 			failing = true
-			sleep(ctx, callRetry)
+			if !ended {
+				sleep(ctx, callRetry)
+			}
 			continue
 		}
-		if failing {
-			w.log.Info("configuration can be read again")
-		}
 		failing = false
 		from = next
 		w.adopt(config)
@@ -97,44 +137,37 @@
 	}
 }
 
-func (w *watch) readConfig(ctx context.Context, from int64, wait time.Duration) (int64, *fleet.Config, error) {
-	config, next, err := w.store.ConfigChange(ctx, from, wait)
-	return next, config, err
+func (w *watch) setPoll(p configPoll) {
+	w.pollMu.Lock()
+	defer w.pollMu.Unlock()
+	w.poll = p
 }
 
-// interruptWhenBehind ends a read that is held open as soon as another host
-// knows a newer configuration: the connection may have gone silent.
-func (w *watch) interruptWhenBehind(ctx context.Context, cancel func(), cfg *fleet.Config) func() {
-	if cfg == nil {
-		return func() {}
-	}
-	done := make(chan struct{})
-	go func() {
-		t := time.NewTicker(behindCheck)
-		defer t.Stop()
-		behind := 0
-		for {
-			select {
-			case <-done:
-				return
-			case <-ctx.Done():
-				return
-			case <-t.C:
-			}
-			if _, version := w.need(); version > cfg.Version {
-				if behind++; behind > 1 {
-					cancel()
-					return
-				}
-			}
+// checkConfig ends reads that are held open for longer than the role of the host
+// allows, or although the leader knows a newer configuration.
+func (w *watch) checkConfig(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, configCheck)
+		n := w.need()
+		w.pollMu.Lock()
+		p := w.poll
+		w.pollMu.Unlock()
+		if p.cancel != nil && (n.version > p.version || w.clk.Now()-p.started > n.wait+callTimeout) {
+			p.cancel()
 		}
-	}()
-	return func() { close(done) }
+	}
 }
 
-// behindCheck is the interval between comparisons of versions; a host that is
-// behind at two of them reads anew.
-const behindCheck = 300 * time.Millisecond
+// behind ends a read that is held open if another host knows a newer
+// configuration.
+func (w *watch) behind(version int64) {
+	w.pollMu.Lock()
+	p := w.poll
+	w.pollMu.Unlock()
+	if p.cancel != nil && version > p.version {
+		p.cancel()
+	}
+}
 
 func (w *watch) adopt(config *fleet.Config) {
 	if config == nil {
@@ -163,7 +196,11 @@
 			}
 		}
 		w.changed()
-		wait, _ := w.need()
+		n := w.need()
+		wait := n.poll
+		if n.owners && err == nil {
+			w.readOwners(ctx)
+		}
 		if err != nil {
 			wait = callRetry
 		}
@@ -189,6 +226,9 @@
 	w.mu.Lock()
 	from := w.next
 	sent := w.clk.Now()
+	if w.directory.Age(sent) > fullRead {
+		from = -1
+	}
 	w.asked = sent
 	w.mu.Unlock()
 	c, err := w.store.ServerChanges(call, from)
