Read the store at once when the leader is blind; notice servers whose address was given away

Cause: a host that should have taken over from a leader without the store slept until its next read of the registrations (up to 4 s), so takeovers took 3 s; grants to addresses that were given to other services were answered with 400 and counted as possibly carried out; dials that did not connect in time counted as sent. Ruled out: the wait for earlier leaders (ended after 1.7 s in the trace).

--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -35,6 +35,8 @@
 	leaderWatch = time.Second
 	// searchInterval is the pause between looks for a leader.
 	searchInterval = 200 * time.Millisecond
+	// suspectPause bounds the rate at which suspicions are followed.
+	suspectPause = 20 * time.Millisecond
 	// claimSpread spreads the claims of hosts that miss the leader at the same
 	// time. It is multiplied by the inverse of the share of a processor, so that
 	// hosts with more processor come first: the leader takes part in all requests.
@@ -108,6 +110,7 @@
 	weight float64
 
 	wake chan struct{}
+	why  string // result of the last search
 	// resigned is the time until which this host claims nothing.
 	resigned atomic.Int64
 
@@ -172,26 +175,38 @@
 // run follows or becomes the leader until the context ends.
 func (e *elector) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !e.desk.silent() && !(e.desk.blind() && e.watch.fresh()) {
+		silent, blind := e.desk.silent(), e.desk.blind()
+		if (silent || blind) && !e.watch.fresh() {
+			// This host must judge by its own reads from now on.
+			e.watch.readNow()
+		}
+		if !silent && !(blind && e.watch.fresh()) {
 			select {
 			case <-ctx.Done():
 			case <-e.wake:
+				sleep(ctx, suspectPause)
 			case <-time.After(searchInterval):
 			}
 			continue
 		}
-		if !e.search(ctx) {
+		found, why := e.search(ctx)
+		if why != e.why {
+			e.why = why
+			e.log.With("silent", silent).With("blind", blind).With("result", why).Info("the leader is looked for")
+		}
+		if !found {
 			sleep(ctx, searchInterval)
 		}
 	}
 }
 
 // search looks for the leader in the store and claims the lead if there is none.
-// It returns false if the caller should wait before it searches again.
-func (e *elector) search(ctx context.Context) bool {
+// It returns false if the caller should wait before it searches again, and the
+// result in a word.
+func (e *elector) search(ctx context.Context) (found bool, why string) {
 	leader, err := e.readOwners(ctx)
 	if err != nil {
-		return false
+		return false, "store does not answer"
 	}
 	e.watch.readNow()
 	address, err := netip.ParseAddrPort(leader.Address)
@@ -200,26 +215,24 @@
 	end := e.end
 	e.mu.Unlock()
 	if err == nil && !mine && e.desk.knows(address, leader.Member, leader.Epoch) {
-		return true // a new leader: ask it first
+		return true, "store names " + leader.Member
 	}
 	if err == nil && !mine {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		members, err := e.store.Members(call)
 		cancel()
 		if err != nil {
-			return false
+			return false, "members cannot be read"
 		}
-		for _, m := range members {
-			if m == leader.Member {
-				return false // the leader reaches the store
-			}
+		if slices.Contains(members, leader.Member) {
+			return false, "leader reaches the store"
 		}
 	}
 	if e.clk.Now() < time.Duration(e.resigned.Load()) || e.watch.config.Load() == nil {
-		return false
+		return false, "this host does not lead now"
 	}
 	sleep(ctx, time.Duration((e.weight+rand.Float64())*float64(claimSpread)))
-	return e.claim(ctx, end, leader)
+	return e.claim(ctx, end, leader), "lead was claimed"
 }
 
 // claim makes this host the leader if the records of the store have not changed
@@ -414,7 +427,7 @@
 		for _, s := range l.core.summaries() {
 			l.log.With("service", string(s.service)).With("waiting", s.waiting).With("running", s.running).With("slots", s.slots).
 				With("parts", s.parts).With("moving", s.moving).With("unowned", s.unowned).
-				With("busiest", s.busiest).With("mean", s.mean).With("hottest", s.hottest).Info("load of a service")
+				With("busiest", s.busiest).With("mean", s.mean).With("hottest", s.hottest).With("rivals_ms", (l.core.rivals() - l.clk.Now()).Milliseconds()).Info("load of a service")
 		}
 	}
 	present, most := l.peers.tick()
@@ -484,6 +497,10 @@
 		return ownership.Done
 	case errors.Is(err, ErrFenced):
 		return ownership.Fenced
+	case errors.Is(err, ErrElsewhere):
+		return ownership.Ended
+	case errors.Is(err, ErrNotDone):
+		return ownership.Refused
 	case errors.As(err, &op) && op.Op == "dial":
 		return ownership.Unsent
 	default:
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -32,14 +32,17 @@
 // ErrOutdated is returned by an append whose condition no longer holds.
 var ErrOutdated = eris.New("the store has newer records")
 
-// ErrNotDone is returned by a call that the store has refused without doing
-// anything.
-var ErrNotDone = eris.New("the store has refused the call")
+// ErrNotDone is returned by a call that was refused without doing anything.
+var ErrNotDone = eris.New("the call was refused")
 
 // ErrFenced is returned by a grant that the server refused because it has seen a
 // higher fence.
 var ErrFenced = eris.New("the server has seen a higher fence")
 
+// ErrElsewhere is returned by a call that another server answered: the one that
+// was meant has ended, and its address was given away.
+var ErrElsewhere = eris.New("another server has the address")
+
 // ServerChange is a registration, or the end of one if Server is nil.
 type ServerChange struct {
 	ID     topology.ServerID
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -72,8 +72,11 @@
 	Unknown
 	// Fenced grants were refused because the server has seen a higher fence.
 	Fenced
-	// Refused calls were answered with another failure.
+	// Refused calls were answered with another failure and had no effect.
 	Refused
+	// Ended calls were answered by another server: the one that was meant has
+	// ended.
+	Ended
 )
 
 // Server is what the leader knows of a server that may own keys.
@@ -476,6 +479,10 @@
 		s.fail(now)
 		return
 	}
+	if outcome == Ended {
+		l.ended(s, now)
+		return
+	}
 	if o.Kind == Release {
 		l.released(s, o, outcome, handover, now)
 		return
@@ -483,6 +490,14 @@
 	l.granted(s, o, outcome, now)
 }
 
+// ended records that the server of a segment holds nothing any more.
+func (l *Leader) ended(s *segment, now time.Duration) {
+	s.mayHold, s.rival, s.doubt = now, false, false
+	s.failures = max(s.failures, unreachableAfter)
+	s.failed = now
+	l.version++
+}
+
 func (s *segment) fail(now time.Duration) {
 	s.failures++
 	s.failed = now
@@ -527,7 +542,11 @@
 		s.mayHold = max(s.mayHold, now+l.holdBound())
 		s.doubt = true
 		s.fail(now)
+	case Refused:
+		s.mayHold = s.before
+		s.fail(now)
 	case Fenced:
+		s.mayHold = s.before
 		s.fail(now)
 		if s.failures > 1 {
 			l.deposed = true
