Add a fault soak with real processes

Change: cmd/lysoak and internal/soak: hosts as processes on loopback addresses, a proxy between each host and the store (silence, one way, delay, reset), signals (kill, stop, pause, reload), store faults, servers that crash and leave, configurations; two faults overlap. Checks: whole answers to the own request, no second run, truth of refusals, one holder of each key, service and newest configuration after the last fault. Ruled out: a clock fault: the program reads no time of day but for logs.

--- /dev/null
+++ b/cmd/lysoak/main.go
@@ -0,0 +1,90 @@
+// Command lysoak plays random faults against the entry hosts of the users'
+// platform and checks what callers and servers see.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/lycheerudder/lycheerudder/internal/settings"
+	"github.com/lycheerudder/lycheerudder/internal/soak"
+)
+
+type options struct {
+	Seed     int           `env:"LYSOAK_SEED" envDefault:"0" flag:"seed" help:"first seed; 0 takes one from the clock"`
+	Seeds    int           `env:"LYSOAK_SEEDS" envDefault:"1" flag:"seeds" help:"number of seeds to play"`
+	Duration time.Duration `env:"LYSOAK_DURATION" envDefault:"20s" flag:"duration" help:"time of faults for each seed"`
+	Hosts    int           `env:"LYSOAK_HOSTS" envDefault:"4" flag:"hosts" help:"number of entry hosts"`
+	Servers  int           `env:"LYSOAK_SERVERS" envDefault:"6" flag:"servers" help:"number of servers that own keys"`
+	Callers  int           `env:"LYSOAK_CALLERS" envDefault:"12" flag:"callers" help:"number of callers"`
+	Program  string        `env:"LYSOAK_PROGRAM" envDefault:"bin/lygate" flag:"program" help:"path of the entry host's program"`
+}
+
+// Validate implements settings.Validator.
+func (o *options) Validate() []error {
+	var errs []error
+	for name, v := range map[string]int{"seeds": o.Seeds, "hosts": o.Hosts, "servers": o.Servers, "callers": o.Callers} {
+		if v < 1 {
+			errs = append(errs, fmt.Errorf("%s must be at least 1", name))
+		}
+	}
+	if o.Hosts > 50 {
+		errs = append(errs, errors.New("hosts must be at most 50"))
+	}
+	if _, err := os.Stat(o.Program); err != nil {
+		errs = append(errs, err)
+	}
+	return errs
+}
+
+var errViolations = errors.New("promises were broken")
+
+func main() {
+	var o options
+	settings.Main(settings.Program{Name: "lysoak", Description: "Plays random faults against entry hosts."}, &o, func(ctx context.Context) error {
+		if o.Seed == 0 {
+			o.Seed = int(time.Now().Unix())
+		}
+		var failed error
+		for i := range o.Seeds {
+			seed := uint64(o.Seed + i)
+			ok, err := play(ctx, o, seed)
+			if err != nil {
+				return err
+			}
+			if !ok {
+				failed = errViolations
+			}
+		}
+		return failed
+	})
+}
+
+func play(ctx context.Context, o options, seed uint64) (bool, error) {
+	logs, err := os.MkdirTemp("", fmt.Sprintf("lysoak-%d-", seed))
+	if err != nil {
+		return false, err
+	}
+	r, err := soak.Run(ctx, soak.Options{
+		Seed: seed, Duration: o.Duration, Hosts: o.Hosts, Servers: o.Servers, Callers: o.Callers, Program: o.Program, Logs: logs,
+	})
+	if err != nil {
+		return false, err
+	}
+	fmt.Printf("seed %d: %d faults, %d requests, %d served, %d refused, %d failed, %d violations\n",
+		seed, len(r.Faults), r.Requests, r.Served, r.Refused, r.Failed, len(r.Violations))
+	if len(r.Violations) == 0 {
+		return true, os.RemoveAll(logs)
+	}
+	for _, f := range r.Faults {
+		fmt.Println("  fault", f)
+	}
+	for _, v := range r.Violations {
+		fmt.Println("  VIOLATION", v)
+	}
+	fmt.Println("  logs are kept in", logs)
+	return false, nil
+}
