Serve metrics, log without blocking, name versions in request lines

Cause: the on-call engineers have only logs and metrics. Ruled out: logging each served request; they are counted.

--- a/cmd/lygate/main.go
+++ b/cmd/lygate/main.go
@@ -3,10 +3,15 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
+	"time"
 
 	"github.com/lycheerudder/lycheerudder/internal/gateway"
 	"github.com/lycheerudder/lycheerudder/internal/logging"
@@ -17,12 +22,25 @@
 // options are the settings of the product's own; those of the platform come in
 // its settings file.
 type options struct {
-	Settings string `env:"LYCHEERUDDER_CONFIG" flag:"settings" help:"path of the platform's settings file"`
-	LogLevel string `env:"LYGATE_LOG_LEVEL" envDefault:"info" flag:"log-level" help:"debug, info, warn or error"`
+	Settings    string `env:"LYCHEERUDDER_CONFIG" flag:"settings" help:"path of the platform's settings file"`
+	MetricsPort int    `env:"LYGATE_METRICS_PORT" flag:"metrics-port" help:"TCP port of the metrics on the host's address, path /metrics; 0 for none"`
+	LogLevel    string `env:"LYGATE_LOG_LEVEL" envDefault:"info" flag:"log-level" help:"debug, info, warn or error"`
 }
 
 // Validate implements settings.Validator.
-func (o *options) Validate() []error { return nil }
+func (o *options) Validate() []error {
+	var errs []error
+	if o.Settings == "" {
+		errs = append(errs, errors.New("settings: the path of the settings file is missing"))
+	}
+	if o.MetricsPort < 0 || o.MetricsPort > 65535 {
+		errs = append(errs, fmt.Errorf("metrics-port: %d is not a port", o.MetricsPort))
+	}
+	return errs
+}
+
+// flushTime is the time for which the end of the process waits for its logs.
+const flushTime = 100 * time.Millisecond
 
 // memoryShare is the part of the memory limit that the runtime aims at.
 const memoryShare = 0.7
@@ -31,7 +49,10 @@
 	var o options
 	p := settings.Program{Name: "lygate", Description: "Entry host of lycheerudder on the users' platform."}
 	settings.Main(p, &o, func(ctx context.Context) error {
-		if err := logging.SetupTo(os.Stdout, o.LogLevel); err != nil {
+		out := logging.NewAsync(os.Stdout)
+		go out.Run()
+		defer out.Flush(flushTime)
+		if err := logging.SetupTo(out, o.LogLevel); err != nil {
 			return err
 		}
 		set, err := platform.ReadSettings(o.Settings)
@@ -41,7 +62,11 @@
 		if set.MemoryBytes > 0 {
 			debug.SetMemoryLimit(int64(float64(set.MemoryBytes) * memoryShare))
 		}
+		if o.MetricsPort > 0 {
+			set.MetricsAddress = net.JoinHostPort(set.IP, strconv.Itoa(o.MetricsPort))
+		}
 		st := gateway.NewStats()
+		st.Func("log_lines_dropped_total", func() float64 { return float64(out.Dropped()) })
 		store := platform.NewStore(set.StoreAddress, func(path string) { st.Count("store" + path) })
 		reload := make(chan os.Signal, 1)
 		signal.Notify(reload, syscall.SIGHUP)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -124,6 +124,21 @@
 		clk: clk, names: names, desk: g.desk, watch: g.watch, upstream: g.upstream,
 		budget: newRetryBudget(clk, set.Bounds), log: &requestLog{log: logging.For(logging.Frontend), clk: clk}, stats: st,
 	}
+	st.Func("leads", func() float64 {
+		if g.desk.state().leads {
+			return 1
+		}
+		return 0
+	})
+	st.Func("server_list_age_seconds", func() float64 { return g.watch.age().Seconds() })
+	st.Func("leader_list_age_seconds", func() float64 { return g.desk.state().directoryAge.Seconds() })
+	st.Func("config_version", func() float64 {
+		if cfg := g.watch.config.Load(); cfg != nil {
+			return float64(cfg.Version)
+		}
+		return 0
+	})
+	st.Func("hosts", func() float64 { return float64(g.desk.state().hosts) })
 	return g, nil
 }
 
@@ -189,7 +204,15 @@
 
 	ready := &http.Server{Handler: http.HandlerFunc(g.ready), ReadHeaderTimeout: readHeaderTimeout}
 	callers := front.New(g.ingress.handle, g.limits)
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
+	if g.set.MetricsAddress != "" {
+		mux := http.NewServeMux()
+		mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { g.ingress.stats.write(w) })
+		srv := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+		if err := listen(g.set.MetricsAddress, srv, failed); err != nil {
+			return err
+		}
+	}
 	if err := listen(g.set.ReadyAddress, ready, failed); err != nil {
 		return err
 	}
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -56,6 +56,9 @@
 	deadline time.Time
 	start    time.Time
 	sends    int
+	// version is that of the configuration, epoch that of the leader whose
+	// decisions the request followed.
+	version, epoch int64
 	// ran is true once a server may have run the request; runs counts the
 	// servers that may have.
 	ran  bool
@@ -74,6 +77,7 @@
 		return &front.Response{Status: http.StatusNotFound}
 	}
 	c := in.accept(r, route)
+	c.version = cfg.Version
 	ctx, cancel := context.WithDeadline(parent, c.deadline)
 	defer cancel()
 	in.budget.request(c.service)
@@ -150,6 +154,7 @@
 func (in *ingress) run(ctx context.Context, c *call) *front.Response {
 	for {
 		d, number, err := in.desk.ask(ctx, c.service, c.job)
+		_, c.epoch = in.desk.followed()
 		if err != nil {
 			return in.giveUp(ctx, c)
 		}
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -35,6 +35,8 @@
 	leaderWatch = time.Second
 	// searchInterval is the pause between looks for a leader.
 	searchInterval = 200 * time.Millisecond
+	// summaryInterval is the interval at which the leader logs the load.
+	summaryInterval = 2 * time.Second
 	// suspectPause bounds the rate at which suspicions are followed.
 	suspectPause = 20 * time.Millisecond
 	// claimSpread spreads the claims of hosts that miss the leader at the same
@@ -422,7 +424,7 @@
 	proof, seen := l.proof()
 	orders := l.core.tick(servers, proof, seen < moveContact && len(servers) > 0)
 	l.carryOut(ctx, orders)
-	if now := l.clk.Now(); now-l.summed > time.Second {
+	if now := l.clk.Now(); now-l.summed > summaryInterval {
 		l.summed = now
 		for _, s := range l.core.summaries() {
 			l.log.With("service", string(s.service)).With("waiting", s.waiting).With("running", s.running).With("slots", s.slots).
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -47,7 +47,7 @@
 	if drop {
 		return
 	}
-	e := l.log.With("id", c.request.ID).With("route", c.route.Name).With("outcome", outcome).
+	e := l.log.With("id", c.request.ID).With("config", c.version).With("epoch", c.epoch).With("route", c.route.Name).With("outcome", outcome).
 		With("sends", c.sends).With("may_have_run", c.ran).
 		With("took_ms", time.Since(c.start).Milliseconds()).With("left_ms", time.Until(c.deadline).Milliseconds())
 	if c.job.Key >= 0 {
@@ -65,6 +65,7 @@
 // stats holds counters and histograms of latency per route.
 type stats struct {
 	counters  sync.Map // string -> *atomic.Int64
+	values    sync.Map // string -> func() float64
 	latencies sync.Map // string -> gometrics.Histogram
 }
 
@@ -90,6 +91,9 @@
 	v.(gometrics.Histogram).Update(took.Microseconds())
 }
 
+// Func adds a value that is computed when it is read.
+func (s *stats) Func(name string, f func() float64) { s.values.Store(name, f) }
+
 // write prints all metrics as text, one value a line.
 func (s *stats) write(w io.Writer) {
 	var lines []string
@@ -97,6 +101,10 @@
 		lines = append(lines, fmt.Sprintf("lygate_events_total{event=%q} %d", k, v.(*atomic.Int64).Load()))
 		return true
 	})
+	s.values.Range(func(k, v any) bool {
+		lines = append(lines, fmt.Sprintf("lygate_%s %g", k, v.(func() float64)()))
+		return true
+	})
 	s.latencies.Range(func(k, v any) bool {
 		h := v.(gometrics.Histogram).Snapshot()
 		for _, q := range []float64{0.5, 0.9, 0.99} {
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -3,8 +3,11 @@
 package logging
 
 import (
+	"bytes"
 	"io"
 	"os"
+	"sync/atomic"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
@@ -54,6 +57,50 @@
 	return nil
 }
 
+// asyncLines bounds the lines that wait to be written.
+const asyncLines = 512
+
+// Async is a writer that never blocks: lines that do not fit into its buffer are
+// dropped and counted. Its owner calls Run.
+type Async struct {
+	out     io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+}
+
+// NewAsync returns a writer in front of out.
+func NewAsync(out io.Writer) *Async {
+	return &Async{out: out, lines: make(chan []byte, asyncLines)}
+}
+
+// Write implements io.Writer. It always succeeds.
+func (a *Async) Write(line []byte) (int, error) {
+	select {
+	case a.lines <- bytes.Clone(line):
+	default:
+		a.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines that were dropped.
+func (a *Async) Dropped() int64 { return a.dropped.Load() }
+
+// Run writes lines until the process ends.
+func (a *Async) Run() {
+	for line := range a.lines {
+		_, _ = a.out.Write(line) // there is no other place to report it
+	}
+}
+
+// Flush waits until the lines that were written before it are passed on, at most
+// for the given time.
+func (a *Async) Flush(limit time.Duration) {
+	for end := time.Now().Add(limit); len(a.lines) > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // For returns the logger of one part.
 func For(p Part) Logger {
 	return Logger{prefix: string(p) + ": ", entry: log.WithField("part", string(p))}
