Move narrow ranges first; tolerate a larger gap

Change: of two ranges with the same load the narrower one moves; only ranges below a 64th of the keys are joined; servers must differ by 0.22 in use. Ruled out: a longer memory of the meter, which would follow hot sets late.

--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -58,7 +58,7 @@
 
 var placeSettings = keyplace.Settings{
 	MaxMoves: 3,    // moves under way hold up requests
-	MinGap:   0.15, // in slots per slot
+	MinGap:   0.22, // in slots per slot
 	MinUse:   0.30, // below, requests rarely wait
 	MaxParts: 2.5,  // each part costs a renewal, in bytes between data centres
 }
--- a/internal/keyplace/keyplace.go
+++ b/internal/keyplace/keyplace.go
@@ -204,6 +204,8 @@
 	// maxJoinLoad is the load of a range, as a part of the receiver's capacity,
 	// up to which it is moved only to join it with its neighbour.
 	maxJoinLoad = 0.04
+	// maxJoinWidth is the number of keys up to which that is done.
+	maxJoinWidth = keymap.Keys / 64
 )
 
 // join moves the range with the least load to the server of a neighbour. It
@@ -224,7 +226,8 @@
 			if n.Next != "" || n.Homeless || !n.Movable || b == nil || n.Server == part.Server {
 				continue
 			}
-			if l := p.load(part.From, part.To) / b.Capacity; l < best {
+			wide := part.To-part.From > maxJoinWidth
+			if l := p.load(part.From, part.To) / b.Capacity; l < best && !wide {
 				index, best, to = i, l, b
 			}
 		}
@@ -355,6 +358,9 @@
 	return true
 }
 
+// widthCost makes narrow ranges preferred: moved keys are priced by their number.
+const widthCost = 6
+
 // minShare is the part of the wanted load below which a move is not worth it.
 const minShare = 0.08
 
@@ -368,7 +374,8 @@
 		if a > b {
 			return
 		}
-		if l := p.load(a, b) * bonus; l > best {
+		l := p.load(a, b) * bonus / (1 + widthCost*float64(b+1-a)/keymap.Keys)
+		if l > best {
 			index, from, to, best = i, a, b, l
 		}
 	}
