Let a slow leader make room; keep measured work above zero

Change: a leader whose ticks are late by 30 ms on average over a second resigns and claims nothing for 5 s; expected work is at least 1 ms.

--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -46,6 +46,9 @@
 	// strongerBy is the factor by which another host must have more processor for
 	// a leader to make room for it.
 	strongerBy = 1.8
+	// lagPause is the time for which a host that was too slow to lead claims
+	// nothing.
+	lagPause = 5 * time.Second
 	// strengthPause is the time for which a leader stays at least.
 	strengthPause = 4 * time.Second
 	// resignPause is the time for which a leader that resigned leaves the claim
@@ -285,6 +288,7 @@
 	present int
 	summed  time.Duration
 	began   time.Duration
+	lag     mandate.Lag
 }
 
 func newLeadership(e *elector, record leaderRecord, claimed time.Duration, end int64) *leadership {
@@ -366,12 +370,20 @@
 	loops.Go(func() { l.storeTables(ctx) })
 	t := time.NewTicker(leaderTick)
 	defer t.Stop()
-	for ctx.Err() == nil {
+	for last := l.clk.Now(); ctx.Err() == nil; {
 		l.tick(ctx)
 		select {
 		case <-ctx.Done():
 		case <-t.C:
 		}
+		now := l.clk.Now()
+		slow := l.lag.Observe(now - last - leaderTick)
+		last = now
+		if slow && now-l.began > strengthPause {
+			l.log.With("lag_ms", l.lag.Mean().Milliseconds()).Warn("this host has too little processor to lead, it resigns")
+			l.resigned.Store(int64(now + lagPause))
+			l.cancel()
+		}
 	}
 	l.peers.lead(nil, 0, nil)
 	l.desk.lead(nil, l.epoch)
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -114,6 +114,8 @@
 const (
 	// defaultWork is the expected work of a class before its first answer.
 	defaultWork = 100 * time.Millisecond
+	// minWork is the resolution of reports.
+	minWork = time.Millisecond
 	// classWeight and serverWeight are the weights of a new observation in the
 	// means: a class has many observations, a server must be judged after few.
 	classWeight  = 0.02
@@ -250,7 +252,7 @@
 // speed.
 func (s *Service) Work(class uint32) float64 {
 	if w, ok := s.classes[class]; ok {
-		return w
+		return max(w, minWork.Seconds())
 	}
 	return defaultWork.Seconds()
 }
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -280,3 +280,19 @@
 		g.Expect(play(5, false)).To(BeFalse())
 	}
 }
+
+// Guards against answers that took no measurable time: the speed of their server
+// became a value that is not a number, and its keys were placed at random.
+func TestAnswersWithoutDuration(t *testing.T) {
+	g := NewWithT(t)
+	s := schedule.New(false, schedule.Settings{RemoteCost: 2})
+	s.SetServers(pool(1), 0)
+	for range 5 {
+		j := job(schedule.NoKey, 1, 0, 300*ms, time.Second)
+		s.Add(j, 0)
+		s.Run(0)
+		s.Done(schedule.Report{ID: j.ID, Result: schedule.Answered}, 0)
+	}
+	g.Expect(s.Work(1)).To(BeNumerically(">", 0))
+	g.Expect(s.Slowness(id(0))).To(BeNumerically(">", 0))
+}
