--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,11 @@
 GO ?= go
 LINT_VERSION = v2.15.0
 
-.PHONY: all build demo faults test test-race lint fmt model bench capacity generate
+# Plays eight seeds of random faults with real processes, five minutes.
+soak: build
+	bin/lysoak --seeds 8
+
+.PHONY: all soak build demo faults test test-race lint fmt model bench capacity generate
 
 all: build
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -72,8 +72,9 @@
 	return &Server{handler: handler, limits: limits, conns: make(map[*conn]bool)}
 }
 
-// Serve accepts connections until the listener is closed.
-func (s *Server) Serve(l net.Listener) error {
+// Serve accepts connections until the listener is closed. Requests get contexts
+// that derive from ctx.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	for {
 		nc, err := l.Accept()
 		if err != nil {
@@ -95,7 +96,7 @@
 		s.conns[c] = true
 		s.mu.Unlock()
 		s.open.Add(1)
-		go c.serve()
+		go c.serve(ctx)
 	}
 }
 
@@ -145,8 +146,8 @@
 	shut bool
 }
 
-func (c *conn) serve() {
-	ctx, cancel := context.WithCancel(context.Background())
+func (c *conn) serve(parent context.Context) {
+	ctx, cancel := context.WithCancel(parent)
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -37,7 +37,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() { _ = l.Close() })
-	go func() { _ = s.Serve(l) }()
+	go func() { _ = s.Serve(context.Background(), l) }()
 	return s, l.Addr().String()
 }
 
@@ -55,6 +55,7 @@
 	if err != nil {
 		return 0, err.Error(), true
 	}
+	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return 0, err.Error(), true
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -171,11 +171,6 @@
 	c.deliver(out)
 }
 
-// cancel drops a request whose caller has left.
-func (c *core) cancel(id schedule.JobID) {
-	c.done(schedule.Report{ID: id, Result: schedule.Left})
-}
-
 // has reports whether the request waits or runs.
 func (c *core) has(service uint32, id schedule.JobID) bool {
 	c.mu.Lock()
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -393,16 +393,7 @@
 func (d *desk) tick() {
 	d.mu.Lock()
 	now := d.clk.Now()
-	var again []*question
-	for _, q := range d.questions {
-		wait := askRepeat
-		if q.queued {
-			wait = queuedRepeat
-		}
-		if now-q.sent >= wait {
-			again = append(again, q)
-		}
-	}
+	again := d.unanswered(now)
 	leader := d.leader
 	tell := d.own == nil && leader.IsValid() &&
 		((len(d.reports) > 0 && now-d.reportAt >= reportRepeat) || now-d.told >= heartbeat)
@@ -427,6 +418,21 @@
 	d.fallback.run()
 }
 
+// unanswered returns the questions that are due to be repeated.
+func (d *desk) unanswered(now time.Duration) []*question {
+	var again []*question
+	for _, q := range d.questions {
+		wait := askRepeat
+		if q.queued {
+			wait = queuedRepeat
+		}
+		if now-q.sent >= wait {
+			again = append(again, q)
+		}
+	}
+	return again
+}
+
 // busy reports whether tick has something to wait for.
 func (d *desk) busy() bool {
 	d.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -221,7 +221,7 @@
 		return eris.Wrap(err, "listen")
 	}
 	go func() {
-		if err := callers.Serve(l); !errors.Is(err, net.ErrClosed) {
+		if err := callers.Serve(work, l); !errors.Is(err, net.ErrClosed) {
 			failed <- err
 		}
 	}()
@@ -230,7 +230,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	g.stop(callers, stopLead)
+	g.stop(context.WithoutCancel(ctx), callers, stopLead)
 	return nil
 }
 
@@ -249,13 +249,13 @@
 
 // stop lets the balancer turn away from this host, hands the lead over, and
 // ends once all requests are answered.
-func (g *gateway) stop(callers *front.Server, stopLead func()) {
+func (g *gateway) stop(parent context.Context, callers *front.Server, stopLead func()) {
 	g.log.Info("host stops")
 	g.stopping.Store(true)
 	began := time.Now()
 	stopLead()
 	time.Sleep(notReadyTime)
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.set.Bounds.StopGrace-stopReserve))
+	ctx, cancel := context.WithDeadline(parent, began.Add(g.set.Bounds.StopGrace-stopReserve))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		g.log.Error("requests are still open at the end of the grace period", err)
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -67,6 +67,7 @@
 	counters  sync.Map // string -> *atomic.Int64
 	values    sync.Map // string -> func() float64
 	latencies sync.Map // string -> gometrics.Histogram
+	routes    atomic.Int64
 }
 
 // latencySample is the number of latencies that a histogram keeps.
@@ -75,6 +76,9 @@
 // maxRoutes bounds the histograms; further routes share one.
 const maxRoutes = 500
 
+// otherRoutes is the name that they share.
+const otherRoutes = "other"
+
 func (s *stats) count(name string) {
 	v, ok := s.counters.Load(name)
 	if !ok {
@@ -85,7 +89,12 @@
 
 func (s *stats) observe(route string, took time.Duration) {
 	v, ok := s.latencies.Load(route)
+	if !ok && s.routes.Load() >= maxRoutes {
+		route = otherRoutes
+		v, ok = s.latencies.Load(route)
+	}
 	if !ok {
+		s.routes.Add(1)
 		v, _ = s.latencies.LoadOrStore(route, gometrics.NewHistogram(gometrics.NewUniformSample(latencySample)))
 	}
 	v.(gometrics.Histogram).Update(took.Microseconds())
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -75,12 +75,7 @@
 	c := p.core
 	if c == nil {
 		p.mu.Unlock()
-		leader, epoch := p.known()
-		reply := hostlink.FromLeader{Epoch: epoch}
-		if leader.IsValid() && leader != from {
-			reply.Leader = leader.String()
-		}
-		_ = p.link.FromLeader(from, &reply) // the host repeats its question
+		p.redirect(from)
 		return
 	}
 	now := p.clk.Now()
@@ -95,15 +90,7 @@
 		heard = nil
 	}
 	reports := h.fresh(m)
-	var again []hostlink.Decision
-	var jobs []hostlink.Question
-	for _, q := range m.Questions {
-		if d, ok := h.recent[q.Number]; ok {
-			again = append(again, d)
-			continue
-		}
-		jobs = append(jobs, q)
-	}
+	jobs, again := h.undecided(m.Questions)
 	if len(m.Reports) > 0 && h.ackDue == 0 {
 		h.ackDue = now + ackDelay
 	}
@@ -130,6 +117,16 @@
 	}
 }
 
+// redirect tells a host that this one does not lead, and who does.
+func (p *peers) redirect(to netip.AddrPort) {
+	leader, epoch := p.known()
+	reply := hostlink.FromLeader{Epoch: epoch}
+	if leader.IsValid() && leader != to {
+		reply.Leader = leader.String()
+	}
+	_ = p.link.FromLeader(to, &reply) // the host repeats its question
+}
+
 // fresh returns the reports that were not received before.
 func (h *peer) fresh(m *hostlink.ToLeader) []hostlink.Report {
 	if m.FirstReport > h.reports+1 {
@@ -143,6 +140,19 @@
 	return m.Reports[skip:]
 }
 
+// undecided returns the questions without decision, and the decisions on the
+// others, whose datagram was lost.
+func (h *peer) undecided(questions []hostlink.Question) (jobs []hostlink.Question, again []hostlink.Decision) {
+	for _, q := range questions {
+		if d, ok := h.recent[q.Number]; ok {
+			again = append(again, d)
+			continue
+		}
+		jobs = append(jobs, q)
+	}
+	return jobs, again
+}
+
 func decodeReport(host uint64, r hostlink.Report) schedule.Report {
 	return schedule.Report{
 		ID: schedule.JobID{Host: host, Number: r.Number}, Result: schedule.Result(min(r.Result, uint8(schedule.Left))),
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -13,7 +13,6 @@
 package schedule
 
 import (
-	"math"
 	"time"
 
 	"github.com/lycheerudder/lycheerudder/internal/topology"
@@ -140,66 +139,6 @@
 	minRetryAfter = 50 * time.Millisecond
 )
 
-type server struct {
-	id topology.ServerID
-	Server
-	running map[JobID]bool
-	// slowness is the mean time of a request relative to the mean of its class.
-	slowness float64
-	// failing is the share of failures among recent requests.
-	failing float64
-	// fullUntil is the time until which the server is taken to be full because
-	// it refused a request.
-	fullUntil time.Duration
-	avoid     time.Duration // until this time other servers are preferred
-	waiting   []*Job        // jobs on keys of this server
-	// dirty is true if the queue or the running jobs have changed since the last
-	// decisions.
-	dirty bool
-	// demand is the mean number of busy slots that arriving jobs ask for.
-	demand   float64
-	demanded time.Duration // time of the last update of demand
-}
-
-// demandMemory is the time constant of the demand: a queue that grows for longer
-// does not empty by itself before its jobs are late.
-const demandMemory = 700 * time.Millisecond
-
-// ask adds the work of a job to the demand.
-func (srv *server) ask(work float64, now time.Duration) {
-	srv.decay(now)
-	srv.demand += work / demandMemory.Seconds()
-}
-
-func (srv *server) decay(now time.Duration) {
-	srv.demand *= math.Exp(-float64(now-srv.demanded) / float64(demandMemory))
-	srv.demanded = now
-}
-
-// saturated reports whether more work arrives than the server can do.
-func (srv *server) saturated(now time.Duration) bool {
-	srv.decay(now)
-	return srv.demand*srv.slowness > saturation*float64(srv.Slots)
-}
-
-// margin is the factor on the expected work that a job must still have before its
-// target to count as one that can meet it. At a saturated server there are always
-// others with more time left, so jobs on the edge are not worth a slot.
-func (srv *server) margin(now time.Duration) float64 {
-	if srv.saturated(now) {
-		return saturatedMargin
-	}
-	return usualMargin
-}
-
-const (
-	usualMargin     = 0.8
-	saturatedMargin = 1.1
-)
-
-// saturation is the part of the slots that the demand must exceed.
-const saturation = 1.25
-
 // Service schedules the requests of one service.
 type Service struct {
 	set     Settings
@@ -444,71 +383,6 @@
 	return out
 }
 
-func (s *Service) runUnkeyed(now time.Duration, out []Decision) []Decision {
-	s.waiting = s.live(s.waiting)
-	for len(s.waiting) > 0 {
-		i := s.best(s.waiting, now, 1)
-		j := s.waiting[i]
-		srv := s.pick(j, now)
-		if srv == nil {
-			break
-		}
-		s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
-		out = append(out, s.start(j, srv))
-	}
-	if len(s.waiting) == 0 {
-		return out
-	}
-	slots, running := 0, 0
-	for _, srv := range s.order {
-		slots += srv.Slots
-		running += len(srv.running)
-	}
-	backlog := s.wait(s.waiting, running, slots, 1)
-	keep := s.waiting[:0]
-	for _, j := range s.waiting {
-		work := s.expected(j, 1)
-		switch {
-		case slots == 0 && now-j.arrived > unownedWait/2:
-			out = append(out, s.refuse(j, NoServer, time.Second))
-		case now+work/2 > j.Deadline, j.arrived == now && slots > 0 && now+backlog+work > j.Deadline:
-			out = append(out, s.refuse(j, Overloaded, max(minRetryAfter, backlog/2)))
-		default:
-			keep = append(keep, j)
-		}
-	}
-	s.waiting = keep
-	return out
-}
-
-// pick returns the free server with the least expected time for the job.
-func (s *Service) pick(j *Job, now time.Duration) *server {
-	var best *server
-	var bestCost float64
-	for _, srv := range s.order {
-		if now < srv.fullUntil || len(srv.running) >= srv.Slots {
-			continue
-		}
-		cost := srv.slowness * (1 + 0.25*float64(len(srv.running))/float64(srv.Slots))
-		if srv.DataCentre != j.DataCentre {
-			cost *= s.set.RemoteCost
-		}
-		cost *= 1 + 4*srv.failing
-		if now < srv.avoid {
-			cost += 100
-		}
-		for _, t := range j.Tried {
-			if t == srv.id {
-				cost += 1000
-			}
-		}
-		if best == nil || cost < bestCost {
-			best, bestCost = srv, cost
-		}
-	}
-	return best
-}
-
 // live drops jobs that were removed.
 func (s *Service) live(queue []*Job) []*Job {
 	keep := queue[:0]
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -61,10 +61,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.report.Requests++
-	switch {
-	case status == http.StatusOK:
+	switch status {
+	case http.StatusOK:
 		r.report.Served++
-	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		r.report.Refused++
 	default:
 		r.report.Failed++
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -47,8 +47,7 @@
 		})
 	}},
 	{"store drops history", func(r *run, _ *process, _ time.Duration) {
-		r.fleet.Store.Compact("keyed.servers")
-		r.fleet.Store.Compact("keyed.op")
+		r.fleet.DropHistory()
 	}},
 	{"server crashes and is replaced", func(r *run, _ *process, _ time.Duration) { r.replaceServer(false) }},
 	{"server leaves and is replaced", func(r *run, _ *process, _ time.Duration) { r.replaceServer(true) }},
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -123,7 +122,7 @@
 				return
 			}
 		}
-		if err == io.EOF || err != nil {
+		if err != nil {
 			return
 		}
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -283,9 +283,11 @@
 			return fail(err)
 		}
 		if resp.StatusCode < 200 {
+			_ = resp.Body.Close()
 			continue
 		}
 		body, err := readBody(resp)
+		_ = resp.Body.Close()
 		if err != nil {
 			return fail(err)
 		}
@@ -302,7 +304,6 @@
 }
 
 func readBody(resp *http.Response) ([]byte, error) {
-	defer func() { _ = resp.Body.Close() }()
 	if resp.Request.Method == http.MethodHead {
 		return nil, nil
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -190,7 +190,7 @@
 func TestTimeLeft(t *testing.T) {
 	g := NewWithT(t)
 	got := make(chan string, 1)
-	address, _ := peer(t, func(c net.Conn, br *bufio.Reader) bool {
+	address, _ := peer(t, func(_ net.Conn, br *bufio.Reader) bool {
 		r, err := http.ReadRequest(br)
 		if err != nil {
 			return false
