Name orders and outcomes in logs, count orders, close a race at shutdown

Cause: the race detector found that a connection could be counted while Shutdown waited for the others; order lines named kinds and outcomes by number. Change: connections are counted under the lock that Shutdown takes; a connection that is accepted later is closed unread; words in order lines; a line when a host follows a leader; counters of orders and gauges of queue, slots and key ranges.

--- a/Makefile
+++ b/Makefile
@@ -3,10 +3,6 @@
 GO ?= go
 LINT_VERSION = v2.15.0
 
-# Plays eight seeds of random faults with real processes, five minutes.
-soak: build
-	bin/lysoak --seeds 8
-
 .PHONY: all soak build demo faults test test-race lint fmt model bench capacity generate
 
 all: build
@@ -21,6 +17,10 @@
 faults: build
 	bash scripts/faults.sh
 
+# Plays eight seeds of random faults with real processes, five minutes.
+soak: build
+	bin/lysoak --seeds 8
+
 test:
 	$(GO) test ./...
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -92,21 +92,33 @@
 		c := &conn{Conn: nc, server: s, answers: make(chan *pending, maxPipelined)}
 		c.limited = &io.LimitedReader{R: nc}
 		c.br = bufio.NewReaderSize(c.limited, bufferSize)
-		s.mu.Lock()
-		s.conns[c] = true
-		s.mu.Unlock()
-		s.open.Add(1)
+		if !s.begin(c) {
+			_ = nc.Close()
+			continue
+		}
 		go c.serve(ctx)
 	}
 }
 
+// begin counts a connection. It returns false once the server shuts down.
+func (s *Server) begin(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing.Load() {
+		return false
+	}
+	s.conns[c] = true
+	s.open.Add(1)
+	return true
+}
+
 const acceptPause = 20 * time.Millisecond
 
 // Shutdown closes idle connections at once and the others after their last
 // answer. It returns when all are closed, or with the error of the context.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.closing.Store(true)
 	s.mu.Lock()
+	s.closing.Store(true)
 	for c := range s.conns {
 		c.closeIfIdle()
 	}
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -9,6 +9,7 @@
 
 	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/hostlink"
+	"github.com/lycheerudder/lycheerudder/internal/logging"
 	"github.com/lycheerudder/lycheerudder/internal/schedule"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
@@ -102,6 +103,7 @@
 	d.heard = d.clk.Now()
 	d.misses = 0
 	d.mu.Unlock()
+	logging.For(logging.Lead).With("leader", addr.String()).With("epoch", epoch).Info("this host follows a leader")
 	d.askAgain()
 }
 
--- a/internal/gateway/elector.go
+++ b/internal/gateway/elector.go
@@ -113,6 +113,10 @@
 	// weight is larger for hosts with less processor, which claim later.
 	weight float64
 
+	stats *stats
+	// core is that of this host while it leads; nil otherwise.
+	core atomic.Pointer[core]
+
 	wake chan struct{}
 	why  string // result of the last search
 	// resigned is the time until which this host claims nothing.
@@ -266,3 +270,16 @@
 	e.log.With("epoch", at+1).Info("this host no longer leads")
 	return true
 }
+
+// total adds a figure up over all services; zero if this host does not lead.
+func (e *elector) total(pick func(summary) int) float64 {
+	c := e.core.Load()
+	if c == nil {
+		return 0
+	}
+	sum := 0
+	for _, s := range c.summaries() {
+		sum += pick(s)
+	}
+	return float64(sum)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,7 +110,7 @@
 	g.elector = &elector{
 		clk: clk, store: store, grants: grants, desk: g.desk, peers: g.peers, watch: g.watch,
 		log: logging.For(logging.Lead), member: string(set.Host) + "#" + strconv.FormatUint(incarnation, 36),
-		self: address, weight: 1 / max(set.CPUShare, minCPUShare), wake: make(chan struct{}, 1),
+		stats: st, self: address, weight: 1 / max(set.CPUShare, minCPUShare), wake: make(chan struct{}, 1),
 	}
 	g.desk.strength = uint16(min(set.CPUShare*100, 60000))
 	g.watch.readOwners = func(ctx context.Context) {
@@ -138,6 +138,13 @@
 		}
 		return 0
 	})
+	for name, pick := range map[string]func(summary) int{
+		"waiting": func(s summary) int { return s.waiting }, "running": func(s summary) int { return s.running },
+		"slots": func(s summary) int { return s.slots }, "key_ranges": func(s summary) int { return s.parts },
+		"key_ranges_moving": func(s summary) int { return s.moving }, "key_ranges_unowned": func(s summary) int { return s.unowned },
+	} {
+		st.Func(name, func() float64 { return g.elector.total(pick) })
+	}
 	st.Func("hosts", func() float64 { return float64(g.desk.state().hosts) })
 	return g, nil
 }
@@ -216,15 +223,9 @@
 	if err := listen(g.set.ReadyAddress, ready, failed); err != nil {
 		return err
 	}
-	l, err := net.Listen("tcp4", g.set.CallerAddress)
-	if err != nil {
-		return eris.Wrap(err, "listen")
+	if err := serveCallers(work, g.set.CallerAddress, callers, failed); err != nil {
+		return err
 	}
-	go func() {
-		if err := callers.Serve(work, l); !errors.Is(err, net.ErrClosed) {
-			failed <- err
-		}
-	}()
 	select {
 	case err := <-failed:
 		return err
@@ -234,6 +235,19 @@
 	return nil
 }
 
+func serveCallers(ctx context.Context, address string, srv *front.Server, failed chan<- error) error {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return eris.Wrap(err, "listen")
+	}
+	go func() {
+		if err := srv.Serve(ctx, l); !errors.Is(err, net.ErrClosed) {
+			failed <- err
+		}
+	}()
+	return nil
+}
+
 func listen(address string, srv *http.Server, failed chan<- error) error {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
--- a/internal/gateway/leadership.go
+++ b/internal/gateway/leadership.go
@@ -109,6 +109,7 @@
 	l.configure()
 	l.peers.lead(l.core, l.epoch, l.heard)
 	l.desk.lead(l.core, l.epoch)
+	l.elector.core.Store(l.core)
 	l.desk.announce(l.peers.status(), l.predecessors())
 	var loops sync.WaitGroup
 	loops.Go(func() { l.keepMembership(ctx) })
@@ -133,6 +134,7 @@
 	}
 	l.peers.lead(nil, 0, nil)
 	l.desk.lead(nil, l.epoch)
+	l.elector.core.Store(nil)
 	loops.Wait()
 	l.calls.Wait()
 	leave, done := context.WithTimeout(context.WithoutCancel(parent), grantTimeout)
@@ -233,9 +235,10 @@
 		cancel()
 	}
 	outcome := outcomeOf(err)
+	l.stats.count("order-" + o.Kind.String() + "-" + outcome.String())
 	if outcome != ownership.Done {
 		l.log.With("server", string(o.Server)).With("from", o.From).With("to", o.To).With("fence", o.Fence).
-			With("kind", int(o.Kind)).With("outcome", int(outcome)).Info("an order to a server failed: " + err.Error())
+			With("kind", o.Kind.String()).With("outcome", outcome.String()).Info("an order to a server failed: " + err.Error())
 	}
 	proof, _ := l.proof()
 	if outcome != ownership.Done {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -47,6 +47,9 @@
 	Release
 )
 
+// String returns the word for logs.
+func (k Kind) String() string { return [...]string{"grant", "release"}[k] }
+
 // Order is one call to a server.
 type Order struct {
 	Kind     Kind
@@ -79,6 +82,11 @@
 	Ended
 )
 
+// String returns the word for logs.
+func (o Outcome) String() string {
+	return [...]string{"done", "unsent", "unknown", "fenced", "refused", "ended"}[o]
+}
+
 // Server is what the leader knows of a server that may own keys.
 type Server struct {
 	Address string
