--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -43,8 +43,7 @@
 	table  keymap.Map
 	meter  *keyplace.Meter
 	parts  []ownership.Part // of grants, renewed at each tick
-	// arrived is true once the first request came: until then keys are placed
-	// by their number only.
+	// planned is the time of the last placement decision.
 	planned time.Duration
 }
 
@@ -248,7 +247,7 @@
 			return schedule.Owner{}
 		}
 		p := parts[lo]
-		o := schedule.Owner{Server: p.Server, Held: p.Held && (p.Next == "" || p.Held)}
+		o := schedule.Owner{Server: p.Server, Held: p.Held}
 		if p.Lost {
 			o.Free = p.Free
 		}
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -46,8 +46,8 @@
 // desk asks the leader for servers and reports exchanges to it. If this host
 // leads, or no leader answers, it uses a core of this host.
 //
-// Lock order: desk.mu before core.mu is never taken; calls of a core and
-// datagrams are made without desk.mu.
+// Lock order: desk.mu is never held while a core is called or a datagram is
+// sent, so it comes neither before nor after core.mu and peers.mu.
 type desk struct {
 	clk        clock.Clock
 	link       *hostlink.Link
@@ -132,8 +132,8 @@
 	}
 }
 
-// ask returns the decision on a request. The second result is the core that
-// decided, to which the exchange is reported; nil for the leader.
+// ask returns the decision on a request, and the number under which the exchange
+// is reported.
 func (d *desk) ask(ctx context.Context, service uint32, job schedule.Job) (schedule.Decision, uint32, error) {
 	d.mu.Lock()
 	d.number++
@@ -450,7 +450,7 @@
 	return d.own == nil && (!d.leader.IsValid() || (d.misses != 0 && now-d.misses > leaderSilence))
 }
 
-// state is what the desk knows from the leader.
+// deskState is what the desk knows from the leader.
 type deskState struct {
 	leads         bool
 	hosts         int
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -28,7 +28,7 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		p := r.hosts[at%len(r.hosts)]
 		id := fmt.Sprintf("%d-%d-%d", r.opts.Seed, n, i)
-		path := []string{"/read/x", "/order/y", "/work/z"}[rng.IntN(3)]
+		path := []string{"/read/x", "/order/y", "/jobs/z"}[rng.IntN(3)]
 		if !r.send(client, p, path, id, rng.IntN(keys)) {
 			at++
 		}
@@ -118,7 +118,7 @@
 
 // checkRecovery fails the run if requests are not served once the faults are
 // over, or if a host has not the newest configuration in force.
-func (r *run) checkRecovery(ctx context.Context) {
+func (r *run) checkRecovery() {
 	time.Sleep(recovery)
 	client := &http.Client{Transport: &http.Transport{}, Timeout: timeLeft + time.Second}
 	served, sent := 0, 0
@@ -149,5 +149,4 @@
 			}
 		}
 	}
-	_ = ctx
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -119,7 +119,7 @@
 	}
 	load.Go(func() { r.watchOwners(ctx) })
 	r.faults(ctx)
-	r.checkRecovery(ctx)
+	r.checkRecovery()
 	cancel()
 	load.Wait()
 	r.checkRuns()
@@ -164,7 +164,7 @@
 		{Prefix: fmt.Sprintf("/v%d/", r.version), Service: "workshop", Idempotent: true},
 		{Prefix: "/read/", Service: "booking", Idempotent: true},
 		{Prefix: "/order/", Service: "booking"},
-		{Prefix: "/work/", Service: "workshop"},
+		{Prefix: "/jobs/", Service: "workshop"},
 	}, map[string]bool{"booking": true, "workshop": false})
 }
 
