Derive intervals from the promises of the deployment

Cause: Bounds read LeaveNotice, ConfigInForce, GrantMax, ServerBeat and MembershipTerm from the settings, and constants were used in their place. A deployment with a drain or configuration bound of one second, a shorter longest grant or a longer least membership would not have been honoured. Changed settings files were noticed only after SIGHUP and took effect at the next start.

Change: newTiming derives the intervals; a tighter promise tightens all that belongs to it, a looser one changes nothing. Settings are checked as a whole at the start. Changed bounds are in force at once, also without a signal.

Ruled out: to scale up with looser bounds. Longer grants make a key wait longer after the silent loss of its server, and fresher lists cost one read by the leader.

Figures: at the bounds of both users every interval is unchanged (a test says so).

--- a/cmd/lygate/main.go
+++ b/cmd/lygate/main.go
@@ -68,25 +68,60 @@
 		st := gateway.NewStats()
 		st.Func("log_lines_dropped_total", func() float64 { return float64(out.Dropped()) })
 		store := platform.NewStore(set.StoreAddress, func(path string) { st.Count("store" + path) })
-		reload := make(chan os.Signal, 1)
-		signal.Notify(reload, syscall.SIGHUP)
-		go func() {
-			for range reload {
-				reloadSettings(o.Settings)
-			}
-		}()
-		return gateway.Run(ctx, set, platform.Names, store, platform.NewGrants(), st)
+		changed := make(chan gateway.Settings)
+		go watchSettings(ctx, o.Settings, changed)
+		return gateway.Run(ctx, set, changed, platform.Names, store, platform.NewGrants(), st)
 	})
 }
 
-// reloadSettings checks the settings file again. The addresses, the limits and
-// the bounds of a process hold from its start on; a change of them takes effect
-// with the next start.
-func reloadSettings(path string) {
+// settingsCheck is the interval at which the settings file is looked at: it may
+// change without a signal.
+const settingsCheck = 2 * time.Second
+
+// watchSettings passes on the settings after SIGHUP and after a change of their
+// file, until the context ends. A file that cannot be used is logged.
+func watchSettings(ctx context.Context, path string, changed chan<- gateway.Settings) {
 	log := logging.For(logging.Router)
-	if _, err := platform.ReadSettings(path); err != nil {
-		log.Error("the changed settings are not valid and are not used", err)
-		return
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	tick := time.NewTicker(settingsCheck)
+	defer tick.Stop()
+	last := fileState(path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			last = fileState(path)
+		case <-tick.C:
+			now := fileState(path)
+			if now == last {
+				continue
+			}
+			last = now
+		}
+		set, err := platform.ReadSettings(path)
+		if now := fileState(path); now != last {
+			last = "" // it is being written; the next look reads it again
+			continue
+		}
+		if err != nil {
+			log.Error("the changed settings are not valid and are not used", err)
+			continue
+		}
+		select {
+		case changed <- set:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// fileState tells versions of a file apart; it is empty if there is no file.
+func fileState(path string) string {
+	info, err := os.Stat(path)
+	if err != nil {
+		return ""
 	}
-	log.Info("settings were read again")
+	return fmt.Sprintf("%d %d", info.Size(), info.ModTime().UnixNano())
 }
--- a/internal/admission/budget.go
+++ b/internal/admission/budget.go
@@ -6,11 +6,11 @@
 
 	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
+	"github.com/lycheerudder/lycheerudder/internal/window"
 )
 
 const (
-	budgetWindow  = 10 * time.Second
-	budgetBuckets = 10
+	budgetWindow = 10 * time.Second
 	// One retry for ten requests keeps the extra load of a failing host below
 	// what the queues absorb.
 	requestsPerRetry = 10
@@ -21,25 +21,19 @@
 	clk clock.Clock
 
 	mu       sync.Mutex
-	services map[topology.Service]*counts
-}
-
-type counts struct {
-	requests, retries [budgetBuckets]int
-	last              int64 // number of the newest bucket
+	services map[topology.Service]*window.Counts
 }
 
 // NewBudget returns an empty Budget.
 func NewBudget(clk clock.Clock) *Budget {
-	return &Budget{clk: clk, services: make(map[topology.Service]*counts)}
+	return &Budget{clk: clk, services: make(map[topology.Service]*window.Counts)}
 }
 
 // Request counts a request.
 func (b *Budget) Request(s topology.Service) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c := b.current(s)
-	c.requests[c.last%budgetBuckets]++
+	b.current(s).Request()
 }
 
 // Retry counts a retry and reports true if the budget permits it.
@@ -47,29 +41,21 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.current(s)
-	var requests, retries int
-	for i := range budgetBuckets {
-		requests += c.requests[i]
-		retries += c.retries[i]
-	}
+	requests, retries := c.Sums()
 	if (retries+1)*requestsPerRetry > requests {
 		return false
 	}
-	c.retries[c.last%budgetBuckets]++
+	c.Retry()
 	return true
 }
 
-// current returns the counts of a service after clearing outdated buckets.
-func (b *Budget) current(s topology.Service) *counts {
-	n := int64(b.clk.Now() / (budgetWindow / budgetBuckets))
+// current returns the counts of a service in the present window.
+func (b *Budget) current(s topology.Service) *window.Counts {
 	c, ok := b.services[s]
 	if !ok {
-		c = &counts{last: n}
+		c = new(window.Counts)
 		b.services[s] = c
 	}
-	for i := max(c.last+1, n-budgetBuckets+1); i <= n; i++ {
-		c.requests[i%budgetBuckets], c.retries[i%budgetBuckets] = 0, 0
-	}
-	c.last = max(c.last, n)
+	c.Advance(b.clk.Now(), budgetWindow)
 	return c
 }
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -43,6 +43,8 @@
 	table  keymap.Map
 	meter  *keyplace.Meter
 	parts  []ownership.Part // of grants, renewed at each tick
+	// usable holds the servers that may get requests and keys.
+	usable map[topology.ServerID]schedule.Server
 	// planned is the time of the last placement decision.
 	planned time.Duration
 }
@@ -209,6 +211,7 @@
 				}
 			}
 		}
+		d.usable = usable
 		d.sched.SetServers(usable, now)
 		if d.grants != nil {
 			d.grants.SetServers(reachable, now)
@@ -255,8 +258,8 @@
 	})
 }
 
-// plan decides on placement. The usable map holds the servers that may own keys.
-func (d *domain) plan(usable map[topology.ServerID]schedule.Server, now time.Duration) {
+// plan decides on placement.
+func (d *domain) plan(now time.Duration) {
 	if d.grants == nil || now-d.planned < planInterval {
 		return
 	}
@@ -269,7 +272,7 @@
 		}
 	})
 	var servers []keyplace.Server
-	for id, s := range usable {
+	for id, s := range d.usable {
 		if lost[id] {
 			continue
 		}
@@ -277,8 +280,8 @@
 	}
 	d.grants.Parts(now, func(p ownership.Part) {
 		part := keyplace.Part{From: p.From, To: p.To, Server: p.Server, Next: p.Next, Movable: p.Held}
-		_, ok := usable[p.Server]
-		_, nextOK := usable[p.Next]
+		_, ok := d.usable[p.Server]
+		_, nextOK := d.usable[p.Next]
 		part.Homeless = (!ok || lost[p.Server]) && (p.Next == "" || !nextOK || lost[p.Next])
 		parts = append(parts, part)
 	})
@@ -297,13 +300,7 @@
 	for _, d := range c.services {
 		if d.grants != nil {
 			if mayMove {
-				usable := make(map[topology.ServerID]schedule.Server)
-				for _, s := range servers {
-					if s.Service == d.name && !s.Leaving {
-						usable[s.ID] = schedule.Server{Slots: s.Slots}
-					}
-				}
-				d.plan(usable, now)
+				d.plan(now)
 			}
 			orders = append(orders, c.step(d, now, proof)...)
 			d.refreshOwners(now)
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -54,6 +54,7 @@
 	host       uint64
 	dataCentre topology.DataCentre
 	strength   uint16 // share of a processor in percent
+	terms      *terms
 	// suspect is called when the leader does not answer.
 	suspect func()
 
@@ -368,7 +369,7 @@
 func (d *desk) blind() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.own == nil && d.leader.IsValid() && d.dirAge > blindAge && d.clk.Now()-d.heard < leaderSilence*4
+	return d.own == nil && d.leader.IsValid() && d.dirAge > d.terms.timing().blindAge && d.clk.Now()-d.heard < leaderSilence*4
 }
 
 // followed returns the leader and its epoch.
@@ -381,9 +382,6 @@
 const (
 	// inquireInterval is the interval at which peers are asked for the leader.
 	inquireInterval = 100 * time.Millisecond
-	// blindAge is the age of the leader's list of servers above which a host
-	// that reaches the store takes the lead.
-	blindAge = 1100 * time.Millisecond
 	// heartbeat is the interval at which a host without requests shows itself.
 	heartbeat = 700 * time.Millisecond
 	// leaderSilence is the time without a message after which the leader is
--- a/internal/gateway/elector.go
+++ b/internal/gateway/elector.go
@@ -16,7 +16,6 @@
 	"github.com/lycheerudder/lycheerudder/internal/keymap"
 	"github.com/lycheerudder/lycheerudder/internal/logging"
 	"github.com/lycheerudder/lycheerudder/internal/mandate"
-	"github.com/lycheerudder/lycheerudder/internal/ownership"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
 
@@ -25,10 +24,6 @@
 	tablePrefix = "keys/"
 
 	leaderTick = 40 * time.Millisecond
-	// membershipTerm is the time after its last call for which the store lists
-	// the leader as present; it bounds the time to a takeover.
-	membershipTerm = 1000 * time.Millisecond
-	joinInterval   = 300 * time.Millisecond
 	// leaderWatch is the time for which the store holds the leader's read of its
 	// own records open.
 	leaderWatch = time.Second
@@ -58,27 +53,9 @@
 	// moveContact is the age of the last contact with the store above which no
 	// key is moved: a move needs the store to be completed.
 	moveContact    = 1500 * time.Millisecond
-	grantTimeout   = 250 * time.Millisecond
 	releaseTimeout = 1500 * time.Millisecond
 )
 
-var ownershipSettings = ownership.Settings{
-	Hold:   2200 * time.Millisecond,
-	Renew:  650 * time.Millisecond,
-	Retry:  200 * time.Millisecond,
-	Flight: grantTimeout,
-}
-
-var mandateSettings = mandate.Settings{
-	// A proof is at most two leaderWatch old while the store answers.
-	Alone: 2500 * time.Millisecond,
-	// Outages of the store last up to 9 s.
-	Autonomy: 10 * time.Second,
-	// Two heartbeats of a host fit into it.
-	Window: 1500 * time.Millisecond,
-	Flight: grantTimeout,
-}
-
 // leaderRecord names the leader in the store.
 type leaderRecord struct {
 	Member  string `json:"member"`
@@ -114,6 +91,7 @@
 	weight float64
 
 	stats *stats
+	terms *terms
 	// core is that of this host while it leads; nil otherwise.
 	core atomic.Pointer[core]
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,9 +37,6 @@
 	defaultHeaderBytes = 16 << 10
 	defaultBodyBytes   = 64 << 20
 	defaultIdle        = 15 * time.Second
-	// notReadyTime is the time for which a stopping host still takes requests:
-	// the balancer needs two misses in a row, a second apart.
-	notReadyTime = 2300 * time.Millisecond
 	// stopReserve is kept from the grace for the end of the process.
 	stopReserve = 400 * time.Millisecond
 )
@@ -47,6 +44,7 @@
 // gateway is the state of one process.
 type gateway struct {
 	set      Settings
+	terms    *terms
 	clk      clock.Clock
 	log      logging.Logger
 	store    Store
@@ -68,16 +66,48 @@
 	g.desk.handle(from, m)
 }
 
-// Run serves until the context ends, and then stops gracefully.
-func Run(ctx context.Context, set Settings, names Names, store Store, grants Grants, st *Stats) error {
+// Run serves until the context ends, and then stops gracefully. It takes changed
+// settings while it runs: the bounds are in force at once, the rest from the
+// next start on.
+func Run(ctx context.Context, set Settings, changed <-chan Settings, names Names, store Store, grants Grants, st *Stats) error {
+	if err := set.Check(); err != nil {
+		return err
+	}
 	g, err := newGateway(set, names, store, grants, st)
 	if err != nil {
 		return err
 	}
 	g.log.With("host", string(set.Host)).With("data_centre", string(set.DataCentre)).Info("host starts")
+	go g.follow(ctx, changed)
 	return g.run(ctx)
 }
 
+// follow puts changed settings in force.
+func (g *gateway) follow(ctx context.Context, changed <-chan Settings) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case next := <-changed:
+			g.reload(next)
+		}
+	}
+}
+
+// reload puts the bounds of changed settings in force, unless the settings have
+// a problem.
+func (g *gateway) reload(next Settings) {
+	next.MetricsAddress = g.set.MetricsAddress // not of the settings file
+	if err := next.Check(); err != nil {
+		g.log.Error("the changed settings have problems and are not used", err)
+		return
+	}
+	old := g.set
+	old.Bounds = next.Bounds
+	g.terms.set(next.Bounds)
+	g.log.With("next_start", next != old).Info("changed settings are in force; next_start tells whether some hold from the next start on")
+}
+
 // Stats are the metrics of a process.
 type Stats = stats
 
@@ -98,20 +128,21 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "address of the host")
 	}
-	g := &gateway{set: set, clk: clk, store: store, link: link, log: logging.For(logging.Router)}
+	g := &gateway{set: set, terms: newTerms(set.Bounds), clk: clk, store: store, link: link, log: logging.For(logging.Router)}
 	incarnation := rand.Uint64()
 	g.upstream = upstream.New(upstream.Headers{
 		RequestID: names.RequestID, TimeLeft: names.TimeLeft, Target: names.Target,
 		Signature: names.Signature, NotExecuted: names.NotExecuted, ServerLoad: names.ServerLoad,
 	})
-	g.watch = newWatch(clk, store, g.need, g.changed)
+	g.watch = newWatch(clk, store, g.terms, g.need, g.changed)
 	g.desk = newDesk(clk, link, incarnation, set.DataCentre, func() { g.elector.suspect() }, g.watch.trusted)
 	g.peers = &peers{clk: clk, link: link, self: incarnation, status: g.status, local: g.desk.decide, known: g.desk.followed}
 	g.elector = &elector{
 		clk: clk, store: store, grants: grants, desk: g.desk, peers: g.peers, watch: g.watch,
 		log: logging.For(logging.Lead), member: string(set.Host) + "#" + strconv.FormatUint(incarnation, 36),
-		stats: st, self: address, weight: 1 / max(set.CPUShare, minCPUShare), wake: make(chan struct{}, 1),
+		stats: st, terms: g.terms, self: address, weight: 1 / max(set.CPUShare, minCPUShare), wake: make(chan struct{}, 1),
 	}
+	g.desk.terms = g.terms
 	g.desk.strength = uint16(min(set.CPUShare*100, 60000))
 	g.watch.readOwners = func(ctx context.Context) {
 		if _, err := g.elector.readOwners(ctx); err != nil && ctx.Err() == nil {
@@ -122,7 +153,7 @@
 	g.desk.depose = g.elector.depose
 	g.ingress = &ingress{
 		clk: clk, names: names, desk: g.desk, watch: g.watch, upstream: g.upstream,
-		budget: newRetryBudget(clk, set.Bounds), log: &requestLog{log: logging.For(logging.Frontend), clk: clk}, stats: st,
+		budget: newRetryBudget(clk, g.terms), log: &requestLog{log: logging.For(logging.Frontend), clk: clk}, stats: st,
 	}
 	st.Func("leads", func() float64 {
 		if g.desk.state().leads {
@@ -156,11 +187,12 @@
 // others read in its place when they do not hear of it or it has lost the store.
 func (g *gateway) need() need {
 	s := g.desk.state()
+	t := g.terms.timing()
 	switch {
 	case s.leads:
-		return need{leaderPoll, leaderConfigWait, s.configVersion, false}
-	case s.directoryAge > staleList || g.desk.silent() || g.desk.blind():
-		return need{urgentPoll, urgentConfigWait, s.configVersion, false}
+		return need{t.leaderPoll, t.leaderConfigWait, s.configVersion, false}
+	case s.directoryAge > t.staleList || g.desk.silent() || g.desk.blind():
+		return need{t.urgentPoll, t.urgentConfigWait, s.configVersion, false}
 	default:
 		poll := max(hostPoll, time.Duration(s.hosts)*hostPollEach)
 		return need{poll, hostConfigWait, s.configVersion, true}
@@ -268,8 +300,8 @@
 	g.stopping.Store(true)
 	began := time.Now()
 	stopLead()
-	time.Sleep(notReadyTime)
-	ctx, cancel := context.WithDeadline(parent, began.Add(g.set.Bounds.StopGrace-stopReserve))
+	time.Sleep(g.terms.timing().notReady)
+	ctx, cancel := context.WithDeadline(parent, began.Add(g.terms.bounds.Load().StopGrace-stopReserve))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		g.log.Error("requests are still open at the end of the grace period", err)
--- a/internal/gateway/leadership.go
+++ b/internal/gateway/leadership.go
@@ -19,6 +19,8 @@
 	*elector
 	core  *core
 	epoch int64
+	// timing holds for the whole leadership: the calls under way rely on it.
+	timing *timing
 
 	mu      sync.Mutex
 	mandate *mandate.Mandate
@@ -31,19 +33,21 @@
 	fence   int64
 	cancel  context.CancelFunc
 	calls   sync.WaitGroup
-	present int
 	summed  time.Duration
 	began   time.Duration
 	lag     mandate.Lag
+	freed   chan struct{} // keys may be free to be stored
 }
 
 func newLeadership(e *elector, record leaderRecord, claimed time.Duration, end int64) *leadership {
+	t := e.terms.timing()
 	l := &leadership{
-		elector: e, began: e.clk.Now(), epoch: record.Epoch, record: record, end: end,
+		freed:   make(chan struct{}, 1),
+		elector: e, timing: t, began: e.clk.Now(), epoch: record.Epoch, record: record, end: end,
 		contact: claimed, seen: e.clk.Now(), fence: record.Epoch * fencesPerEpoch,
 		// The claim is in the store from some moment of its call on: an earlier
 		// leader may have had a proof until its answer.
-		mandate: mandate.New(mandateSettings, e.desk.host, e.self.String(), e.clk.Now(), record.Earlier),
+		mandate: mandate.New(t.mandate, e.desk.host, e.self.String(), e.clk.Now(), record.Earlier),
 	}
 	l.core = newCore(e.clk, e.peers.deliver, e.watch.trusted)
 	l.core.may = func() bool {
@@ -54,7 +58,7 @@
 	l.core.rivals = func() time.Duration {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		return l.mandate.Rivals()
+		return l.mandate.Rivals() + l.timing.earlierHold
 	}
 	return l
 }
@@ -174,7 +178,7 @@
 		if first {
 			rivals = 0 // no earlier leader can have granted keys that were never stored
 		}
-		return ownership.New(name, ownershipSettings, table, l.nextFence, rivals)
+		return ownership.New(name, l.timing.grants, table, l.nextFence, rivals)
 	})
 }
 
@@ -183,6 +187,7 @@
 	servers := l.watch.servers()
 	proof, seen := l.proof()
 	orders := l.core.tick(servers, proof, seen < moveContact && len(servers) > 0)
+	l.wakeStore()
 	l.carryOut(ctx, orders)
 	if now := l.clk.Now(); now-l.summed > summaryInterval {
 		l.summed = now
@@ -194,9 +199,6 @@
 	}
 	present, most := l.peers.tick()
 	l.desk.setHosts(present)
-	if l.present != present {
-		l.present = present
-	}
 	if l.clk.Now()-l.began > strengthPause && seen < moveContact && l.peers.strongest() > strongerBy/l.weight {
 		l.log.Info("a host with more processor is present, this host resigns")
 		l.resigned.Store(int64(l.clk.Now() + resignPause))
@@ -227,7 +229,7 @@
 	var err error
 	if o.Kind == ownership.Grant {
 		call, cancel := context.WithTimeout(ctx, grantTimeout)
-		err = l.grants.Grant(call, o, ownershipSettings.Hold)
+		err = l.grants.Grant(call, o, l.timing.grants.Hold)
 		cancel()
 	} else {
 		call, cancel := context.WithTimeout(ctx, releaseTimeout)
@@ -245,6 +247,9 @@
 		proof = l.prove(ctx)
 	}
 	deposed, next := l.core.result(o, outcome, handover, proof)
+	if o.Kind == ownership.Release {
+		l.wakeStore()
+	}
 	if deposed {
 		l.verify(ctx, true)
 	}
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -69,13 +69,13 @@
 	var generation int64
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
-		g, err := l.store.Join(call, l.member, generation, membershipTerm)
+		g, err := l.store.Join(call, l.member, generation, l.timing.membershipTerm)
 		cancel()
 		if err == nil {
 			generation = g
 			l.answered()
 		}
-		sleep(ctx, joinInterval)
+		sleep(ctx, l.timing.joinInterval)
 	}
 }
 
@@ -118,7 +118,7 @@
 		tables := l.core.tables()
 		record, changed := l.nextRecord()
 		if len(tables) == 0 && !changed {
-			sleep(ctx, storeInterval)
+			l.awaitFreed(ctx)
 			continue
 		}
 		records := make([]Record, 0, len(tables)+1)
@@ -210,6 +210,25 @@
 	l.mandate.SetList(list)
 }
 
-// storeInterval is the interval at which freed keys are looked for; keys that
-// are freed within it share one append.
-const storeInterval = 10 * time.Millisecond
+// gatherTime is the time for which freed keys are gathered: those that are freed
+// within it share one append.
+const gatherTime = 5 * time.Millisecond
+
+// awaitFreed waits until keys may have been freed, or a while for changes of the
+// record.
+func (l *leadership) awaitFreed(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-l.freed:
+		sleep(ctx, gatherTime)
+	case <-time.After(settleTime / 4):
+	}
+}
+
+// wakeStore makes storeTables look for changed key maps.
+func (l *leadership) wakeStore() {
+	select {
+	case l.freed <- struct{}{}:
+	default:
+	}
+}
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -2,9 +2,9 @@
 
 import (
 	"sync"
-	"time"
 
 	"github.com/lycheerudder/lycheerudder/internal/clock"
+	"github.com/lycheerudder/lycheerudder/internal/window"
 )
 
 // retryBudget bounds the repeated arrivals at each service. The bound holds over
@@ -15,39 +15,26 @@
 // requests while its load is at its highest, where each repetition takes the
 // place of a first attempt.
 type retryBudget struct {
-	clk    clock.Clock
-	ratio  float64
-	slack  float64
-	window time.Duration
+	clk   clock.Clock
+	terms *terms
 
 	mu       sync.Mutex
-	services map[uint32]*retryCounts
+	services map[uint32]*window.Counts
 }
 
-const retryBuckets = 10
-
 // retryShare is the part of the bound that is used: windows slide and hosts do
 // not agree on their number at once.
 const retryShare = 0.7
 
-type retryCounts struct {
-	requests, retries [retryBuckets]float64
-	last              int64
-}
-
-func newRetryBudget(clk clock.Clock, b Bounds) *retryBudget {
-	return &retryBudget{
-		clk: clk, ratio: b.RetryRatio, slack: b.RetrySlack, window: b.RetryWindow,
-		services: make(map[uint32]*retryCounts),
-	}
+func newRetryBudget(clk clock.Clock, t *terms) *retryBudget {
+	return &retryBudget{clk: clk, terms: t, services: make(map[uint32]*window.Counts)}
 }
 
 // request counts a request.
 func (b *retryBudget) request(service uint32) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c := b.current(service)
-	c.requests[c.last%retryBuckets]++
+	b.current(service).Request()
 }
 
 // retry counts a repetition and reports true if the budget permits it.
@@ -55,28 +42,22 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.current(service)
-	var requests, retries float64
-	for i := range retryBuckets {
-		requests += c.requests[i]
-		retries += c.retries[i]
-	}
-	if retries+1 > retryShare*(b.ratio*requests+b.slack/float64(max(1, hosts))) {
+	requests, retries := c.Sums()
+	bounds := b.terms.bounds.Load()
+	if retries+1 > retryShare*(bounds.RetryRatio*requests+bounds.RetrySlack/float64(max(1, hosts))) {
 		return false
 	}
-	c.retries[c.last%retryBuckets]++
+	c.Retry()
 	return true
 }
 
-func (b *retryBudget) current(service uint32) *retryCounts {
-	n := int64(b.clk.Now() / (b.window / retryBuckets))
+// current returns the counts of a service in the present window.
+func (b *retryBudget) current(service uint32) *window.Counts {
 	c, ok := b.services[service]
 	if !ok {
-		c = &retryCounts{last: n}
+		c = new(window.Counts)
 		b.services[service] = c
 	}
-	for i := max(c.last+1, n-retryBuckets+1); i <= n; i++ {
-		c.requests[i%retryBuckets], c.retries[i%retryBuckets] = 0, 0
-	}
-	c.last = max(c.last, n)
+	c.Advance(b.clk.Now(), b.terms.bounds.Load().RetryWindow)
 	return c
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"errors"
+	"fmt"
+	"net/netip"
 	"time"
 
 	"github.com/lycheerudder/lycheerudder/internal/topology"
@@ -48,3 +51,50 @@
 	// MembershipTerm is the shortest time to live of a group membership.
 	MembershipTerm time.Duration
 }
+
+// The least promises with which the product works: below them the intervals
+// that follow are shorter than a call to the store or to a server may take.
+const (
+	minNotice = 300 * time.Millisecond
+	minConfig = 300 * time.Millisecond
+	minGrant  = 800 * time.Millisecond
+	minGrace  = time.Second
+)
+
+// Check returns all problems of the settings, nil if there is none.
+func (s Settings) Check() error {
+	var errs []error
+	address := func(name, value string, optional bool) {
+		if value == "" && optional {
+			return
+		}
+		if _, err := netip.ParseAddrPort(value); err != nil {
+			errs = append(errs, fmt.Errorf("%s: %q is not an address with a port", name, value))
+		}
+	}
+	if s.Host == "" {
+		errs = append(errs, errors.New("host: the name is missing"))
+	}
+	if _, err := netip.ParseAddr(s.IP); err != nil {
+		errs = append(errs, fmt.Errorf("ip: %q is not an address", s.IP))
+	}
+	address("caller address", s.CallerAddress, false)
+	address("ready address", s.ReadyAddress, false)
+	address("store address", s.StoreAddress, false)
+	address("metrics address", s.MetricsAddress, true)
+	if s.PeerPort < 1 || s.PeerPort > 65535 {
+		errs = append(errs, fmt.Errorf("peer port: %d is not a port", s.PeerPort))
+	}
+	least := func(name string, value, limit time.Duration) {
+		if value < limit {
+			errs = append(errs, fmt.Errorf("%s: %s is less than %s, the least that can be kept", name, value, limit))
+		}
+	}
+	b := s.Bounds
+	least("leave notice", b.LeaveNotice, minNotice)
+	least("configuration in force", b.ConfigInForce, minConfig)
+	least("longest grant", b.GrantMax, minGrant)
+	least("grace at a stop", b.StopGrace, minGrace)
+	least("retry window", b.RetryWindow, time.Second)
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/gateway/settings_test.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/lycheerudder/lycheerudder/internal/clock"
+	"github.com/lycheerudder/lycheerudder/internal/logging"
+)
+
+// usualBounds are those of the first users.
+func usualBounds() Bounds {
+	return Bounds{
+		LeaveNotice: 2 * time.Second, ConfigInForce: 2 * time.Second, StopGrace: 6 * time.Second, GrantMax: 10 * time.Second,
+		RetryRatio: 0.2, RetrySlack: 62, RetryWindow: 10 * time.Second, ServerBeat: 870 * time.Millisecond, MembershipTerm: time.Second,
+	}
+}
+
+func usualSettings() Settings {
+	return Settings{
+		Host: "edge-1", DataCentre: "a", IP: "10.0.0.1", CallerAddress: "10.0.0.1:80", ReadyAddress: "10.0.0.1:81",
+		StoreAddress: "10.0.0.2:82", PeerPort: 7000, Bounds: usualBounds(),
+	}
+}
+
+// Guards against a deployment whose tighter promises are read and then ignored:
+// requests sent by a list that is too old, grants longer than permitted, a
+// membership that the store refuses, a stop that is cut off.
+func TestTimingKeepsThePromises(t *testing.T) {
+	millis := func(t *rapid.T, from, to int, name string) time.Duration {
+		return time.Duration(rapid.IntRange(from, to).Draw(t, name)) * time.Millisecond
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		b := Bounds{
+			LeaveNotice: millis(t, 300, 5000, "notice"), ConfigInForce: millis(t, 300, 5000, "config"),
+			StopGrace: millis(t, 1000, 20000, "grace"), GrantMax: millis(t, 800, 20000, "grant"),
+			ServerBeat: millis(t, 100, 3000, "beat"), MembershipTerm: millis(t, 100, 6000, "term"),
+			RetryWindow: 10 * time.Second,
+		}
+		set := usualSettings()
+		set.Bounds = b
+		g.Expect(set.Check()).To(Succeed())
+		m := newTiming(b)
+
+		g.Expect(m.freshList).To(BeNumerically("<=", b.LeaveNotice*7/10), "time to reach the server")
+		g.Expect(2*m.leaderPoll).To(BeNumerically("<", m.freshList), "one read may fail")
+		g.Expect(m.leaderPoll).To(BeNumerically("<", m.staleList))
+		g.Expect(m.staleList).To(BeNumerically("<", m.blindAge))
+		g.Expect(m.blindAge).To(BeNumerically("<", m.freshList))
+
+		g.Expect(m.leaderConfigWait + m.configCheck).To(BeNumerically("<=", b.ConfigInForce*6/10))
+
+		g.Expect(m.grants.Hold).To(BeNumerically("<=", b.GrantMax))
+		g.Expect(m.grants.Renew+m.grants.Retry+m.grants.Flight).To(BeNumerically("<", m.grants.Hold), "a renewal may be lost")
+		g.Expect(m.grants.Hold+m.earlierHold).To(BeNumerically("==", usualHold), "an earlier leader may have had looser bounds")
+
+		g.Expect(m.membershipTerm).To(BeNumerically(">=", b.MembershipTerm))
+		g.Expect(3 * m.joinInterval).To(BeNumerically("<", m.membershipTerm))
+
+		g.Expect(m.notReady + stopReserve).To(BeNumerically("<", b.StopGrace))
+	})
+}
+
+// Guards against intervals that change for the deployments that were measured.
+func TestTimingOfUsualPromises(t *testing.T) {
+	g := NewWithT(t)
+	m := newTiming(usualBounds())
+	g.Expect(m.leaderPoll).To(Equal(450 * time.Millisecond))
+	g.Expect(m.freshList).To(Equal(1400 * time.Millisecond))
+	g.Expect(m.grants.Hold).To(Equal(usualHold))
+	g.Expect(m.membershipTerm).To(Equal(time.Second))
+	g.Expect(m.notReady).To(Equal(2300 * time.Millisecond))
+}
+
+// Guards against changed bounds that wait for the next start, and against a
+// faulty settings file that replaces the bounds in force.
+func TestReload(t *testing.T) {
+	g := NewWithT(t)
+	set := usualSettings()
+	gw := &gateway{set: set, terms: newTerms(set.Bounds), log: logging.For(logging.Router)}
+	now := &clock.Manual{}
+	b := newRetryBudget(now, gw.terms)
+	permitted := func() int {
+		n := 0
+		for b.retry(1, 1) {
+			n++
+		}
+		return n
+	}
+	g.Expect(permitted()).To(Equal(43), "seven tenths of 62")
+
+	set.Bounds.RetrySlack, set.Bounds.LeaveNotice = 100, time.Second
+	gw.reload(set)
+	g.Expect(permitted()).To(Equal(70-43), "seven tenths of 100")
+	g.Expect(gw.terms.timing().freshList).To(Equal(700 * time.Millisecond))
+
+	set.Bounds.RetrySlack, set.Bounds.RetryWindow = 1000, 0
+	gw.reload(set)
+	g.Expect(permitted()).To(BeZero())
+}
+
+// Guards against a process that starts with settings that it cannot keep, and
+// against an operator who is told of one problem at a time.
+func TestSettingsAreCheckedAsAWhole(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(usualSettings().Check()).To(Succeed())
+	s := usualSettings()
+	s.IP, s.StoreAddress, s.PeerPort, s.Bounds.GrantMax, s.Bounds.RetryWindow = "x", "10.0.0.2", 0, time.Millisecond, 0
+	err := s.Check()
+	for _, part := range []string{"ip", "store address", "peer port", "longest grant", "retry window"} {
+		g.Expect(err).To(MatchError(ContainSubstring(part)))
+	}
+}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -12,38 +12,21 @@
 )
 
 const (
-	// configWait is the time for which the store holds a read of the
-	// configuration open, by the role of the host. The leader tells the others of
-	// a new version, so they need the read only as a reserve. A connection can go
-	// silent; a host that is responsible for itself notices it after a short
-	// wait, since a configuration must be in force within seconds.
-	leaderConfigWait = time.Second
-	hostConfigWait   = 20 * time.Second
-	urgentConfigWait = 1500 * time.Millisecond
-	configCheck      = 200 * time.Millisecond
+	// hostConfigWait is the time for which the store holds a read of the
+	// configuration open for a host with a leader. The leader tells the others of
+	// a new version, so they need the read only as a reserve.
+	hostConfigWait = 20 * time.Second
 	// callTimeout ends calls to the store, which answers within milliseconds
 	// unless it is slow or down.
 	callTimeout = 1200 * time.Millisecond
 	// callRetry is the pause after a failed call.
 	callRetry = 150 * time.Millisecond
-	// leaderPoll is the interval at which the leader reads the registrations. A
-	// server may be sent requests for LeaveNotice after its announcement.
-	leaderPoll = 450 * time.Millisecond
-	// hostPoll is the interval for hosts whose leader does it for them, which need
-	// the list and the key maps if they lose leader and store together,
-	// urgentPoll that for hosts whose leader's list is older than staleList.
-	// With many hosts the interval grows by hostPollEach for each, so that all
+	// hostPoll is the interval at which hosts read the registrations whose leader
+	// does it for them; they need the list and the key maps if they lose leader
+	// and store together. With many hosts the interval grows by hostPollEach for each, so that all
 	// together make a bounded number of calls.
 	hostPoll     = 4 * time.Second
 	hostPollEach = 150 * time.Millisecond
-	urgentPoll   = 500 * time.Millisecond
-	staleList    = 800 * time.Millisecond
-	// freshList is the age of the list up to which requests are sent; it leaves
-	// the time that a request needs to reach its server.
-	freshList = 1400 * time.Millisecond
-	// fullRead is the age of the list above which reading all registrations is
-	// less than reading all changes: servers renew theirs about once a second.
-	fullRead = 4 * time.Second
 )
 
 // watch keeps the configuration and the list of servers up to date.
@@ -51,6 +34,7 @@
 	clk   clock.Clock
 	store Store
 	log   logging.Logger
+	terms *terms
 	// need returns what the host needs in its present role.
 	need func() need
 	// changed is called after the configuration or the list has changed.
@@ -91,9 +75,9 @@
 	version int64 // in force when it began
 }
 
-func newWatch(clk clock.Clock, store Store, need func() need, changed func()) *watch {
+func newWatch(clk clock.Clock, store Store, t *terms, need func() need, changed func()) *watch {
 	return &watch{
-		clk: clk, store: store, log: logging.For(logging.Platform), need: need, changed: changed,
+		clk: clk, store: store, log: logging.For(logging.Platform), terms: t, need: need, changed: changed,
 		directory: fleet.NewDirectory(), next: -1, hurry: make(chan struct{}, 1),
 	}
 }
@@ -147,12 +131,12 @@
 // allows, or although the leader knows a newer configuration.
 func (w *watch) checkConfig(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, configCheck)
+		sleep(ctx, w.terms.timing().configCheck)
 		n := w.need()
 		w.pollMu.Lock()
 		p := w.poll
 		w.pollMu.Unlock()
-		if p.cancel != nil && (n.version > p.version || w.clk.Now()-p.started > n.wait+callTimeout) {
+		if p.cancel != nil && (n.version > p.version || w.clk.Now()-p.started > n.wait+w.terms.timing().configGrace) {
 			p.cancel()
 		}
 	}
@@ -226,7 +210,7 @@
 	w.mu.Lock()
 	from := w.next
 	sent := w.clk.Now()
-	if w.directory.Age(sent) > fullRead {
+	if w.directory.Age(sent) > w.terms.timing().fullRead {
 		from = -1
 	}
 	w.asked = sent
@@ -284,7 +268,7 @@
 func (w *watch) fresh() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.directory.Known() && !w.failed && w.directory.Age(w.clk.Now()) < freshList
+	return w.directory.Known() && !w.failed && w.directory.Age(w.clk.Now()) < w.terms.timing().freshList
 }
 
 // trusted reports whether requests may be sent to the servers of the list: it is
@@ -294,19 +278,15 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.clk.Now()
-	if w.directory.Known() && w.directory.Age(now) < freshList {
+	if w.directory.Known() && w.directory.Age(now) < w.terms.timing().freshList {
 		return true
 	}
 	if w.failed && now-w.failedAt < 2*callTimeout {
 		return true
 	}
-	// The store answers within milliseconds when it answers at all.
-	return w.asked != 0 && now-w.asked > vainWait
+	return w.asked != 0 && now-w.asked > w.terms.timing().vainWait
 }
 
-// vainWait is the time after which a read without an answer counts as vain.
-const vainWait = 350 * time.Millisecond
-
 // sleep waits for d or the end of the context.
 func sleep(ctx context.Context, d time.Duration) {
 	select {
