Space failed calls to the store, await its news instead of asking

A trace of the calls by path and second shows 25,000 of them while the store turns all hosts away: a host that misses its leader asks for a read every 35 ms, and the pause after a failed read ended at each wish.

The first configuration is awaited by a read that is held open. A host without a configuration searches for no leader. A read is given up for a newer configuration only 0.3 s after the leader has told of it. The spread of claims waits for news of the ownership topic in place of sleeping. A leader's list counts as old only by its own word or when a heartbeat should have been answered.

--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -81,7 +81,6 @@
 	turn   int
 	asked  time.Duration // last message to a peer
 	depose func()        // ends the lead of this host
-	behind func(version int64)
 }
 
 func newDesk(clk clock.Clock, link *hostlink.Link, host uint64, dc topology.DataCentre, suspect func(), trusted func() bool) *desk {
@@ -297,7 +296,6 @@
 	d.heard, d.misses = d.clk.Now(), 0
 	d.hosts = max(1, int(m.Hosts))
 	d.dirAge = time.Duration(m.DirectoryAgeMS) * time.Millisecond
-	newer := m.ConfigVersion > d.version
 	d.version = m.ConfigVersion
 	if n := int32(m.Reports - d.first + 1); n > 0 {
 		d.reports = d.reports[min(int(n), len(d.reports)):]
@@ -320,9 +318,6 @@
 		})
 	}
 	d.mu.Unlock()
-	if newer {
-		d.behind(m.ConfigVersion)
-	}
 	d.decide(answers)
 }
 
@@ -459,9 +454,12 @@
 func (d *desk) state() deskState {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return deskState{
-		leads: d.own != nil, hosts: d.hosts, directoryAge: d.dirAge + d.clk.Now() - d.heard, configVersion: d.version,
+	age := d.dirAge
+	if quiet := d.clk.Now() - d.heard; quiet > heartbeat+leaderSilence {
+		// The leader should have answered a heartbeat by now.
+		age += quiet
 	}
+	return deskState{leads: d.own != nil, hosts: d.hosts, directoryAge: age, configVersion: d.version}
 }
 
 func (d *desk) setHosts(n int) {
--- a/internal/gateway/elector.go
+++ b/internal/gateway/elector.go
@@ -160,8 +160,14 @@
 
 // run follows or becomes the leader until the context ends.
 func (e *elector) run(ctx context.Context) {
+	var pause backoff
 	for ctx.Err() == nil {
 		silent, blind := e.desk.silent(), e.desk.blind()
+		if e.watch.config.Load() == nil {
+			// Without a configuration there is nothing to lead or to ask for.
+			sleep(ctx, searchInterval)
+			continue
+		}
 		if (silent || blind) && !e.watch.fresh() {
 			// This host must judge by its own reads from now on.
 			e.watch.readNow()
@@ -176,23 +182,32 @@
 			continue
 		}
 		found, why := e.search(ctx)
+		wait := searchInterval
+		if why == noAnswer {
+			wait = max(wait, pause.next(hostRetry))
+		} else {
+			pause.reset()
+		}
 		if why != e.why {
 			e.why = why
 			e.log.With("silent", silent).With("blind", blind).With("result", why).Info("the leader is looked for")
 		}
 		if !found {
-			sleep(ctx, searchInterval)
+			sleep(ctx, wait)
 		}
 	}
 }
 
+// noAnswer is the result of a search that the store did not answer.
+const noAnswer = "store does not answer"
+
 // search looks for the leader in the store and claims the lead if there is none.
 // It returns false if the caller should wait before it searches again, and the
 // result in a word.
 func (e *elector) search(ctx context.Context) (found bool, why string) {
 	leader, err := e.readOwners(ctx)
 	if err != nil {
-		return false, "store does not answer"
+		return false, noAnswer
 	}
 	e.watch.readNow()
 	address, err := netip.ParseAddrPort(leader.Address)
@@ -208,16 +223,26 @@
 		members, err := e.store.Members(call)
 		cancel()
 		if err != nil {
-			return false, "members cannot be read"
+			return false, noAnswer
 		}
 		if slices.Contains(members, leader.Member) {
 			return false, "leader reaches the store"
 		}
 	}
-	if e.clk.Now() < time.Duration(e.resigned.Load()) || e.watch.config.Load() == nil {
+	if e.clk.Now() < time.Duration(e.resigned.Load()) {
 		return false, "this host does not lead now"
 	}
-	sleep(ctx, time.Duration((e.weight+rand.Float64())*float64(claimSpread)))
+	// The store answers at once if another host claims the lead meanwhile.
+	wait := time.Duration((e.weight + rand.Float64()) * float64(claimSpread))
+	call, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	now, err := e.store.OwnersEnd(call, end, wait)
+	cancel()
+	switch {
+	case err != nil:
+		return false, noAnswer
+	case now > end:
+		return true, "another host claims the lead"
+	}
 	return e.claim(ctx, end, leader), "lead was claimed"
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -149,7 +149,6 @@
 			g.log.Warn("the key maps cannot be read: " + err.Error())
 		}
 	}
-	g.desk.behind = g.watch.behind
 	g.desk.depose = g.elector.depose
 	g.ingress = &ingress{
 		clk: clk, names: names, desk: g.desk, watch: g.watch, upstream: g.upstream,
@@ -190,12 +189,12 @@
 	t := g.terms.timing()
 	switch {
 	case s.leads:
-		return need{t.leaderPoll, t.leaderConfigWait, s.configVersion, false}
+		return need{t.leaderPoll, t.leaderConfigWait, s.configVersion, false, leaderRetry}
 	case s.directoryAge > t.staleList || g.desk.silent() || g.desk.blind():
-		return need{t.urgentPoll, t.urgentConfigWait, s.configVersion, false}
+		return need{t.urgentPoll, t.urgentConfigWait, s.configVersion, false, hostRetry}
 	default:
 		poll := max(hostPoll, time.Duration(s.hosts)*hostPollEach)
-		return need{poll, hostConfigWait, s.configVersion, true}
+		return need{poll, hostConfigWait, s.configVersion, true, hostRetry}
 	}
 }
 
--- a/internal/gateway/timing.go
+++ b/internal/gateway/timing.go
@@ -36,6 +36,9 @@
 	// that is responsible for itself notices it after a short wait.
 	leaderConfigWait time.Duration
 	urgentConfigWait time.Duration
+	// configTold is the time for which a read is left open after the leader has
+	// told of a newer configuration.
+	configTold time.Duration
 	// configGrace is the time after such a wait at which the read is given up,
 	// configCheck the interval at which this is looked at.
 	configGrace time.Duration
@@ -94,6 +97,7 @@
 		leaderConfigWait: scaled(config, time.Second),
 		urgentConfigWait: scaled(config, 1500*time.Millisecond),
 		configGrace:      scaled(config, callTimeout),
+		configTold:       scaled(config, 300*time.Millisecond),
 		configCheck:      scaled(config, 200*time.Millisecond),
 
 		membershipTerm: term,
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -19,8 +19,6 @@
 	// callTimeout ends calls to the store, which answers within milliseconds
 	// unless it is slow or down.
 	callTimeout = 1200 * time.Millisecond
-	// callRetry is the pause after a failed call.
-	callRetry = 150 * time.Millisecond
 	// hostPoll is the interval at which hosts read the registrations whose leader
 	// does it for them; they need the list and the key maps if they lose leader
 	// and store together. With many hosts the interval grows by hostPollEach for each, so that all
@@ -47,6 +45,8 @@
 
 	pollMu sync.Mutex
 	poll   configPoll
+	told   int64         // newest version of which the leader told
+	toldAt time.Duration // time at which it was noticed
 
 	mu        sync.Mutex
 	directory *fleet.Directory
@@ -66,6 +66,8 @@
 	version int64
 	// owners is true if the key maps are read along with the list.
 	owners bool
+	// retry is the longest pause after a failed call.
+	retry time.Duration
 }
 
 // configPoll is the read of the configuration that is under way.
@@ -87,16 +89,22 @@
 	go w.checkConfig(ctx)
 	from := int64(-1)
 	failing := false
+	var pause backoff
 	for ctx.Err() == nil {
-		wait := w.need().wait
+		n := w.need()
+		wait := n.wait
 		cfg := w.config.Load()
-		if cfg == nil || failing {
+		if failing {
 			// A read that is held open shows the store's return late.
 			wait = 0
 		}
 		call, cancel := context.WithTimeout(ctx, wait+callTimeout)
 		if wait > 0 {
-			w.setPoll(configPoll{cancel: cancel, started: w.clk.Now(), version: cfg.Version})
+			poll := configPoll{cancel: cancel, started: w.clk.Now()}
+			if cfg != nil {
+				poll.version = cfg.Version
+			}
+			w.setPoll(poll)
 		}
 		config, next, err := w.store.ConfigChange(call, from, wait)
 		w.setPoll(configPoll{})
@@ -108,16 +116,14 @@
 			}
 			failing = true
 			if !ended {
-				sleep(ctx, callRetry)
+				sleep(ctx, pause.next(n.retry))
 			}
 			continue
 		}
 		failing = false
+		pause.reset()
 		from = next
 		w.adopt(config)
-		if config == nil && cfg == nil {
-			sleep(ctx, callRetry)
-		}
 	}
 }
 
@@ -128,31 +134,25 @@
 }
 
 // checkConfig ends reads that are held open for longer than the role of the host
-// allows, or although the leader knows a newer configuration.
+// allows, or although the leader has known a newer configuration for a while: a
+// sound read brings it at about the time at which the leader tells of it.
 func (w *watch) checkConfig(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, w.terms.timing().configCheck)
 		n := w.need()
 		w.pollMu.Lock()
 		p := w.poll
+		if n.version != w.told {
+			w.told, w.toldAt = n.version, w.clk.Now()
+		}
+		late := n.version > p.version && w.clk.Now()-w.toldAt > w.terms.timing().configTold
 		w.pollMu.Unlock()
-		if p.cancel != nil && (n.version > p.version || w.clk.Now()-p.started > n.wait+w.terms.timing().configGrace) {
+		if p.cancel != nil && (late || w.clk.Now()-p.started > n.wait+w.terms.timing().configGrace) {
 			p.cancel()
 		}
 	}
 }
 
-// behind ends a read that is held open if another host knows a newer
-// configuration.
-func (w *watch) behind(version int64) {
-	w.pollMu.Lock()
-	p := w.poll
-	w.pollMu.Unlock()
-	if p.cancel != nil && version > p.version {
-		p.cancel()
-	}
-}
-
 func (w *watch) adopt(config *fleet.Config) {
 	if config == nil {
 		return
@@ -169,6 +169,7 @@
 // runServers follows the registrations until the context ends.
 func (w *watch) runServers(ctx context.Context) {
 	failing := false
+	var pause backoff
 	for ctx.Err() == nil {
 		err := w.readServers(ctx)
 		if (err != nil) != failing && ctx.Err() == nil {
@@ -181,17 +182,19 @@
 		}
 		w.changed()
 		n := w.need()
-		wait := n.poll
-		if n.owners && err == nil {
-			w.readOwners(ctx)
-		}
 		if err != nil {
-			wait = callRetry
+			// A host that misses its leader hurries all the time.
+			sleep(ctx, pause.next(n.retry))
+			continue
+		}
+		pause.reset()
+		if n.owners {
+			w.readOwners(ctx)
 		}
 		select {
 		case <-ctx.Done():
 		case <-w.hurry:
-		case <-time.After(wait):
+		case <-time.After(n.poll):
 		}
 	}
 }
--- /dev/null
+++ b/internal/gateway/watch_test.go
@@ -0,0 +1,191 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lycheerudder/lycheerudder/internal/clock"
+	"github.com/lycheerudder/lycheerudder/internal/fleet"
+)
+
+// countingStore answers reads or refuses them, and counts the calls. Calls that
+// it does not define fail the test.
+type countingStore struct {
+	Store
+	mu      sync.Mutex
+	down    bool
+	version int64
+	changed chan struct{} // closed when the configuration changes
+	latency time.Duration
+	configs int
+	servers int
+}
+
+func newCountingStore(version int64) *countingStore {
+	return &countingStore{version: version, changed: make(chan struct{}), latency: 4 * time.Millisecond}
+}
+
+func (s *countingStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *countingStore) configure(version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version = version
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// counts returns the calls since the last count.
+func (s *countingStore) counts() (configs, servers int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	configs, servers = s.configs, s.servers
+	s.configs, s.servers = 0, 0
+	return configs, servers
+}
+
+func (s *countingStore) ConfigChange(ctx context.Context, from int64, wait time.Duration) (*fleet.Config, int64, error) {
+	s.mu.Lock()
+	s.configs++
+	down, version, changed := s.down, s.version, s.changed
+	s.mu.Unlock()
+	time.Sleep(s.latency)
+	if down {
+		return nil, 0, ErrNotDone
+	}
+	if version <= from && wait > 0 {
+		select {
+		case <-changed:
+			time.Sleep(s.latency)
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+		s.mu.Lock()
+		version = s.version
+		s.mu.Unlock()
+	}
+	if version == 0 || version <= from {
+		return nil, version, nil
+	}
+	return &fleet.Config{Version: version}, version, nil
+}
+
+func (s *countingStore) ServerChanges(context.Context, int64) (ServerChanges, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.servers++
+	if s.down {
+		return ServerChanges{}, ErrNotDone
+	}
+	return ServerChanges{Full: true}, nil
+}
+
+// watchOf runs a watch in the bubble of a test until the test ends.
+func watchOf(t *testing.T, store Store, needs func() need) *watch {
+	w := newWatch(clock.NewProcess(), store, newTerms(usualBounds()), needs, func() {})
+	w.readOwners = func(context.Context) {}
+	ctx, cancel := context.WithCancel(context.Background())
+	var loops sync.WaitGroup
+	loops.Go(func() { w.runConfig(ctx) })
+	loops.Go(func() { w.runServers(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		loops.Wait()
+		synctest.Wait()
+	})
+	return w
+}
+
+// Replays a store that turns all hosts away for 8 s while the leader says that
+// its list is old, so that a host wants to read all the time. Guards against
+// calls without number: 77 hosts made 33,000 of them in such an outage, a third
+// of the worth of the day. A second after the store is back, the host knows it.
+func TestOutageOfTheStoreCostsFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store := newCountingStore(3)
+		w := watchOf(t, store, func() need { return need{poll: 500 * time.Millisecond, wait: 1500 * time.Millisecond, retry: hostRetry} })
+		time.Sleep(time.Second)
+		store.setDown(true)
+		store.counts()
+		for range 400 {
+			w.readNow()
+			time.Sleep(20 * time.Millisecond)
+		}
+		configs, servers := store.counts()
+		g.Expect(configs).To(BeNumerically("<=", 12))
+		g.Expect(servers).To(BeNumerically("<=", 12))
+		store.setDown(false)
+		time.Sleep(hostRetry + 50*time.Millisecond)
+		g.Expect(w.fresh()).To(BeTrue())
+		store.configure(4)
+		time.Sleep(hostRetry + 50*time.Millisecond)
+		g.Expect(w.config.Load().Version).To(Equal(int64(4)))
+	})
+}
+
+// Replays the start of a deployment whose operator writes the first
+// configuration after seconds. Guards against hosts that ask for it without a
+// pause.
+func TestFirstConfigurationIsAwaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store := newCountingStore(0)
+		w := watchOf(t, store, func() need { return need{poll: time.Second, wait: 1500 * time.Millisecond, retry: hostRetry} })
+		time.Sleep(6 * time.Second)
+		configs, _ := store.counts()
+		g.Expect(configs).To(BeNumerically("<=", 5))
+		store.configure(3)
+		time.Sleep(20 * time.Millisecond)
+		g.Expect(w.config.Load()).NotTo(BeNil())
+	})
+}
+
+// Replays a change of the configuration of which the leader tells before the
+// read that is held open returns. Guards against a second read of the whole
+// configuration by every host, and against a read on a silent connection that
+// keeps an old configuration in force.
+func TestChangedConfigurationIsReadOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store := newCountingStore(3)
+		var mu sync.Mutex
+		told := int64(3)
+		w := watchOf(t, store, func() need {
+			mu.Lock()
+			defer mu.Unlock()
+			return need{poll: time.Minute, wait: hostConfigWait, version: told, retry: hostRetry}
+		})
+		time.Sleep(5 * time.Second)
+		store.counts()
+		mu.Lock()
+		told = 4
+		mu.Unlock()
+		time.Sleep(2 * time.Millisecond)
+		store.configure(4)
+		time.Sleep(2 * time.Second)
+		configs, _ := store.counts()
+		g.Expect(configs).To(Equal(1), "the next read that is held open")
+		g.Expect(w.config.Load().Version).To(Equal(int64(4)))
+
+		// The next change does not reach the read that is held open.
+		store.mu.Lock()
+		store.version = 5
+		store.mu.Unlock()
+		mu.Lock()
+		told = 5
+		mu.Unlock()
+		time.Sleep(w.terms.bounds.Load().ConfigInForce / 2)
+		g.Expect(w.config.Load().Version).To(Equal(int64(5)))
+	})
+}
