--- a/internal/schedule/report.go
+++ b/internal/schedule/report.go
@@ -86,11 +86,11 @@
 }
 
 func (s *Service) observeClass(class uint32, took time.Duration) {
-	w, ok := s.classes[class]
-	if !ok {
-		w = took.Seconds()
+	m := s.class(class)
+	if !m.known {
+		m.seconds, m.known = took.Seconds(), true
 	}
-	s.classes[class] = w + classWeight*(took.Seconds()-w)
+	m.seconds += classWeight * (took.Seconds() - m.seconds)
 }
 
 func (srv *server) observe(r Report, work float64, now time.Duration) {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -45,6 +45,25 @@
 	Tried []topology.ServerID
 
 	arrived time.Duration
+	// mean is that of the work of its class.
+	mean *classMean
+	// over is true once the job is neither waiting nor running. Queues drop it
+	// when they are looked at next.
+	over bool
+}
+
+// classMean is the expected work of the jobs of a class.
+type classMean struct {
+	seconds float64
+	known   bool // an answer was observed
+}
+
+// work returns the expected work in seconds at a server of mean speed.
+func (m *classMean) work() float64 {
+	if !m.known {
+		return defaultWork.Seconds()
+	}
+	return max(m.seconds, minWork.Seconds())
 }
 
 // Decision is the result for one job: the server that it goes to, or a refusal
@@ -152,8 +171,8 @@
 	waiting, unowned []*Job
 	flights          map[JobID]*server
 	jobs             map[JobID]*Job
-	classes          map[uint32]float64 // expected work in seconds
-	expired          time.Duration      // time of the last check of flights
+	classes          map[uint32]*classMean
+	expired          time.Duration // time of the last check of flights
 	// dirty lists the servers whose state has changed since the last Run.
 	dirty []*server
 	harm  *harm
@@ -172,7 +191,7 @@
 		servers: make(map[topology.ServerID]*server),
 		flights: make(map[JobID]*server),
 		jobs:    make(map[JobID]*Job),
-		classes: make(map[uint32]float64),
+		classes: make(map[uint32]*classMean),
 		harm:    newHarm(),
 		owner:   func(int) Owner { return Owner{} },
 	}
@@ -190,10 +209,16 @@
 // Work returns the expected work of a class in seconds at a server of mean
 // speed.
 func (s *Service) Work(class uint32) float64 {
-	if w, ok := s.classes[class]; ok {
-		return max(w, minWork.Seconds())
+	return s.class(class).work()
+}
+
+func (s *Service) class(class uint32) *classMean {
+	m, ok := s.classes[class]
+	if !ok {
+		m = new(classMean)
+		s.classes[class] = m
 	}
-	return defaultWork.Seconds()
+	return m
 }
 
 // Slowness returns the time that a server takes relative to the mean; 1 if it is
@@ -207,7 +232,7 @@
 
 // Add takes a job.
 func (s *Service) Add(j *Job, now time.Duration) {
-	j.arrived = now
+	j.arrived, j.mean, j.over = now, s.class(j.Class), false
 	if s.harm.harmful(j.Content, now) {
 		s.refused = append(s.refused, Decision{Job: j, Refused: true, Reason: Harmful, RetryAfter: harmfulRetry})
 		return
@@ -215,7 +240,7 @@
 	s.jobs[j.ID] = j
 	if s.keyed {
 		if srv := s.servers[s.owner(j.Key).Server]; srv != nil {
-			srv.ask(s.Work(j.Class), now)
+			srv.ask(j.mean.work(), now)
 		}
 	}
 	s.enqueue(j)
@@ -247,7 +272,10 @@
 // Remove drops a job that waits or runs: its caller has left or its host has
 // given up.
 func (s *Service) Remove(id JobID) {
-	delete(s.jobs, id)
+	if j, ok := s.jobs[id]; ok {
+		j.over = true
+		delete(s.jobs, id)
+	}
 	if srv, ok := s.flights[id]; ok {
 		delete(srv.running, id)
 		delete(s.flights, id)
@@ -263,8 +291,8 @@
 	}
 	var work float64
 	for _, j := range queue {
-		if s.jobs[j.ID] == j {
-			work += s.Work(j.Class)
+		if !j.over {
+			work += j.mean.work()
 		}
 	}
 	if running >= slots {
@@ -387,7 +415,7 @@
 func (s *Service) live(queue []*Job) []*Job {
 	keep := queue[:0]
 	for _, j := range queue {
-		if s.jobs[j.ID] == j {
+		if !j.over {
 			keep = append(keep, j)
 		}
 	}
@@ -414,7 +442,7 @@
 }
 
 func (s *Service) expected(j *Job, slowness float64) time.Duration {
-	return time.Duration(s.Work(j.Class) * slowness * float64(time.Second))
+	return time.Duration(j.mean.work() * slowness * float64(time.Second))
 }
 
 func (s *Service) start(j *Job, srv *server) Decision {
@@ -424,6 +452,7 @@
 }
 
 func (s *Service) refuse(j *Job, reason Reason, after time.Duration) Decision {
+	j.over = true
 	delete(s.jobs, j.ID)
 	return Decision{Job: j, Refused: true, Reason: reason, RetryAfter: after}
 }
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -296,3 +296,56 @@
 	g.Expect(s.Work(1)).To(BeNumerically(">", 0))
 	g.Expect(s.Slowness(id(0))).To(BeNumerically(">", 0))
 }
+
+// BenchmarkBacklog measures what one request costs while others wait: a burst at
+// the grown sites, with 300 requests waiting for 100 servers without keys, or
+// 900 for 178 servers with keys.
+func BenchmarkBacklog(b *testing.B) {
+	for _, keyed := range []bool{false, true} {
+		name, servers, waiting := "unkeyed", 102, 300
+		if keyed {
+			name, servers, waiting = "keyed", 178, 900
+		}
+		b.Run(name, func(b *testing.B) {
+			s := schedule.New(keyed, schedule.Settings{RemoteCost: 4})
+			list := make(map[topology.ServerID]schedule.Server)
+			ids := make([]topology.ServerID, servers)
+			for i := range servers {
+				ids[i] = topology.ServerID(fmt.Sprintf("i-%08x", i))
+				list[ids[i]] = schedule.Server{Address: "a", DataCentre: topology.DataCentre(rune('a' + i%4)), Slots: 2}
+			}
+			now := time.Duration(0)
+			s.SetServers(list, now)
+			s.SetOwners(1, func(key int) schedule.Owner { return schedule.Owner{Server: ids[key%servers], Held: true} })
+			var running []schedule.JobID
+			n := uint32(0)
+			add := func() {
+				n++
+				key := schedule.NoKey
+				if keyed {
+					key = int(n) % servers
+				}
+				s.Add(&schedule.Job{
+					ID: schedule.JobID{Host: uint64(n % 77), Number: n}, Class: n % 4, Key: key, DataCentre: topology.DataCentre(rune('a' + n%4)),
+					Target: now + time.Hour, Deadline: now + time.Hour,
+				}, now)
+				for _, d := range s.Run(now) {
+					running = append(running, d.Job.ID)
+				}
+			}
+			for range waiting + 2*servers {
+				add()
+			}
+			b.ResetTimer()
+			for range b.N {
+				now += 500 * time.Microsecond
+				s.Done(schedule.Report{ID: running[0], Took: 100 * time.Millisecond, Running: 1, Known: true}, now)
+				running = running[1:]
+				for _, d := range s.Run(now) {
+					running = append(running, d.Job.ID)
+				}
+				add()
+			}
+		})
+	}
+}
