Let a leader learn that hosts have given up on it

Its own timers were 30 to 40 ms late, just above the limit, while the hosts waited for answers in vain: its datagrams queue before it reads them.

Change: messages to the leader say how many questions were given up since the last one. mandate.Repeats sets them and repeated questions against new ones over 0.4 s; above 0.4 and three standard deviations the leader resigns.

Ruled out: a lower limit for late timers; pauses of a sound leader reach 30 ms.

Messages between hosts have one field more: hosts of both versions do not understand each other and decide for themselves during an update.

--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -112,19 +112,19 @@
 	}
 }
 
-// add takes a request.
-func (c *core) add(service uint32, j *schedule.Job) {
+// add takes a request and reports whether it is new.
+func (c *core) add(service uint32, j *schedule.Job) bool {
 	c.mu.Lock()
 	d, ok := c.services[service]
 	if !ok {
 		c.mu.Unlock()
 		c.deliver([]schedule.Decision{{Job: j, Refused: true, Reason: schedule.NoServer, RetryAfter: unknownRetry}})
-		return
+		return true
 	}
 	now := c.clk.Now()
 	if d.sched.Knows(j.ID) {
 		c.mu.Unlock()
-		return
+		return false
 	}
 	if d.keyed && (j.Key < 0 || j.Key >= keymap.Keys) {
 		j.Key = 0
@@ -136,6 +136,7 @@
 	out := c.decide(d, now)
 	c.mu.Unlock()
 	c.deliver(out)
+	return true
 }
 
 // decide returns the decisions on the requests of a service, none while the list
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -41,6 +41,9 @@
 	sent    time.Duration
 	first   time.Duration
 	queued  bool
+	// gaveUp is true once the question went to the core of this host because the
+	// leader did not answer it.
+	gaveUp bool
 }
 
 // desk asks the leader for servers and reports exchanges to it. If this host
@@ -68,6 +71,7 @@
 	member    string        // of the leader, as the store names it
 	heard     time.Duration // last message of the leader
 	told      time.Duration // last message to the leader
+	gaveUp    uint16        // questions given up since then
 	misses    time.Duration // first unanswered send since heard; zero if none
 	first     uint32        // number of the first report in reports
 	reports   []hostlink.Report
@@ -122,7 +126,7 @@
 	d.mu.Lock()
 	var list []*question
 	for _, q := range d.questions {
-		q.queued = false
+		q.queued, q.gaveUp = false, false
 		q.first, q.sent = d.clk.Now(), d.clk.Now()
 		list = append(list, q)
 	}
@@ -162,6 +166,10 @@
 	now := d.clk.Now()
 	local := d.local(q, now)
 	leader := d.leader
+	if local == d.fallback && leader.IsValid() && !q.gaveUp {
+		q.gaveUp = true
+		d.gaveUp++
+	}
 	if local == nil {
 		q.sent = now
 		if d.misses == 0 {
@@ -212,9 +220,9 @@
 	now := d.clk.Now()
 	m := &hostlink.ToLeader{
 		Host: d.host, DataCentre: string(d.dataCentre), Epoch: d.epoch, Strength: d.strength, Questions: questions,
-		FirstReport: d.first, Reports: d.reports[:min(len(d.reports), maxBatch)],
+		FirstReport: d.first, Reports: d.reports[:min(len(d.reports), maxBatch)], GaveUp: d.gaveUp,
 	}
-	d.told = now
+	d.told, d.gaveUp = now, 0
 	if len(d.reports) > 0 {
 		d.reportAt = now
 	}
--- /dev/null
+++ b/internal/gateway/desk_test.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lycheerudder/lycheerudder/internal/clock"
+	"github.com/lycheerudder/lycheerudder/internal/hostlink"
+	"github.com/lycheerudder/lycheerudder/internal/schedule"
+)
+
+// muteLeader takes messages of hosts and answers none.
+type muteLeader struct{ gaveUp atomic.Int64 }
+
+func (l *muteLeader) HandleToLeader(_ netip.AddrPort, m *hostlink.ToLeader) {
+	l.gaveUp.Add(int64(m.GaveUp))
+}
+func (l *muteLeader) HandleFromLeader(netip.AddrPort, *hostlink.FromLeader) {}
+
+// Guards against a leader that does not learn that hosts have given up on it: a
+// slow one would lead on, because a host that misses it asks it no more.
+func TestLeaderLearnsOfGivenUpQuestions(t *testing.T) {
+	g := NewWithT(t)
+	listen := func(h hostlink.Handler) (*hostlink.Link, netip.AddrPort) {
+		link, err := hostlink.Listen("127.0.0.1:0")
+		g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(func() { _ = link.Close() })
+		go func() { _ = link.Receive(h, func(error) {}) }()
+		return link, link.Address()
+	}
+	leader := new(muteLeader)
+	_, address := listen(leader)
+	link, _ := listen(new(muteLeader))
+	d := newDesk(clock.NewProcess(), link, 7, "dc", func() {}, func() bool { return true })
+	d.terms, d.depose = newTerms(usualBounds()), func() {}
+	d.follow(address, 1)
+	for range 3 {
+		go func() {
+			_, _, _ = d.ask(t.Context(), 1, schedule.Job{Deadline: time.Hour, Target: time.Hour})
+		}()
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	for ctx.Err() == nil && leader.gaveUp.Load() < 3 {
+		d.tick()
+		time.Sleep(busyTick)
+	}
+	g.Expect(leader.gaveUp.Load()).To(Equal(int64(3)))
+}
--- a/internal/gateway/leadership.go
+++ b/internal/gateway/leadership.go
@@ -36,6 +36,7 @@
 	summed  time.Duration
 	began   time.Duration
 	lag     mandate.Lag
+	repeats mandate.Repeats
 	freed   chan struct{} // keys may be free to be stored
 }
 
@@ -129,9 +130,11 @@
 		}
 		now := l.clk.Now()
 		slow := l.lag.Observe(now - last - leaderTick)
+		first, again := l.peers.questions()
+		slow = l.repeats.Observe(first, again, now) || slow
 		last = now
 		if slow && now-l.began > strengthPause {
-			l.log.With("lag_ms", l.lag.Mean().Milliseconds()).Warn("this host has too little processor to lead, it resigns")
+			l.log.With("lag_ms", l.lag.Mean().Milliseconds()).With("repeated", l.repeats.Share()).Warn("this host has too little processor to lead, it resigns")
 			l.resigned.Store(int64(now + lagPause))
 			l.cancel()
 		}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -32,6 +32,9 @@
 	hosts map[uint64]*peer
 	told  int64 // version of the configuration that all hosts were told of
 	most  int   // largest number of hosts that were heard at the same time
+	// first and again count the questions since the last tick: those that were
+	// new, and those that had been answered before or were given up.
+	first, again int
 }
 
 // peer is what the leader remembers of one host.
@@ -91,6 +94,7 @@
 	}
 	reports := h.fresh(m)
 	jobs, again := h.undecided(m.Questions)
+	p.again += len(again) + int(m.GaveUp)
 	if len(m.Reports) > 0 && h.ackDue == 0 {
 		h.ackDue = now + ackDelay
 	}
@@ -105,18 +109,34 @@
 	for _, r := range reports {
 		c.done(decodeReport(m.Host, r))
 	}
+	added := 0
 	for _, q := range jobs {
 		id := schedule.JobID{Host: m.Host, Number: q.Number}
-		c.add(q.Service, decodeQuestion(id, m.DataCentre, q, now))
+		if c.add(q.Service, decodeQuestion(id, m.DataCentre, q, now)) {
+			added++
+		}
 		if c.has(q.Service, id) {
 			again = append(again, hostlink.Decision{Number: q.Number, Kind: hostlink.KindQueued})
 		}
 	}
+	p.mu.Lock()
+	p.first += added
+	p.mu.Unlock()
 	if len(again) > 0 {
 		p.reply(m.Host, again)
 	}
 }
 
+// questions returns the numbers of new questions and of questions that had been
+// answered before or were given up, since the last call.
+func (p *peers) questions() (first, again int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	first, again = p.first, p.again
+	p.first, p.again = 0, 0
+	return first, again
+}
+
 // redirect tells a host that this one does not lead, and who does.
 func (p *peers) redirect(to netip.AddrPort) {
 	leader, epoch := p.known()
@@ -210,6 +230,9 @@
 		if d.Kind == hostlink.KindQueued {
 			continue
 		}
+		if _, ok := h.recent[d.Number]; ok {
+			continue // it is sent again
+		}
 		h.recent[d.Number] = d
 		h.order = append(h.order, d.Number)
 		if len(h.order) > recentDecisions {
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -114,7 +114,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		store := newCountingStore(3)
-		w := watchOf(t, store, func() need { return need{poll: 500 * time.Millisecond, wait: 1500 * time.Millisecond, retry: hostRetry} })
+		w := watchOf(t, store, func() need {
+			return need{poll: 500 * time.Millisecond, wait: 1500 * time.Millisecond, retry: hostRetry}
+		})
 		time.Sleep(time.Second)
 		store.setDown(true)
 		store.counts()
--- a/internal/hostlink/hostlink.go
+++ b/internal/hostlink/hostlink.go
@@ -56,6 +56,9 @@
 	// one has the number FirstReport.
 	FirstReport uint32
 	Reports     []Report
+	// GaveUp is the number of questions that the sender has given up since its
+	// last message, because the leader did not answer them in time.
+	GaveUp uint16
 }
 
 // Decision answers a question with a server or a refusal. Queued decisions say
@@ -135,6 +138,9 @@
 // Close ends Receive.
 func (l *Link) Close() error { return l.conn.Close() }
 
+// Address returns the address at which datagrams arrive.
+func (l *Link) Address() netip.AddrPort { return l.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+
 // ToLeader sends a message to the leader.
 func (l *Link) ToLeader(to netip.AddrPort, m *ToLeader) error {
 	return l.send(to, message{ToLeader: m})
