Let hosts of a large fleet finish reading the list of servers

A full read is seven pages and 1.2 MB. On a link of 10 Mbit/s it takes longer than the 1.2 s that one call may take, so it was given up and begun anew for ever. A test showed a second fault: after a read that takes longer than 4 s the next one is a full read again, since the age of the list counts from the send of its read.

Changes are read after the last answer, not after the last send. A new leader asks for the list after it leads, so that its interval holds.

Ruled out: storms of reads after the loss of a leader.

--- a/internal/gateway/leadership.go
+++ b/internal/gateway/leadership.go
@@ -110,10 +110,10 @@
 	l.elector.mu.Lock()
 	l.elector.cancel = cancel
 	l.elector.mu.Unlock()
-	l.watch.readNow()
 	l.configure()
 	l.peers.lead(l.core, l.epoch, l.heard)
 	l.desk.lead(l.core, l.epoch)
+	l.watch.readNow()
 	l.elector.core.Store(l.core)
 	l.desk.announce(l.peers.status(), l.predecessors())
 	var loops sync.WaitGroup
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -19,6 +19,9 @@
 	// callTimeout ends calls to the store, which answers within milliseconds
 	// unless it is slow or down.
 	callTimeout = 1200 * time.Millisecond
+	// fullTimeout ends a read of all registrations, which the store answers page by
+	// page: 3,000 of them are 1.2 MB, a second on a link of 10 Mbit/s.
+	fullTimeout = 8 * time.Second
 	// hostPoll is the interval at which hosts read the registrations whose leader
 	// does it for them; they need the list and the key maps if they lose leader
 	// and store together. With many hosts the interval grows by hostPollEach for each, so that all
@@ -51,6 +54,7 @@
 	mu        sync.Mutex
 	directory *fleet.Directory
 	next      int64
+	answered  time.Duration // time of the last answer; a read of all can take seconds
 	failedAt  time.Duration // time of the last failed read
 	failed    bool
 	asked     time.Duration // send time of the read under way; zero if none is
@@ -208,16 +212,17 @@
 }
 
 func (w *watch) readServers(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	w.mu.Lock()
 	from := w.next
 	sent := w.clk.Now()
-	if w.directory.Age(sent) > w.terms.timing().fullRead {
-		from = -1
+	limit := callTimeout
+	if from < 0 || sent-w.answered > w.terms.timing().fullRead {
+		from, limit = -1, fullTimeout
 	}
 	w.asked = sent
 	w.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	c, err := w.store.ServerChanges(call, from)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -230,6 +235,7 @@
 		return err
 	}
 	w.directory.Confirm(sent)
+	w.answered = now
 	w.next = c.Next
 	if c.Full {
 		var list []fleet.Server
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -24,6 +24,8 @@
 	latency time.Duration
 	configs int
 	servers int
+	// fullRead is the time that a read of all registrations takes.
+	fullRead time.Duration
 }
 
 func newCountingStore(version int64) *countingStore {
@@ -80,14 +82,22 @@
 	return &fleet.Config{Version: version}, version, nil
 }
 
-func (s *countingStore) ServerChanges(context.Context, int64) (ServerChanges, error) {
+func (s *countingStore) ServerChanges(ctx context.Context, from int64) (ServerChanges, error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.servers++
-	if s.down {
+	down, full := s.down, s.fullRead
+	s.mu.Unlock()
+	if down {
 		return ServerChanges{}, ErrNotDone
 	}
-	return ServerChanges{Full: true}, nil
+	if from < 0 {
+		select {
+		case <-time.After(full):
+		case <-ctx.Done():
+			return ServerChanges{}, ctx.Err()
+		}
+	}
+	return ServerChanges{Full: from < 0, Next: 1}, nil
 }
 
 // watchOf runs a watch in the bubble of a test until the test ends.
@@ -191,3 +201,19 @@
 		g.Expect(w.config.Load().Version).To(Equal(int64(5)))
 	})
 }
+
+// Replays a start on a slow link, where the list of a large fleet takes seconds.
+// Guards against a host that gives the read up and begins anew for ever.
+func TestLargeListIsReadOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store := newCountingStore(3)
+		store.fullRead = 4 * time.Second
+		w := watchOf(t, store, func() need { return need{poll: time.Second, wait: hostConfigWait, retry: hostRetry} })
+		time.Sleep(4500 * time.Millisecond)
+		_, servers := store.counts()
+		g.Expect(servers).To(Equal(1))
+		time.Sleep(time.Second)
+		g.Expect(w.fresh()).To(BeTrue())
+	})
+}
