Answer operators' questions on running hosts

Cause: lyctl did not know lygate. Who owns a key and why, which configuration is in force on each host and what is refused had to be gathered from logs.

Change: a host answers /state and /key at the address of its metrics; lyctl gates and lyctl gate-key ask one or more hosts and prefer the word of the leader.

Ruled out: to read the store. It names the owner of a key, not whether the server holds it or why not.

Conclusion: TestHostsAnswerQueries (three real hosts), TestGateCommands (a host that does not answer, a host that only follows).

--- a/cmd/lyctl/main.go
+++ b/cmd/lyctl/main.go
@@ -113,7 +113,9 @@
 	var exceptions, status, members Common
 	var explain keyOptions
 	var stopped stoppedOptions
-	settings.MainCommands(settings.Program{Name: "lyctl", Description: "Publishes configuration and shows the state of the fleet."},
+	var gates GateOptions
+	var gateKey gateKeyOptions
+	commands := append(gateCommands(&gates, &gateKey),
 		settings.Command{Name: "validate", Description: "Checks a configuration file.", Target: &validate, Run: func(context.Context) error {
 			_, err := validate.load()
 			return err
@@ -133,6 +135,7 @@
 		settings.Command{Name: "hosts-stopped", Description: "States that host incarnations run no longer.", Target: &stopped,
 			Run: func(ctx context.Context) error { return runStopped(ctx, stopped) }},
 	)
+	settings.MainCommands(settings.Program{Name: "lyctl", Description: "Publishes configuration and shows the state of the fleet."}, commands...)
 }
 
 func runDiff(ctx context.Context, o fileOptions) error {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -189,12 +189,12 @@
 	t := g.terms.timing()
 	switch {
 	case s.leads:
-		return need{t.leaderPoll, t.leaderConfigWait, s.configVersion, false, leaderRetry}
+		return need{poll: t.leaderPoll, wait: t.leaderConfigWait, version: s.configVersion, retry: leaderRetry}
 	case s.directoryAge > t.staleList || g.desk.silent() || g.desk.blind():
-		return need{t.urgentPoll, t.urgentConfigWait, s.configVersion, false, hostRetry}
+		return need{poll: t.urgentPoll, wait: t.urgentConfigWait, version: s.configVersion, retry: hostRetry}
 	default:
 		poll := max(hostPoll, time.Duration(s.hosts)*hostPollEach)
-		return need{poll, hostConfigWait, s.configVersion, true, hostRetry}
+		return need{poll: poll, wait: hostConfigWait, version: s.configVersion, owners: true, retry: hostRetry}
 	}
 }
 
@@ -246,6 +246,7 @@
 	if g.set.MetricsAddress != "" {
 		mux := http.NewServeMux()
 		mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { g.ingress.stats.write(w) })
+		g.inspect(mux)
 		srv := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
 		if err := listen(g.set.MetricsAddress, srv, failed); err != nil {
 			return err
--- /dev/null
+++ b/internal/gateway/inspect.go
@@ -0,0 +1,177 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/lycheerudder/lycheerudder/internal/keymap"
+	"github.com/lycheerudder/lycheerudder/internal/ownership"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+)
+
+// Paths of the queries that a host answers beside its metrics.
+const (
+	PathState = "/state"
+	PathKey   = "/key"
+)
+
+// Sources of a KeyState: the grants of the leader, or the key map that another host
+// has read from the store.
+const (
+	SourceGrants = "grants"
+	SourceKeyMap = "key map"
+)
+
+// HostState is what a host believes of itself, its leader and its services.
+type HostState struct {
+	Host       topology.HostID     `json:"host"`
+	DataCentre topology.DataCentre `json:"data_centre"`
+	Leads      bool                `json:"leads"`
+	// Leader is the address of the leader that the host follows; empty if it
+	// leads or knows none.
+	Leader string `json:"leader,omitempty"`
+	Epoch  int64  `json:"epoch"`
+	// ConfigVersion is the version in force, zero if none is.
+	ConfigVersion int64 `json:"config_version"`
+	// ListAgeMS is the age of the host's list of servers, LeaderListAgeMS that of
+	// its leader's.
+	ListAgeMS       int64          `json:"list_age_ms"`
+	LeaderListAgeMS int64          `json:"leader_list_age_ms"`
+	Hosts           int            `json:"hosts"`
+	Services        []ServiceState `json:"services,omitempty"`
+	// Counts holds the counters of outcomes, refusals and retries by their reason.
+	Counts map[string]int64 `json:"counts"`
+}
+
+// ServiceState is the load of a service; only the leader knows it.
+type ServiceState struct {
+	Service   topology.Service `json:"service"`
+	Waiting   int              `json:"waiting"`
+	Running   int              `json:"running"`
+	Slots     int              `json:"slots"`
+	KeyRanges int              `json:"key_ranges"`
+	Moving    int              `json:"moving"`
+	Unowned   int              `json:"unowned"`
+}
+
+// KeyState says who owns a key and why, as far as a host knows.
+type KeyState struct {
+	Service topology.Service `json:"service"`
+	Key     int              `json:"key"`
+	// From and To are the range that is granted as a whole.
+	From   int               `json:"from"`
+	To     int               `json:"to"`
+	Server topology.ServerID `json:"server"`
+	Next   topology.ServerID `json:"next,omitempty"`
+	Held   bool              `json:"held"`
+	// Why is the reason in words.
+	Why string `json:"why"`
+	// Source is SourceGrants or SourceKeyMap.
+	Source string `json:"source"`
+	// FreeInMS is the time after which a key that is not held can be granted
+	// anew; zero if it is not known.
+	FreeInMS int64 `json:"free_in_ms,omitempty"`
+}
+
+func (g *gateway) inspect(mux *http.ServeMux) {
+	mux.HandleFunc("GET "+PathState, func(w http.ResponseWriter, _ *http.Request) { reply(w, g.hostState()) })
+	mux.HandleFunc("GET "+PathKey, func(w http.ResponseWriter, r *http.Request) {
+		key, err := strconv.Atoi(r.URL.Query().Get("key"))
+		if err != nil || key < 0 || key >= keymap.Keys {
+			http.Error(w, "key: a number from 0 to "+strconv.Itoa(keymap.Keys-1)+" is expected", http.StatusBadRequest)
+			return
+		}
+		k, ok := g.keyState(topology.Service(r.URL.Query().Get("service")), key)
+		if !ok {
+			http.Error(w, "service: no keyed service of this name is known", http.StatusNotFound)
+			return
+		}
+		reply(w, k)
+	})
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // the caller has left
+}
+
+func (g *gateway) hostState() HostState {
+	s := g.desk.state()
+	leader, epoch := g.desk.followed()
+	h := HostState{
+		Host: g.set.Host, DataCentre: g.set.DataCentre, Leads: s.leads, Epoch: epoch, Hosts: s.hosts,
+		ListAgeMS: g.watch.age().Milliseconds(), LeaderListAgeMS: s.directoryAge.Milliseconds(), Counts: g.ingress.stats.counts(),
+	}
+	if leader.IsValid() {
+		h.Leader = leader.String()
+	}
+	if cfg := g.watch.config.Load(); cfg != nil {
+		h.ConfigVersion = cfg.Version
+	}
+	if c := g.elector.core.Load(); c != nil {
+		h.LeaderListAgeMS = h.ListAgeMS
+		for _, x := range c.summaries() {
+			h.Services = append(h.Services, ServiceState{x.service, x.waiting, x.running, x.slots, x.parts, x.moving, x.unowned})
+		}
+		slices.SortFunc(h.Services, func(a, b ServiceState) int { return strings.Compare(string(a.Service), string(b.Service)) })
+	}
+	return h
+}
+
+func (g *gateway) keyState(service topology.Service, key int) (KeyState, bool) {
+	c := g.elector.core.Load()
+	if c == nil {
+		c = g.desk.fallback
+	}
+	return c.key(service, key)
+}
+
+// key returns the state of a key.
+func (c *core) key(service topology.Service, key int) (KeyState, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d, ok := c.services[hash32(string(service))]
+	if !ok || !d.keyed {
+		return KeyState{}, false
+	}
+	if d.grants == nil {
+		k := KeyState{Service: service, Key: key, From: key, To: key, Server: d.table.Server(key), Source: SourceKeyMap}
+		k.Why = "the store named this server when it was last read; the leader knows whether it holds the key"
+		return k, true
+	}
+	now := c.clk.Now()
+	k := KeyState{Service: service, Key: key, Source: SourceGrants}
+	d.grants.Parts(now, func(p ownership.Part) {
+		if key < p.From || key > p.To {
+			return
+		}
+		k.From, k.To, k.Server, k.Next, k.Held = p.From, p.To, p.Server, p.Next, p.Held
+		k.Why = why(p)
+		if !p.Held && p.Free > now {
+			k.FreeInMS = (p.Free - now).Round(time.Millisecond).Milliseconds()
+		}
+	})
+	return k, true
+}
+
+// why gives the reason for the state of a range in words.
+func why(p ownership.Part) string {
+	switch {
+	case p.Server == "" && p.Next == "":
+		return "no server has been chosen yet"
+	case p.Held && p.Next != "":
+		return "the server holds the key by a grant of this leader; a move has been decided"
+	case p.Held:
+		return "the server holds the key by a grant of this leader"
+	case p.Lost:
+		return "the server does not answer; the key is granted anew when its hold has run out"
+	case p.Next != "":
+		return "the key moves: it is released, then the store is told, then the next server gets it"
+	default:
+		return "the grant of this leader has not been answered yet"
+	}
+}
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -87,6 +87,16 @@
 	v.(*atomic.Int64).Add(1)
 }
 
+// counts returns the counters.
+func (s *stats) counts() map[string]int64 {
+	out := make(map[string]int64)
+	s.counters.Range(func(k, v any) bool {
+		out[k.(string)] = v.(*atomic.Int64).Load()
+		return true
+	})
+	return out
+}
+
 func (s *stats) observe(route string, took time.Duration) {
 	v, ok := s.latencies.Load(route)
 	if !ok && s.routes.Load() >= maxRoutes {
