Serve deployments that state promises which cannot be kept

The check of the settings refused to start a process whose bounds are below the least that the product can keep. A deployment where a promise is not in force may state any value for it, such as a longest grant of zero without services divided by key, and would not be served at all.

Change: such a promise is named in a warning and the least is used in its place. Addresses, the name of the host and the port of its peers still end the start.

Ruled out: to use the usual interval in its place. A bound that is in force and very tight is then missed by more.

--- a/internal/gateway/elector.go
+++ b/internal/gateway/elector.go
@@ -162,12 +162,12 @@
 func (e *elector) run(ctx context.Context) {
 	var pause backoff
 	for ctx.Err() == nil {
-		silent, blind := e.desk.silent(), e.desk.blind()
 		if e.watch.config.Load() == nil {
 			// Without a configuration there is nothing to lead or to ask for.
 			sleep(ctx, searchInterval)
 			continue
 		}
+		silent, blind := e.desk.silent(), e.desk.blind()
 		if (silent || blind) && !e.watch.fresh() {
 			// This host must judge by its own reads from now on.
 			e.watch.readNow()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,12 +71,15 @@
 // next start on.
 func Run(ctx context.Context, set Settings, changed <-chan Settings, names Names, store Store, grants Grants, st *Stats) error {
 	if err := set.Check(); err != nil {
-		return err
+		return eris.Wrap(err, "settings")
 	}
 	g, err := newGateway(set, names, store, grants, st)
 	if err != nil {
 		return err
 	}
+	for _, err := range set.Bounds.Problems() {
+		g.log.Warn("a promise of the settings cannot be kept: " + err.Error())
+	}
 	g.log.With("host", string(set.Host)).With("data_centre", string(set.DataCentre)).Info("host starts")
 	go g.follow(ctx, changed)
 	return g.run(ctx)
@@ -102,6 +105,9 @@
 		g.log.Error("the changed settings have problems and are not used", err)
 		return
 	}
+	for _, err := range next.Bounds.Problems() {
+		g.log.Warn("a promise of the changed settings cannot be kept: " + err.Error())
+	}
 	old := g.set
 	old.Bounds = next.Bounds
 	g.terms.set(next.Bounds)
--- a/internal/gateway/timing.go
+++ b/internal/gateway/timing.go
@@ -138,6 +138,7 @@
 }
 
 func (t *terms) set(b Bounds) {
+	b, _ = b.kept()
 	m := newTiming(b)
 	t.bounds.Store(&b)
 	t.times.Store(&m)
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -24,8 +24,8 @@
 	fullTimeout = 8 * time.Second
 	// hostPoll is the interval at which hosts read the registrations whose leader
 	// does it for them; they need the list and the key maps if they lose leader
-	// and store together. With many hosts the interval grows by hostPollEach for each, so that all
-	// together make a bounded number of calls.
+	// and store together. With many hosts the interval grows by hostPollEach for
+	// each, so that all together make a bounded number of calls.
 	hostPoll     = 4 * time.Second
 	hostPollEach = 150 * time.Millisecond
 )
