--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -70,3 +70,6 @@
 bin/lyctl status --platform "http://$platform"
 bin/lyctl members --platform "http://$platform"
 bin/lyctl explain --platform "http://$platform" --service booking --customer pewright --key job-1
+
+echo "== entry hosts on the users' platform: stand-ins of its store and servers, faults from outside"
+bin/lysoak --seed 7 --duration 5s
