Send nothing on a connection after a missing answer

A caller sends requests behind one another. The handler of a request whose caller has left gives no answer; the writer skipped it and wrote the answer of the next request, which a caller that still reads takes for the first.

Change: after a missing answer the connection ends.

Figures: TestNothingFollowsAMissingAnswer fails before (it reads the second answer) and passes after.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -336,6 +336,8 @@
 			_, err := c.Write(encode(r, last, p.head))
 			failed = err != nil
 		}
+		// Without this answer, the next one would be taken for it.
+		failed = failed || r == nil
 		if c.open.Add(-1) == 0 && !last {
 			_ = c.SetReadDeadline(time.Now().Add(c.server.limits().IdleTimeout))
 		}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -183,3 +183,29 @@
 	g.Expect(err).To(Equal(io.EOF))
 	g.Expect(time.Since(start)).To(BeNumerically("~", limits.IdleTimeout, 500*time.Millisecond))
 }
+
+// Replays a caller that ends its side of the connection while a slow request waits
+// and the one behind it is answered. Guards against an answer in the place of
+// another one: the slow request gets none, so nothing may follow on the connection.
+func TestNothingFollowsAMissingAnswer(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = l.Close() })
+	s := front.New(func(ctx context.Context, r *front.Request) *front.Response {
+		if r.URL.Path == "/slow" {
+			<-ctx.Done()
+			return nil
+		}
+		return &front.Response{Status: http.StatusOK, Header: make(http.Header), Body: []byte("fast")}
+	}, func() front.Limits { return limits })
+	go func() { _ = s.Serve(t.Context(), l) }()
+	c, br := dial(t, l.Addr().String())
+	_, err = io.WriteString(c, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\nGET /fast HTTP/1.1\r\nHost: h\r\n\r\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	time.Sleep(50 * time.Millisecond)
+	g.Expect(c.(*net.TCPConn).CloseWrite()).To(Succeed())
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	data, _ := io.ReadAll(br)
+	g.Expect(string(data)).To(BeEmpty())
+}
