Share one sleep

follow, router, control, execute and gateway had the same function, the last one with a timer that outlived the end of its context. clock.Sleep serves all; behaviour is the same.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -221,7 +221,7 @@
 		if hosts, err := c.opts.Hosts.Hosts(ctx); err == nil {
 			c.applyHosts(hosts)
 		}
-		sleep(ctx, hostsInterval)
+		clock.Sleep(ctx, hostsInterval)
 	}
 }
 
@@ -242,12 +242,3 @@
 		p.setServers(c.serversOf(p.service))
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/control/handover.go
+++ b/internal/control/handover.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/dedup"
 	"github.com/lycheerudder/lycheerudder/internal/lead"
 	"github.com/lycheerudder/lycheerudder/internal/peer"
@@ -89,7 +90,7 @@
 		return
 	}
 	for c.isMember() && ctx.Err() == nil {
-		sleep(ctx, leavePoll)
+		clock.Sleep(ctx, leavePoll)
 	}
 }
 
@@ -100,7 +101,7 @@
 	ctx, cancel := context.WithTimeout(ctx, successorTimeout)
 	defer cancel()
 	for !c.succeeded(led) && ctx.Err() == nil {
-		sleep(ctx, leavePoll)
+		clock.Sleep(ctx, leavePoll)
 	}
 }
 
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/config"
 	"github.com/lycheerudder/lycheerudder/internal/grant"
 	"github.com/lycheerudder/lycheerudder/internal/placement"
@@ -58,7 +59,7 @@
 // host leads.
 func (c *Controller) place(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, placement.Tick)
+		clock.Sleep(ctx, placement.Tick)
 		c.mu.Lock()
 		for _, p := range c.partitions {
 			if p.leader != nil {
--- a/internal/execute/execute.go
+++ b/internal/execute/execute.go
@@ -110,7 +110,7 @@
 	if d, ok := ctx.Deadline(); ok && time.Until(d) <= ahead {
 		return verdict.New(verdict.CodeClock, verdict.NotRun, "request id is dated %s in the future", ahead.Round(time.Millisecond)).WithRetry(ahead)
 	}
-	if !sleep(ctx, ahead) {
+	if !clock.Sleep(ctx, ahead) {
 		return ended(ctx, verdict.NotRun)
 	}
 	return nil
--- a/internal/execute/hold.go
+++ b/internal/execute/hold.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/exchange"
 	"github.com/lycheerudder/lycheerudder/internal/request"
 	"github.com/lycheerudder/lycheerudder/internal/verdict"
@@ -34,7 +35,7 @@
 	}
 	defer s.held.Add(-1)
 	for wait := minHold; ; wait = min(2*wait, maxHold) {
-		if !sleep(ctx, wait/2+rand.N(wait)) {
+		if !clock.Sleep(ctx, wait/2+rand.N(wait)) {
 			return t, err
 		}
 		t, err = s.lookUp(req)
@@ -57,18 +58,6 @@
 	return t, e
 }
 
-// sleep waits for d. It returns false if the context ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func ended(ctx context.Context, v verdict.Verdict) *verdict.Error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return verdict.New(verdict.CodeDeadline, v, "deadline passed at the leader host")
--- a/internal/follow/assign.go
+++ b/internal/follow/assign.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/record"
 	"github.com/lycheerudder/lycheerudder/internal/state"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
@@ -86,7 +87,7 @@
 // rejected a batch: another leader has recorded assignments since, and this
 // one must stop.
 func (a *AssignWriter) Run(ctx context.Context, spread time.Duration) error {
-	sleep(ctx, rand.N(spread+1)) //nolint:gosec // spreads load, needs no secrecy
+	clock.Sleep(ctx, rand.N(spread+1)) //nolint:gosec // spreads load, needs no secrecy
 	for {
 		select {
 		case <-ctx.Done():
@@ -96,7 +97,7 @@
 		if err := a.flush(ctx); err != nil {
 			return err
 		}
-		sleep(ctx, AppendInterval)
+		clock.Sleep(ctx, AppendInterval)
 	}
 }
 
--- a/internal/follow/faults_test.go
+++ b/internal/follow/faults_test.go
@@ -12,6 +12,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/platformlog"
 	"github.com/lycheerudder/lycheerudder/internal/platformlog/logfake"
 	"github.com/lycheerudder/lycheerudder/internal/record"
@@ -32,7 +33,7 @@
 		b.Records = b.Records[:len(b.Records)-1]
 	}
 	if len(b.Records) == 0 {
-		sleep(ctx, max(wait, 10*time.Millisecond)) // the read does not see the append, so it waits
+		clock.Sleep(ctx, max(wait, 10*time.Millisecond)) // the read does not see the append, so it waits
 	}
 	return b, err
 }
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/platformlog"
 )
 
@@ -50,7 +51,7 @@
 	for ctx.Err() == nil {
 		if err := f.Poll(ctx); err != nil && ctx.Err() == nil {
 			f.stream.log.Error("Stream cannot be read.", err)
-			sleep(ctx, jitter(backoff))
+			clock.Sleep(ctx, jitter(backoff))
 			backoff = min(2*backoff, maxBackoff)
 			continue
 		}
@@ -98,12 +99,3 @@
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d/2+1) //nolint:gosec // spreads load, needs no secrecy
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/follow/marker.go
+++ b/internal/follow/marker.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/record"
 )
 
@@ -37,7 +38,7 @@
 		if err := f.appendMarker(ctx); err != nil && ctx.Err() == nil {
 			f.stream.log.Error("Marker cannot be appended.", err)
 		}
-		sleep(ctx, markerInterval)
+		clock.Sleep(ctx, markerInterval)
 	}
 }
 
--- a/internal/follow/snapshot.go
+++ b/internal/follow/snapshot.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/logging"
 	"github.com/lycheerudder/lycheerudder/internal/platformlog"
 	"github.com/lycheerudder/lycheerudder/internal/record"
@@ -51,11 +52,11 @@
 // Run checks and appends until the context ends.
 func (p *Snapshotter) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, snapshotCheck)
+		clock.Sleep(ctx, snapshotCheck)
 		if !p.due() {
 			continue
 		}
-		sleep(ctx, rand.N(min(snapshotJitter, p.retention/8))) //nolint:gosec // spreads load, needs no secrecy
+		clock.Sleep(ctx, rand.N(min(snapshotJitter, p.retention/8))) //nolint:gosec // spreads load, needs no secrecy
 		if ctx.Err() != nil || !p.due() {
 			continue
 		}
--- a/internal/follow/writer.go
+++ b/internal/follow/writer.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/logging"
 	"github.com/lycheerudder/lycheerudder/internal/platformlog"
 	"github.com/lycheerudder/lycheerudder/internal/record"
@@ -69,7 +70,7 @@
 			return state.Outcome{}, eris.Wrapf(ErrOutcomeUnknown, "append record %s to stream %s", e.ID, w.stream.Name())
 		}
 		w.logger.With("id", e.ID).Warn("Append is repeated.")
-		sleep(ctx, jitter(backoff))
+		clock.Sleep(ctx, jitter(backoff))
 	}
 }
 
--- a/internal/gateway/elector.go
+++ b/internal/gateway/elector.go
@@ -164,7 +164,7 @@
 	for ctx.Err() == nil {
 		if e.watch.config.Load() == nil {
 			// Without a configuration there is nothing to lead or to ask for.
-			sleep(ctx, searchInterval)
+			clock.Sleep(ctx, searchInterval)
 			continue
 		}
 		silent, blind := e.desk.silent(), e.desk.blind()
@@ -176,7 +176,7 @@
 			select {
 			case <-ctx.Done():
 			case <-e.wake:
-				sleep(ctx, suspectPause)
+				clock.Sleep(ctx, suspectPause)
 			case <-time.After(searchInterval):
 			}
 			continue
@@ -193,7 +193,7 @@
 			e.log.With("silent", silent).With("blind", blind).With("result", why).Info("the leader is looked for")
 		}
 		if !found {
-			sleep(ctx, wait)
+			clock.Sleep(ctx, wait)
 		}
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -357,9 +357,9 @@
 			g.upstream.Trim()
 		}
 		if g.desk.busy() {
-			sleep(ctx, busyTick)
+			clock.Sleep(ctx, busyTick)
 		} else {
-			sleep(ctx, idleTick)
+			clock.Sleep(ctx, idleTick)
 		}
 	}
 }
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -168,7 +168,7 @@
 		if in.left(d.Server) {
 			// The leader reads the same list and learns of it soon.
 			in.desk.report(schedule.Report{ID: id, Result: schedule.Left})
-			sleep(ctx, leavingPause)
+			clock.Sleep(ctx, leavingPause)
 			continue
 		}
 		out := in.upstream.Do(ctx, d.Server, d.Address, c.deadline, &c.request)
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/lycheerudder/lycheerudder/internal/clock"
 )
 
 // verify ends the leadership if the store names another leader. If fenced is
@@ -75,7 +77,7 @@
 			generation = g
 			l.answered()
 		}
-		sleep(ctx, l.timing.joinInterval)
+		clock.Sleep(ctx, l.timing.joinInterval)
 	}
 }
 
@@ -88,7 +90,7 @@
 func (l *leadership) watchRecords(ctx context.Context) {
 	for ctx.Err() == nil {
 		if proof, _ := l.proof(); l.clk.Now()-proof < proofRest {
-			sleep(ctx, proofRest-(l.clk.Now()-proof))
+			clock.Sleep(ctx, proofRest-(l.clk.Now()-proof))
 			continue
 		}
 		l.mu.Lock()
@@ -102,7 +104,7 @@
 			if strings.Contains(err.Error(), "dropped") {
 				l.verify(ctx, false)
 			}
-			sleep(ctx, callRetry)
+			clock.Sleep(ctx, callRetry)
 			continue
 		}
 		l.mu.Lock()
@@ -110,7 +112,7 @@
 		l.mu.Unlock()
 		if end > known {
 			l.verify(ctx, false)
-			sleep(ctx, callRetry)
+			clock.Sleep(ctx, callRetry)
 			continue
 		}
 		l.touch(sent)
@@ -161,13 +163,13 @@
 			switch proof, _ := l.proof(); {
 			case errors.Is(err, ErrNotDone) && !doubt:
 				l.carryOut(ctx, l.core.revert(proof))
-				sleep(ctx, callRetry)
+				clock.Sleep(ctx, callRetry)
 			case errors.Is(err, ErrOutdated):
 				l.verify(ctx, false)
 			default:
 				doubt = doubt || !errors.Is(err, ErrNotDone)
 				l.log.Warn("key maps cannot be stored: " + err.Error())
-				sleep(ctx, callRetry)
+				clock.Sleep(ctx, callRetry)
 			}
 			continue
 		}
@@ -229,7 +231,7 @@
 	select {
 	case <-ctx.Done():
 	case <-l.freed:
-		sleep(ctx, gatherTime)
+		clock.Sleep(ctx, gatherTime)
 	case <-time.After(settleTime / 4):
 	}
 }
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -120,7 +120,7 @@
 			}
 			failing = true
 			if !ended {
-				sleep(ctx, pause.next(n.retry))
+				clock.Sleep(ctx, pause.next(n.retry))
 			}
 			continue
 		}
@@ -142,7 +142,7 @@
 // sound read brings it at about the time at which the leader tells of it.
 func (w *watch) checkConfig(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, w.terms.timing().configCheck)
+		clock.Sleep(ctx, w.terms.timing().configCheck)
 		n := w.need()
 		w.pollMu.Lock()
 		p := w.poll
@@ -188,7 +188,7 @@
 		n := w.need()
 		if err != nil {
 			// A host that misses its leader hurries all the time.
-			sleep(ctx, pause.next(n.retry))
+			clock.Sleep(ctx, pause.next(n.retry))
 			continue
 		}
 		pause.reset()
@@ -295,11 +295,3 @@
 	}
 	return w.asked != 0 && now-w.asked > w.terms.timing().vainWait
 }
-
-// sleep waits for d or the end of the context.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/lycheerudder/lycheerudder/internal/admin"
+	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/control"
 	"github.com/lycheerudder/lycheerudder/internal/dispatch"
 	"github.com/lycheerudder/lycheerudder/internal/exchange"
@@ -154,7 +155,7 @@
 	defer cancel()
 	h.log.Info("Entry host is shutting down.")
 	h.control.Close() // readiness fails first, so that the balancer sends no new requests
-	sleep(ctx, h.settings.DrainDelay)
+	clock.Sleep(ctx, h.settings.DrainDelay)
 	h.control.Leave(ctx)
 	err := h.callers.Shutdown(ctx)
 	h.stop() // ends the subscriptions of other hosts
@@ -181,15 +182,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // measureServed records the load of the servers that this host leads.
 func measureServed(next request.Doer, ctl *control.Controller) request.Doer {
 	return request.DoerFunc(func(ctx context.Context, req *request.Request) (*request.Answer, error) {
