Call what the project had, and do the work of a tick once

- internal/query answers and asks queries for admin, gateway, operator and lyctl, which had two copies each.
An error of a query to a host now quotes the reason that the host gave.
- internal/listen starts listeners for router and gateway (three copies).
- gateway: one test for a silent leader, one for the version in force, one way to resign, one warning of promises that cannot be kept.
- A tick passed the owners of keys to the scheduler twice; the second time remains.
Each of six metrics walked all 65,536 keys for figures that it does not print; the load of keys is worked out for the log only.

Ruled out: one peek of idle connections for exchange and upstream; the first keeps its result in the connection to allocate nothing. One transport for both stores; idle time and compression differ on purpose.

--- a/cmd/lyctl/gate.go
+++ b/cmd/lyctl/gate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -12,10 +11,10 @@
 	"slices"
 	"strconv"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"github.com/lycheerudder/lycheerudder/internal/gateway"
+	"github.com/lycheerudder/lycheerudder/internal/query"
 	"github.com/lycheerudder/lycheerudder/internal/settings"
 )
 
@@ -53,26 +52,6 @@
 // gateClient asks each host once.
 var gateClient = &http.Client{Timeout: gateTimeout}
 
-func queryGate(ctx context.Context, address, path string, into any) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
-	if err != nil {
-		return err
-	}
-	resp, err := gateClient.Do(req)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
-	if err != nil {
-		return err
-	}
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s: %s", resp.Status, strings.TrimSpace(string(data)))
-	}
-	return json.Unmarshal(data, into)
-}
-
 // runGates prints what each host believes. It returns an error if a host does not
 // answer, after the answers of the others.
 func runGates(ctx context.Context, o GateOptions, out io.Writer) error {
@@ -80,18 +59,20 @@
 	var errs []error
 	for address := range strings.SplitSeq(o.Gates, ",") {
 		var s gateway.HostState
-		if err := queryGate(ctx, address, gateway.PathState, &s); err != nil {
+		if err := query.Get(ctx, gateClient, address, gateway.PathState, &s); err != nil {
 			errs = append(errs, fmt.Errorf("%s: %w", address, err))
 			continue
 		}
 		states = append(states, s)
 	}
 	if o.JSON {
-		errs = append(errs, json.NewEncoder(out).Encode(states))
-		return errors.Join(errs...)
+		return errors.Join(append(errs, printJSONTo(out, states))...)
 	}
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "HOST\tDATA CENTRE\tLEADER\tEPOCH\tCONFIG\tLIST AGE\tREFUSED")
+	return errors.Join(append(errs, tableTo(out, func(w io.Writer) { printGates(w, states) }))...)
+}
+
+func printGates(w io.Writer, states []gateway.HostState) {
+	row(w, "HOST\tDATA CENTRE\tLEADER\tEPOCH\tCONFIG\tLIST AGE\tREFUSED")
 	for _, s := range states {
 		leader := s.Leader
 		switch {
@@ -100,19 +81,16 @@
 		case leader == "":
 			leader = "none"
 		}
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d ms\t%s\n",
-			s.Host, s.DataCentre, leader, s.Epoch, s.ConfigVersion, s.LeaderListAgeMS, refusals(s.Counts))
+		row(w, "%s\t%s\t%s\t%d\t%d\t%d ms\t%s", s.Host, s.DataCentre, leader, s.Epoch, s.ConfigVersion, s.LeaderListAgeMS, refusals(s.Counts))
 	}
 	for _, s := range states {
 		for i, x := range s.Services {
 			if i == 0 {
-				_, _ = fmt.Fprintln(w, "\nSERVICE\tWAITING\tRUNNING\tSLOTS\tKEY RANGES\tMOVING\tWITHOUT OWNER")
+				row(w, "\nSERVICE\tWAITING\tRUNNING\tSLOTS\tKEY RANGES\tMOVING\tWITHOUT OWNER")
 			}
-			_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\n", x.Service, x.Waiting, x.Running, x.Slots, x.KeyRanges, x.Moving, x.Unowned)
+			row(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d", x.Service, x.Waiting, x.Running, x.Slots, x.KeyRanges, x.Moving, x.Unowned)
 		}
 	}
-	errs = append(errs, w.Flush())
-	return errors.Join(errs...)
 }
 
 // refusals lists the counters of refused requests by reason.
@@ -135,7 +113,7 @@
 	path := gateway.PathKey + "?" + url.Values{"service": {o.Service}, "key": {strconv.Itoa(o.Key)}}.Encode()
 	for address := range strings.SplitSeq(o.Gates, ",") {
 		var k gateway.KeyState
-		if err := queryGate(ctx, address, path, &k); err != nil {
+		if err := query.Get(ctx, gateClient, address, path, &k); err != nil {
 			errs = append(errs, fmt.Errorf("%s: %w", address, err))
 			continue
 		}
@@ -150,7 +128,7 @@
 		return errors.Join(errs...)
 	}
 	if o.JSON {
-		return json.NewEncoder(out).Encode(found)
+		return printJSONTo(out, found)
 	}
 	server := string(found.Server)
 	if server == "" {
--- a/cmd/lyctl/print.go
+++ b/cmd/lyctl/print.go
@@ -15,15 +15,19 @@
 	"github.com/lycheerudder/lycheerudder/internal/state"
 )
 
-func printJSON(v any) error {
-	enc := json.NewEncoder(os.Stdout)
+func printJSON(v any) error { return printJSONTo(os.Stdout, v) }
+
+func printJSONTo(out io.Writer, v any) error {
+	enc := json.NewEncoder(out)
 	enc.SetIndent("", "  ")
 	return enc.Encode(v)
 }
 
 // table calls fill with a writer that aligns columns separated by tabs.
-func table(fill func(w io.Writer)) error {
-	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+func table(fill func(w io.Writer)) error { return tableTo(os.Stdout, fill) }
+
+func tableTo(out io.Writer, fill func(w io.Writer)) error {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fill(w)
 	return w.Flush()
 }
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -198,6 +198,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clk.Now()
+	c.setServers(servers, now)
+	for _, d := range c.services {
+		if d.keyed {
+			d.refreshOwners(now)
+		}
+	}
+}
+
+// setServers brings the servers of all services up to date.
+func (c *core) setServers(servers []fleet.Server, now time.Duration) {
 	for _, d := range c.services {
 		usable := make(map[topology.ServerID]schedule.Server)
 		reachable := make(map[topology.ServerID]ownership.Server)
@@ -217,9 +227,6 @@
 		if d.grants != nil {
 			d.grants.SetServers(reachable, now)
 		}
-		if d.keyed {
-			d.refreshOwners(now)
-		}
 	}
 }
 
@@ -293,9 +300,9 @@
 
 // tick advances the grants of all services and returns the calls that are due.
 func (c *core) tick(servers []fleet.Server, proof time.Duration, mayMove bool) []ownership.Order {
-	c.refresh(servers)
 	c.mu.Lock()
 	now := c.clk.Now()
+	c.setServers(servers, now)
 	var orders []ownership.Order
 	var out []schedule.Decision
 	for _, d := range c.services {
@@ -313,16 +320,20 @@
 	return orders
 }
 
-// summary describes the load of a service for the log.
+// summary holds the counts of a service.
 type summary struct {
 	service                 topology.Service
 	waiting, running, slots int
 	parts, moving, unowned  int
-	busiest, mean           float64
-	hottest                 float64 // load of the busiest key
 }
 
-// summaries returns the load of all services.
+// keyLoad describes the load of the keys of a service.
+type keyLoad struct {
+	busiest, mean float64 // of the servers
+	hottest       float64 // of the busiest key
+}
+
+// summaries returns the counts of all services.
 func (c *core) summaries() []summary {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -331,12 +342,7 @@
 	for _, d := range c.services {
 		s := summary{service: d.name}
 		s.waiting, s.running, s.slots = d.sched.Counts()
-		if d.grants != nil && d.meter != nil {
-			sums := d.meter.Sums(now)
-			for k := range keymap.Keys {
-				s.hottest = max(s.hottest, sums[k+1]-sums[k])
-			}
-			load := make(map[topology.ServerID]float64)
+		if d.grants != nil {
 			d.grants.Parts(now, func(p ownership.Part) {
 				s.parts++
 				if p.Next != "" {
@@ -345,19 +351,38 @@
 				if !p.Held {
 					s.unowned++
 				}
-				load[p.Server] += sums[p.To+1] - sums[p.From]
 			})
-			for id, l := range load {
-				l *= d.sched.Slowness(id) / 2
-				s.busiest = max(s.busiest, l)
-				s.mean += l / float64(len(load))
-			}
 		}
 		out = append(out, s)
 	}
 	return out
 }
 
+// keyLoad returns the load of the keys of a service. It looks at every key, which
+// the counts do not need.
+func (c *core) keyLoad(service topology.Service) keyLoad {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var l keyLoad
+	d, ok := c.services[hash32(string(service))]
+	if !ok || d.grants == nil {
+		return l
+	}
+	now := c.clk.Now()
+	sums := d.meter.Sums(now)
+	for k := range keymap.Keys {
+		l.hottest = max(l.hottest, sums[k+1]-sums[k])
+	}
+	load := make(map[topology.ServerID]float64)
+	d.grants.Parts(now, func(p ownership.Part) { load[p.Server] += sums[p.To+1] - sums[p.From] })
+	for id, work := range load {
+		work *= d.sched.Slowness(id) / 2
+		l.busiest = max(l.busiest, work)
+		l.mean += work / float64(len(load))
+	}
+	return l
+}
+
 // step returns the calls that are due for a service.
 func (c *core) step(d *domain, now, proof time.Duration) []ownership.Order {
 	d.grants.SetRivals(c.rivals())
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -403,7 +403,7 @@
 	if tell && d.misses == 0 {
 		d.misses = now
 	}
-	silent := d.own == nil && (!leader.IsValid() || (d.misses != 0 && now-d.misses > leaderSilence))
+	silent := d.silentAt(now)
 	d.mu.Unlock()
 	for _, q := range again {
 		d.send(q)
@@ -447,7 +447,11 @@
 func (d *desk) silent() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.clk.Now()
+	return d.silentAt(d.clk.Now())
+}
+
+// silentAt is silent for a caller that holds the lock.
+func (d *desk) silentAt(now time.Duration) bool {
 	return d.own == nil && (!d.leader.IsValid() || (d.misses != 0 && now-d.misses > leaderSilence))
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/front"
 	"github.com/lycheerudder/lycheerudder/internal/hostlink"
+	"github.com/lycheerudder/lycheerudder/internal/listen"
 	"github.com/lycheerudder/lycheerudder/internal/logging"
 	"github.com/lycheerudder/lycheerudder/internal/upstream"
 )
@@ -37,6 +38,8 @@
 	defaultHeaderBytes = 16 << 10
 	defaultBodyBytes   = 64 << 20
 	defaultIdle        = 15 * time.Second
+	// network is that of all listeners of a host.
+	network = "tcp4"
 	// stopReserve is kept from the grace for the end of the process.
 	stopReserve = 400 * time.Millisecond
 )
@@ -77,14 +80,19 @@
 	if err != nil {
 		return err
 	}
-	for _, err := range set.Bounds.Problems() {
-		g.log.Warn("a promise of the settings cannot be kept: " + err.Error())
-	}
+	g.warn(set.Bounds)
 	g.log.With("host", string(set.Host)).With("data_centre", string(set.DataCentre)).Info("host starts")
 	go g.follow(ctx, changed)
 	return g.run(ctx)
 }
 
+// warn names the promises that cannot be kept.
+func (g *gateway) warn(b Bounds) {
+	for _, err := range b.Problems() {
+		g.log.Warn("a promise of the settings cannot be kept: " + err.Error())
+	}
+}
+
 // follow puts changed settings in force.
 func (g *gateway) follow(ctx context.Context, changed <-chan Settings) {
 	for {
@@ -105,9 +113,7 @@
 		g.log.Error("the changed settings have problems and are not used", err)
 		return
 	}
-	for _, err := range next.Bounds.Problems() {
-		g.log.Warn("a promise of the changed settings cannot be kept: " + err.Error())
-	}
+	g.warn(next.Bounds)
 	old := g.set
 	old.Bounds = next.Bounds
 	g.terms.set(next.Bounds)
@@ -168,12 +174,7 @@
 	})
 	st.Func("server_list_age_seconds", func() float64 { return g.watch.age().Seconds() })
 	st.Func("leader_list_age_seconds", func() float64 { return g.desk.state().directoryAge.Seconds() })
-	st.Func("config_version", func() float64 {
-		if cfg := g.watch.config.Load(); cfg != nil {
-			return float64(cfg.Version)
-		}
-		return 0
-	})
+	st.Func("config_version", func() float64 { return float64(g.watch.version()) })
 	for name, pick := range map[string]func(summary) int{
 		"waiting": func(s summary) int { return s.waiting }, "running": func(s summary) int { return s.running },
 		"slots": func(s summary) int { return s.slots }, "key_ranges": func(s summary) int { return s.parts },
@@ -223,11 +224,9 @@
 func (g *gateway) status() hostlink.FromLeader {
 	age := g.watch.age()
 	_, epoch := g.desk.followed()
-	m := hostlink.FromLeader{Epoch: epoch, DirectoryAgeMS: uint32(min(age, time.Minute).Milliseconds())}
-	if cfg := g.watch.config.Load(); cfg != nil {
-		m.ConfigVersion = cfg.Version
+	return hostlink.FromLeader{
+		Epoch: epoch, DirectoryAgeMS: uint32(min(age, time.Minute).Milliseconds()), ConfigVersion: g.watch.version(),
 	}
-	return m
 }
 
 func (g *gateway) run(ctx context.Context) error {
@@ -254,14 +253,20 @@
 		mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { g.ingress.stats.write(w) })
 		g.inspect(mux)
 		srv := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
-		if err := listen(g.set.MetricsAddress, srv, failed); err != nil {
+		if _, err := listen.Start(network, g.set.MetricsAddress, srv.Serve, failed); err != nil {
 			return err
 		}
 	}
-	if err := listen(g.set.ReadyAddress, ready, failed); err != nil {
+	if _, err := listen.Start(network, g.set.ReadyAddress, ready.Serve, failed); err != nil {
 		return err
 	}
-	if err := serveCallers(work, g.set.CallerAddress, callers, failed); err != nil {
+	serve := func(l net.Listener) error {
+		if err := callers.Serve(work, l); !errors.Is(err, net.ErrClosed) {
+			return err
+		}
+		return nil
+	}
+	if _, err := listen.Start(network, g.set.CallerAddress, serve, failed); err != nil {
 		return err
 	}
 	select {
@@ -273,32 +278,6 @@
 	return nil
 }
 
-func serveCallers(ctx context.Context, address string, srv *front.Server, failed chan<- error) error {
-	l, err := net.Listen("tcp4", address)
-	if err != nil {
-		return eris.Wrap(err, "listen")
-	}
-	go func() {
-		if err := srv.Serve(ctx, l); !errors.Is(err, net.ErrClosed) {
-			failed <- err
-		}
-	}()
-	return nil
-}
-
-func listen(address string, srv *http.Server, failed chan<- error) error {
-	l, err := net.Listen("tcp4", address)
-	if err != nil {
-		return eris.Wrap(err, "listen")
-	}
-	go func() {
-		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			failed <- err
-		}
-	}()
-	return nil
-}
-
 // stop lets the balancer turn away from this host, hands the lead over, and
 // ends once all requests are answered.
 func (g *gateway) stop(parent context.Context, callers *front.Server, stopLead func()) {
--- a/internal/gateway/inspect.go
+++ b/internal/gateway/inspect.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"encoding/json"
 	"net/http"
 	"slices"
 	"strconv"
@@ -10,6 +9,7 @@
 
 	"github.com/lycheerudder/lycheerudder/internal/keymap"
 	"github.com/lycheerudder/lycheerudder/internal/ownership"
+	"github.com/lycheerudder/lycheerudder/internal/query"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
 
@@ -78,7 +78,7 @@
 }
 
 func (g *gateway) inspect(mux *http.ServeMux) {
-	mux.HandleFunc("GET "+PathState, func(w http.ResponseWriter, _ *http.Request) { reply(w, g.hostState()) })
+	mux.HandleFunc("GET "+PathState, func(w http.ResponseWriter, _ *http.Request) { query.Write(w, g.hostState()) })
 	mux.HandleFunc("GET "+PathKey, func(w http.ResponseWriter, r *http.Request) {
 		key, err := strconv.Atoi(r.URL.Query().Get("key"))
 		if err != nil || key < 0 || key >= keymap.Keys {
@@ -90,28 +90,20 @@
 			http.Error(w, "service: no keyed service of this name is known", http.StatusNotFound)
 			return
 		}
-		reply(w, k)
+		query.Write(w, k)
 	})
 }
 
-func reply(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v) // the caller has left
-}
-
 func (g *gateway) hostState() HostState {
 	s := g.desk.state()
 	leader, epoch := g.desk.followed()
 	h := HostState{
-		Host: g.set.Host, DataCentre: g.set.DataCentre, Leads: s.leads, Epoch: epoch, Hosts: s.hosts,
+		Host: g.set.Host, DataCentre: g.set.DataCentre, Leads: s.leads, Epoch: epoch, Hosts: s.hosts, ConfigVersion: g.watch.version(),
 		ListAgeMS: g.watch.age().Milliseconds(), LeaderListAgeMS: s.directoryAge.Milliseconds(), Counts: g.ingress.stats.counts(),
 	}
 	if leader.IsValid() {
 		h.Leader = leader.String()
 	}
-	if cfg := g.watch.config.Load(); cfg != nil {
-		h.ConfigVersion = cfg.Version
-	}
 	if c := g.elector.core.Load(); c != nil {
 		h.LeaderListAgeMS = h.ListAgeMS
 		for _, x := range c.summaries() {
--- a/internal/gateway/leadership.go
+++ b/internal/gateway/leadership.go
@@ -135,8 +135,7 @@
 		last = now
 		if slow && now-l.began > strengthPause {
 			l.log.With("lag_ms", l.lag.Mean().Milliseconds()).With("repeated", l.repeats.Share()).Warn("this host has too little processor to lead, it resigns")
-			l.resigned.Store(int64(now + lagPause))
-			l.cancel()
+			l.resign(lagPause)
 		}
 	}
 	l.peers.lead(nil, 0, nil)
@@ -195,27 +194,32 @@
 	if now := l.clk.Now(); now-l.summed > summaryInterval {
 		l.summed = now
 		for _, s := range l.core.summaries() {
+			load := l.core.keyLoad(s.service)
 			l.log.With("service", string(s.service)).With("waiting", s.waiting).With("running", s.running).With("slots", s.slots).
 				With("parts", s.parts).With("moving", s.moving).With("unowned", s.unowned).
-				With("busiest", s.busiest).With("mean", s.mean).With("hottest", s.hottest).With("rivals_ms", (l.core.rivals() - l.clk.Now()).Milliseconds()).Info("load of a service")
+				With("busiest", load.busiest).With("mean", load.mean).With("hottest", load.hottest).With("rivals_ms", (l.core.rivals() - l.clk.Now()).Milliseconds()).Info("load of a service")
 		}
 	}
 	present, most := l.peers.tick()
 	l.desk.setHosts(present)
 	if l.clk.Now()-l.began > strengthPause && seen < moveContact && l.peers.strongest() > strongerBy/l.weight {
 		l.log.Info("a host with more processor is present, this host resigns")
-		l.resigned.Store(int64(l.clk.Now() + resignPause))
-		l.cancel()
+		l.resign(resignPause)
 	}
 	if most >= 3 && present*2 < most {
 		// Most hosts are gone or cut off from this one. If they are cut off,
 		// one of them takes over; if they are gone, this host leads again.
 		l.log.With("hosts", present).With("most", most).Warn("most hosts are silent, this host resigns")
-		l.resigned.Store(int64(l.clk.Now() + resignPause))
-		l.cancel()
+		l.resign(resignPause)
 	}
 }
 
+// resign ends the lead, and leaves the claim to others for a while.
+func (l *leadership) resign(pause time.Duration) {
+	l.resigned.Store(int64(l.clk.Now() + pause))
+	l.cancel()
+}
+
 // carryOut makes the calls to servers.
 func (l *leadership) carryOut(ctx context.Context, orders []ownership.Order) {
 	for _, o := range orders {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -97,18 +97,13 @@
 	for ctx.Err() == nil {
 		n := w.need()
 		wait := n.wait
-		cfg := w.config.Load()
 		if failing {
 			// A read that is held open shows the store's return late.
 			wait = 0
 		}
 		call, cancel := context.WithTimeout(ctx, wait+callTimeout)
 		if wait > 0 {
-			poll := configPoll{cancel: cancel, started: w.clk.Now()}
-			if cfg != nil {
-				poll.version = cfg.Version
-			}
-			w.setPoll(poll)
+			w.setPoll(configPoll{cancel: cancel, started: w.clk.Now(), version: w.version()})
 		}
 		config, next, err := w.store.ConfigChange(call, from, wait)
 		w.setPoll(configPoll{})
@@ -157,6 +152,14 @@
 	}
 }
 
+// version returns the version of the configuration in force; zero if none is.
+func (w *watch) version() int64 {
+	if cfg := w.config.Load(); cfg != nil {
+		return cfg.Version
+	}
+	return 0
+}
+
 func (w *watch) adopt(config *fleet.Config) {
 	if config == nil {
 		return
--- a/internal/operator/hosts.go
+++ b/internal/operator/hosts.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"net/http"
 	"net/url"
 	"sync"
@@ -13,6 +11,7 @@
 
 	"github.com/lycheerudder/lycheerudder/internal/admin"
 	"github.com/lycheerudder/lycheerudder/internal/hostlist"
+	"github.com/lycheerudder/lycheerudder/internal/query"
 	"github.com/lycheerudder/lycheerudder/internal/record"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
@@ -84,19 +83,7 @@
 }
 
 func (f *Fleet) get(ctx context.Context, h hostlist.Host, path string, into any) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.Admin+path, nil)
-	if err != nil {
-		return err
-	}
-	resp, err := f.http.Do(req)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %d", resp.StatusCode)
-	}
-	return json.NewDecoder(resp.Body).Decode(into)
+	return query.Get(ctx, f.http, h.Admin, path, into)
 }
 
 // WaitInForce waits until every live entry host has applied the configuration
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -3,13 +3,11 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/go-kit/kit/endpoint"
-	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
 
 	"github.com/lycheerudder/lycheerudder/internal/admin"
@@ -20,6 +18,7 @@
 	"github.com/lycheerudder/lycheerudder/internal/execute"
 	"github.com/lycheerudder/lycheerudder/internal/frontend"
 	"github.com/lycheerudder/lycheerudder/internal/hostlist"
+	"github.com/lycheerudder/lycheerudder/internal/listen"
 	"github.com/lycheerudder/lycheerudder/internal/logging"
 	"github.com/lycheerudder/lycheerudder/internal/metrics"
 	"github.com/lycheerudder/lycheerudder/internal/peer"
@@ -108,7 +107,7 @@
 	}{
 		{s.Listen, &h.Callers, h.callers.Serve}, {s.Peer, &h.Peers, h.peers.Serve}, {s.Admin, &h.Operators, h.operators.Serve},
 	} {
-		bound, err := serve(l.address, l.run, h.failed)
+		bound, err := listen.Start("tcp", l.address, l.run, h.failed)
 		if err != nil {
 			return nil, err
 		}
@@ -192,18 +191,3 @@
 		return ans, err
 	})
 }
-
-// serve listens on an address, returns the one that was bound, and reports the
-// end of run, unless it ended by a shutdown.
-func serve(address string, run func(net.Listener) error, failed chan<- error) (string, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return "", eris.Wrap(err, "listen")
-	}
-	go func() {
-		if err := run(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			failed <- err
-		}
-	}()
-	return l.Addr().String(), nil
-}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -291,9 +291,7 @@
 	}
 	var work float64
 	for _, j := range queue {
-		if !j.over {
-			work += j.mean.work()
-		}
+		work += j.mean.work()
 	}
 	if running >= slots {
 		// A running request has half of its work before it on average.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -169,7 +168,7 @@
 }
 
 func (r *run) startHosts() error {
-	port, err := freePort("127.0.0.2", "udp")
+	port, err := standin.FreePort("127.0.0.2", "udp")
 	if err != nil {
 		return err
 	}
@@ -181,7 +180,7 @@
 		}
 		p.Store = p.proxy.address
 		for _, target := range []*string{&p.Front, &p.Ready} {
-			n, err := freePort(ip, "tcp")
+			n, err := standin.FreePort(ip, "tcp")
 			if err != nil {
 				return err
 			}
@@ -199,23 +198,6 @@
 	return nil
 }
 
-func freePort(ip, network string) (int, error) {
-	if network == "udp" {
-		c, err := net.ListenPacket("udp4", ip+":0")
-		if err != nil {
-			return 0, err
-		}
-		defer func() { _ = c.Close() }()
-		return c.LocalAddr().(*net.UDPAddr).Port, nil
-	}
-	l, err := net.Listen("tcp4", ip+":0")
-	if err != nil {
-		return 0, err
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port, nil
-}
-
 // start starts the process.
 func (p *process) start(opts Options) error {
 	out, err := os.OpenFile(filepath.Join(opts.Logs, p.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
