Ask a leader again that answered before it knew of its claim

Since the spread of claims waits for news of the ownership topic, the store tells the other hosts of a claim at the moment at which it answers the claimant. A host that asks the new leader before that one has begun is told "this host does not lead", and as it knew the leader's name by then, it asked it never again and decided by itself until the leader changed.

Change: if the store still names that leader and lists it as present, and it denied the lead (in contrast to a leader that does not answer), it is asked once more.

Ruled out: to let the host wait longer; the moment is known. To ask again a leader that does not answer: a cut off host would hold each request for 140 ms first.

--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -69,6 +69,7 @@
 	own       *core // the core of this host while it leads
 	fallback  *core
 	member    string        // of the leader, as the store names it
+	denied    bool          // that leader answered that it does not lead
 	heard     time.Duration // last message of the leader
 	told      time.Duration // last message to the leader
 	gaveUp    uint16        // questions given up since then
@@ -103,7 +104,7 @@
 		d.mu.Unlock()
 		return
 	}
-	d.own, d.leader, d.epoch = nil, addr, epoch
+	d.own, d.leader, d.epoch, d.denied = nil, addr, epoch, false
 	d.heard = d.clk.Now()
 	d.misses = 0
 	d.mu.Unlock()
@@ -295,7 +296,7 @@
 		return
 	}
 	if !m.Leads {
-		d.leader = netip.AddrPort{}
+		d.leader, d.denied = netip.AddrPort{}, true
 		d.mu.Unlock()
 		d.suspect()
 		return
@@ -480,6 +481,18 @@
 	d.hosts = max(1, n)
 }
 
+// askOnceMore makes the desk follow the leader at addr again if it answered that it
+// does not lead: it may have learned of its own claim later than this host.
+func (d *desk) askOnceMore(addr netip.AddrPort, epoch int64) bool {
+	d.mu.Lock()
+	again := d.denied && d.own == nil && epoch >= d.epoch
+	d.mu.Unlock()
+	if again {
+		d.follow(addr, epoch)
+	}
+	return again
+}
+
 // knows makes the desk follow the leader at addr if it did not ask it before.
 // It returns false if that leader is the one that does not answer.
 func (d *desk) knows(addr netip.AddrPort, member string, epoch int64) bool {
--- a/internal/gateway/elector.go
+++ b/internal/gateway/elector.go
@@ -226,6 +226,9 @@
 			return false, noAnswer
 		}
 		if slices.Contains(members, leader.Member) {
+			if e.desk.askOnceMore(address, leader.Epoch) {
+				return false, "leader is asked once more"
+			}
 			return false, "leader reaches the store"
 		}
 	}
