Answer requests that arrive while a planned stop closes connections

Cause: at the end of its wait after SIGTERM a host closed each idle connection from outside the goroutine that reads it. A request that this goroutine had read but not yet counted, or that had arrived in the socket, was dropped and its connection closed without an answer; so were connections accepted after that moment.

Change: only the reading goroutine closes an idle connection, after a last read. Shutdown first announces the close in responses, and accepts connections and keeps idle ones for 0.5 s, so that few requests cross the close. The decision that a response is the last one is taken under the lock under which requests are counted.

Ruled out: the deadline of the grace period (it ends 3 s later), and a handler that returns nothing (the caller had not disconnected).

--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -55,28 +55,45 @@
 	writeTimeout = 10 * time.Second
 	bodyTimeout  = 30 * time.Second
 	bufferSize   = 4 << 10
+	// shutdownLinger is the time for which Shutdown still accepts connections and
+	// keeps idle ones open. Requests that were sent before their callers could know
+	// of the shutdown arrive in this time.
+	shutdownLinger = 500 * time.Millisecond
+	// finalReadTimeout is the time in which the bytes are read that arrived on an
+	// idle connection before it is closed.
+	finalReadTimeout = 50 * time.Millisecond
 )
 
+// past is a deadline that ends a read at once.
+var past = time.Unix(1, 0)
+
 // Server accepts connections and runs a handler for each request.
 type Server struct {
 	handler Handler
 	limits  func() Limits
-	closing atomic.Bool // set by Shutdown
+	// closing is set when Shutdown begins, lingered when it closes the listener and
+	// the idle connections.
+	closing, lingered atomic.Bool
 
-	mu      sync.Mutex
-	conns   map[*conn]bool
-	serving sync.WaitGroup // counts conns
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[*conn]bool
+	// stopped is closed when the listener is closed and conns is empty.
+	stopped chan struct{}
 }
 
 // New returns a server. It calls limits for each request, so that the limits can
 // change.
 func New(handler Handler, limits func() Limits) *Server {
-	return &Server{handler: handler, limits: limits, conns: make(map[*conn]bool)}
+	return &Server{handler: handler, limits: limits, conns: make(map[*conn]bool), stopped: make(chan struct{})}
 }
 
 // Serve accepts connections until the listener is closed. The contexts of requests
 // derive from ctx.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	s.mu.Lock()
+	s.listener = l
+	s.mu.Unlock()
 	for {
 		nc, err := l.Accept()
 		if err != nil {
@@ -102,37 +119,54 @@
 	}
 }
 
-// addConn registers a connection. It returns false once Shutdown was called.
+// addConn registers a connection. It returns false once Shutdown has closed the
+// listener.
 func (s *Server) addConn(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closing.Load() {
+	if s.lingered.Load() {
 		return false
 	}
 	s.conns[c] = true
-	s.serving.Add(1)
 	return true
 }
 
+// removeConn removes a connection that is closed.
+func (s *Server) removeConn(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	if s.lingered.Load() && len(s.conns) == 0 {
+		close(s.stopped)
+	}
+}
+
 const acceptRetryDelay = 20 * time.Millisecond
 
-// Shutdown closes idle connections at once and the others after their last
-// response. It returns when all are closed, or the context's error if that ends
-// first.
+// Shutdown stops the server without ending a request that was read. From now on
+// each connection is closed after its next response. Connections are accepted and
+// idle ones kept open for shutdownLinger. Shutdown returns when all are closed, or
+// the context's error if that ends first. It must be called once.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.mu.Lock()
 	s.closing.Store(true)
+	select {
+	case <-time.After(shutdownLinger):
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	s.lingered.Store(true)
+	if s.listener != nil {
+		_ = s.listener.Close() // fails only if it is closed already
+	}
 	for c := range s.conns {
-		c.closeIfIdle()
+		c.wake()
+	}
+	if len(s.conns) == 0 {
+		close(s.stopped)
 	}
 	s.mu.Unlock()
-	done := make(chan struct{})
-	go func() {
-		s.serving.Wait()
-		close(done)
-	}()
 	select {
-	case <-done:
+	case <-s.stopped:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
@@ -159,8 +193,9 @@
 	// unanswered counts the requests without a written response, including the one
 	// that is being read.
 	unanswered atomic.Int32
-	mu         sync.Mutex // held while the connection becomes busy or closed
+	mu         sync.Mutex // held while the connection becomes idle, busy or closed
 	closed     bool       // no further request is read
+	finalRead  bool       // set by requestArrived: its deadline is kept
 }
 
 func (c *conn) serve(parent context.Context) {
@@ -175,19 +210,16 @@
 	close(c.responses)
 	<-written
 	_ = c.Close()
-	c.server.mu.Lock()
-	delete(c.server.conns, c)
-	c.server.mu.Unlock()
-	c.server.serving.Done()
+	c.server.removeConn(c)
 }
 
-// closeIfIdle ends the reader goroutine if the connection has no requests.
-func (c *conn) closeIfIdle() {
+// wake makes the reader goroutine of an idle connection check whether the
+// connection is to be closed.
+func (c *conn) wake() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.unanswered.Load() == 0 && c.br.Buffered() == 0 {
-		c.closed = true
-		_ = c.SetReadDeadline(time.Unix(1, 0))
+	if c.unanswered.Load() == 0 && !c.finalRead {
+		_ = c.SetReadDeadline(past)
 	}
 }
 
@@ -209,32 +241,58 @@
 	return true
 }
 
+// awaitRequest waits for the first byte of a request. It returns false if no
+// further request is to be read: the caller has disconnected, the connection was
+// idle for too long, or the server stops and no request has arrived.
+func (c *conn) awaitRequest(idleTimeout time.Duration) bool {
+	for !c.isClosed() {
+		switch {
+		case c.unanswered.Load() > 0:
+			_ = c.SetReadDeadline(time.Time{})
+			if c.unanswered.Load() == 0 {
+				continue // the writer set a deadline that was replaced above
+			}
+		case c.server.lingered.Load():
+			return c.requestArrived()
+		default:
+			_ = c.SetReadDeadline(time.Now().Add(idleTimeout))
+			if c.server.lingered.Load() {
+				continue // as above
+			}
+		}
+		if c.isClosed() {
+			return false
+		}
+		if _, err := c.br.Peek(1); err == nil || !isTimeout(err) {
+			return err == nil // after an error, the requests of the caller are cancelled
+		}
+		if c.unanswered.Load() == 0 && !c.server.lingered.Load() {
+			return false
+		}
+	}
+	return false
+}
+
+// requestArrived reports whether the first byte of a request has arrived on a
+// connection that is about to be closed.
+func (c *conn) requestArrived() bool {
+	c.mu.Lock()
+	c.finalRead = true
+	_ = c.SetReadDeadline(time.Now().Add(finalReadTimeout))
+	c.mu.Unlock()
+	_, err := c.br.Peek(1)
+	return err == nil
+}
+
 // readRequests reads requests and starts their handlers until the caller
 // disconnects or the connection is closed.
 func (c *conn) readRequests(ctx context.Context) {
 	for {
 		limits := c.server.limits()
 		c.limited.N = int64(limits.HeaderBytes) + bufferSize
-		if c.unanswered.Load() == 0 {
-			_ = c.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
-			if c.server.closing.Load() {
-				c.closeIfIdle()
-			}
-		} else {
-			_ = c.SetReadDeadline(time.Time{})
-		}
-		if c.isClosed() {
+		if !c.awaitRequest(limits.IdleTimeout) {
 			return
 		}
-		if _, err := c.br.Peek(1); err != nil {
-			if errors.Is(err, io.EOF) || !isTimeout(err) {
-				return // the caller has disconnected; its requests are cancelled
-			}
-			if c.unanswered.Load() == 0 {
-				return
-			}
-			continue
-		}
 		if !c.beginRequest() {
 			return
 		}
@@ -333,29 +391,44 @@
 
 // writeResponses writes the responses in the order of their requests.
 func (c *conn) writeResponses() {
-	failed := false
+	ended := false // no further response is written
 	for p := range c.responses {
 		r := <-p.ready
-		remaining := c.unanswered.Load()
-		last := p.last || (c.server.closing.Load() && remaining == 1)
-		if !failed && r != nil {
+		last := c.closeAfter(p)
+		if !ended && r != nil {
 			_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
 			_, err := c.Write(encode(r, last, p.isHead))
-			failed = err != nil
+			ended = err != nil
 		}
 		// If this response is missing, the caller would read the next one as the
 		// response to this request.
-		failed = failed || r == nil
-		if c.unanswered.Add(-1) == 0 && !last {
-			_ = c.SetReadDeadline(time.Now().Add(c.server.limits().IdleTimeout))
-		}
-		if last || failed {
-			// Ends the reader goroutine, after which the connection is closed.
-			c.mu.Lock()
-			c.closed = true
-			c.mu.Unlock()
-			_ = c.SetReadDeadline(time.Unix(1, 0))
-		}
+		ended = ended || last || r == nil
+		c.answered(ended)
+	}
+}
+
+// closeAfter decides whether the response to a request is the last one of the
+// connection, in which case no further request is read.
+func (c *conn) closeAfter(p *pendingResponse) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	last := p.last || (c.server.closing.Load() && c.unanswered.Load() == 1)
+	c.closed = c.closed || last
+	return last
+}
+
+// answered counts a request that was answered, and ends the reader goroutine if no
+// further request is to be read. The connection is closed after that.
+func (c *conn) answered(ended bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = c.closed || ended
+	idle := c.unanswered.Add(-1) == 0
+	switch {
+	case c.closed, idle && c.server.lingered.Load():
+		_ = c.SetReadDeadline(past)
+	case idle:
+		_ = c.SetReadDeadline(time.Now().Add(c.server.limits().IdleTimeout))
 	}
 }
 
