Do not pause a server that sheds requests while it has free slots

Cause: after a refusal a server got no request for 30 ms, also when its response said that slots are free. Each refusal left both slots of a server idle for 30 ms, as long as one success keeps them busy, so half of the capacity was gone while requests waited and were refused as overloaded.

Change: the pause applies only if the server states no load or reports no free slot.

What is refused then is bound by the retry budget.

--- a/internal/schedule/report.go
+++ b/internal/schedule/report.go
@@ -50,7 +50,9 @@
 
 const (
 	// fullBackoff is how long a server that refused a request for lack of a free
-	// slot is sent no further one: about the time until a slot becomes free.
+	// slot is sent no further one: about the time until a slot becomes free. It does
+	// not apply to a server that refuses requests although it reports free slots: a
+	// pause would leave these slots idle while requests for its keys wait.
 	fullBackoff = 30 * time.Millisecond
 	// connectBackoff is how long other servers are preferred after a connection
 	// could not be established.
@@ -113,7 +115,9 @@
 		failed = 1
 	case ServerFull:
 		failed = 0.5
-		srv.fullUntil = now + fullBackoff
+		if !r.LoadKnown || r.Running >= srv.Slots {
+			srv.fullUntil = now + fullBackoff
+		}
 	case Broken, ConnectFailed:
 		failed = 1
 		if r.Result == ConnectFailed {
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -354,3 +354,64 @@
 		})
 	}
 }
+
+// Sends a server 45 requests a second of 40 ms each, of which it refuses every
+// second one although it reports free slots. Guards against a pause after such a
+// refusal: the free slots would stay idle, and requests that the server would have
+// run would wait and be refused.
+func TestServerThatShedsRequestsIsNotPaused(t *testing.T) {
+	g := NewWithT(t)
+	s := keyed(ownedBy(id(0)), 1)
+	type run struct {
+		job *schedule.Job
+		end time.Duration
+	}
+	var running []run
+	addedAt := make(map[schedule.JobID]time.Duration)
+	var longestWait time.Duration
+	decided, refused := 0, 0
+	for now := time.Duration(0); now < 5*time.Second; now += ms {
+		if now%(22*ms) == 0 {
+			j := job(1, 1, now, 300*ms, 800*ms)
+			addedAt[j.ID] = now
+			s.Add(j, now)
+		}
+		unfinished := running[:0]
+		for _, r := range running {
+			if now < r.end {
+				unfinished = append(unfinished, r)
+				continue
+			}
+			s.HandleReport(schedule.Report{ID: r.job.ID, Result: schedule.Succeeded, Duration: 40 * ms}, now)
+		}
+		running = unfinished
+		for _, d := range s.Decide(now) {
+			g.Expect(d.Refused).To(BeFalse())
+			decided++
+			longestWait = max(longestWait, now-addedAt[d.Job.ID])
+			if decided%2 == 0 {
+				running = append(running, run{d.Job, now + 40*ms})
+				continue
+			}
+			refused++
+			s.HandleReport(schedule.Report{ID: d.Job.ID, Result: schedule.ServerFull, Running: len(running), LoadKnown: true}, now)
+		}
+	}
+	g.Expect(decided).To(BeNumerically(">=", 225))
+	g.Expect(refused).To(BeNumerically(">=", 112))
+	g.Expect(longestWait).To(BeNumerically("<", 20*ms), "a slot is always free")
+}
+
+// Guards against more requests for a server that has refused one because all its
+// slots are busy: each would be refused as well.
+func TestFullServerIsPaused(t *testing.T) {
+	g := NewWithT(t)
+	s := keyed(ownedBy(id(0)), 1)
+	first, second := job(1, 1, 0, 300*ms, 800*ms), job(1, 1, 0, 300*ms, 800*ms)
+	s.Add(first, 0)
+	g.Expect(s.Decide(0)).To(HaveLen(1))
+	s.HandleReport(schedule.Report{ID: first.ID, Result: schedule.ServerFull, Running: 2, LoadKnown: true}, 5*ms)
+	s.Add(second, 6*ms)
+	g.Expect(s.Decide(6 * ms)).To(BeEmpty())
+	g.Expect(s.Decide(40 * ms)).To(HaveLen(1))
+}
