Let the moves of a placement plan grow with the servers

Cause: a plan made at most three moves to balance load, four plans a second, for 22 servers as for 147.

Change: one move for each seven servers, at least three, the same number as before at 22 servers.

TestPlansNeededDoNotGrowWithServers fails on the version before: 1.57 busy slots for each slot after 16 plans on 154 servers.

--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -60,7 +60,8 @@
 )
 
 var placementSettings = keyplacement.Settings{
-	MaxMoves:           3,    // requests for moving keys wait
+	MinMoves:           3,    // requests for moving keys wait
+	ServersPerMove:     7,    // three moves for each 22 servers
 	MinUtilisationGap:  0.22, // in slots per slot
 	MinUtilisation:     0.30, // below it, requests rarely wait
 	MaxRangesPerServer: 2.5,  // each key range costs renewals, in bytes between data centres
--- a/internal/keyplacement/keyplacement.go
+++ b/internal/keyplacement/keyplacement.go
@@ -104,8 +104,10 @@
 
 // Settings of Plan.
 type Settings struct {
-	// MaxMoves is the maximum number of moves of one plan that balance load.
-	MaxMoves int
+	// MinMoves and ServersPerMove bound the moves of one plan that balance load:
+	// one for each ServersPerMove servers, and at least MinMoves. With a fixed
+	// number, a service with many servers follows a change of its load too slowly.
+	MinMoves, ServersPerMove int
 	// MinUtilisationGap is the minimum difference in utilisation between two servers
 	// for a move from one to the other.
 	MinUtilisationGap float64
@@ -157,7 +159,7 @@
 	}
 	p.assignRanges()
 	p.moveHotKey()
-	for range settings.MaxMoves {
+	for range max(settings.MinMoves, len(servers)/settings.ServersPerMove) {
 		if !p.balance(settings) {
 			break
 		}
--- a/internal/keyplacement/keyplacement_test.go
+++ b/internal/keyplacement/keyplacement_test.go
@@ -13,7 +13,7 @@
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
 
-var settings = keyplacement.Settings{MaxMoves: 3, MinUtilisationGap: 0.15, MinUtilisation: 0.3, MaxRangesPerServer: 2.5}
+var settings = keyplacement.Settings{MinMoves: 3, ServersPerMove: 7, MinUtilisationGap: 0.15, MinUtilisation: 0.3, MaxRangesPerServer: 2.5}
 
 func servers(capacities ...float64) []keyplacement.Server {
 	var list []keyplacement.Server
@@ -219,3 +219,28 @@
 	g.Expect(totalAt(now + 5*time.Second)).To(BeNumerically("<", 0.1))
 	g.Expect(totalAt(now + 500*time.Second)).To(BeNumerically("<", 1e-9))
 }
+
+// Gives one eighth of the keys, adjacent ones, most of the load of 22 and of 154
+// servers. Guards against a service with many servers that takes longer to follow a
+// change of its load than one with few: the sets of busy keys change within seconds.
+func TestPlansNeededDoNotGrowWithServers(t *testing.T) {
+	for _, n := range []int{22, 154} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			g := NewWithT(t)
+			capacities := make([]float64, n)
+			for i := range capacities {
+				capacities[i] = 2
+			}
+			list := servers(capacities...)
+			load := 1.2 * float64(n) // 0.6 of the slots
+			prefixSums := sums(func(k int) float64 {
+				if k < keymap.KeyCount/8 {
+					return 0.6 * load / (keymap.KeyCount / 8)
+				}
+				return 0.4 * load / (keymap.KeyCount * 7 / 8)
+			})
+			ranges, _ := applyPlans(evenRanges(n), list, prefixSums, 16) // 4 s at four plans a second
+			g.Expect(maxUtilisation(ranges, list, prefixSums)).To(BeNumerically("<", 1))
+		})
+	}
+}
