Limit what servers that send without end can make a host hold

Cause: the head of a response was read without a limit, and a body up to 64 MiB for each exchange; a stated length was allocated at once.

Change: a head holds at most 64 KiB. The bodies of all responses share one budget of a fifth of the host's memory (package membudget); each may hold at most as much as is free, so one takes at most half of it, and memory grows with the bytes that have arrived. What goes past a limit is cut and counted as a fault of the server, its connection is reset, and the caller gets its error or the next attempt at once. A response gives its memory back when it is written to the caller.

Ruled out as further places: the store's client has its own limit of 8 MiB, internal/query one of a few hundred bytes, callers' heads and bodies those of the configuration.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/lycheerudder/lycheerudder/internal/httpserver"
 	"github.com/lycheerudder/lycheerudder/internal/listen"
 	"github.com/lycheerudder/lycheerudder/internal/logging"
+	"github.com/lycheerudder/lycheerudder/internal/membudget"
 	"github.com/lycheerudder/lycheerudder/internal/upstream"
 )
 
@@ -146,10 +147,12 @@
 	}
 	g := &gateway{settings: settings, active: newActiveBounds(settings.Bounds), clk: clk, store: store, link: link, log: logging.For(logging.Router)}
 	incarnation := rand.Uint64()
+	responses := membudget.New(responseMemory(settings.MemoryBytes))
+	metrics.RegisterFunc("response_memory_bytes", func() float64 { return float64(responses.Used()) })
 	g.upstream = upstream.New(upstream.Headers{
 		RequestID: names.RequestID, TimeLeft: names.TimeLeft, Target: names.Target,
 		Signature: names.Signature, NotExecuted: names.NotExecuted, ServerLoad: names.ServerLoad,
-	})
+	}, responses)
 	g.watcher = newStoreWatcher(clk, store, g.active, g.readPolicy, g.storeChanged)
 	g.leaderClient = newLeaderClient(clk, link, incarnation, settings.DataCentre, func() { g.elector.checkNow() }, g.watcher.listUsable)
 	g.followers = &followers{clk: clk, link: link, incarnation: incarnation, header: g.messageHeader, deliverLocal: g.leaderClient.deliver, currentLeader: g.leaderClient.currentLeader}
@@ -190,6 +193,23 @@
 	return g, nil
 }
 
+const (
+	// responseMemoryShare is the share of the host's memory that the bodies of
+	// responses may hold together. The process needs about 25 MB besides; a body is
+	// copied once more when it is written to its caller.
+	responseMemoryShare = 0.2
+	// defaultMemory is the memory of a host whose settings state none, in bytes.
+	defaultMemory = 256 << 20
+)
+
+// responseMemory returns the budget for bodies of responses in bytes.
+func responseMemory(hostMemory int64) int64 {
+	if hostMemory <= 0 {
+		hostMemory = defaultMemory
+	}
+	return int64(responseMemoryShare * float64(hostMemory))
+}
+
 // minCPUShare bounds the delay of the claims of hosts with little CPU.
 const minCPUShare = 0.1
 
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -191,6 +191,9 @@
 		if outcome.Response == nil && !in.shouldRetry(c, outcome) {
 			return in.failedResponse(ctx, c, decision.Server, outcome)
 		}
+		if outcome.Response != nil {
+			outcome.Response.Release()
+		}
 		in.metrics.inc("retry-" + outcome.Result.String())
 		in.log.event(c, "the request is sent to another server", string(decision.Server), outcome.Result.String(), outcome.Cause)
 		c.job.Tried = append(c.job.Tried, decision.Server)
@@ -301,5 +304,5 @@
 	if response.Status >= 400 {
 		in.log.event(c, "the server responded with an error", string(server), strconv.Itoa(response.Status), nil)
 	}
-	return &httpserver.Response{Status: response.Status, Header: response.Header, Body: response.Body}
+	return &httpserver.Response{Status: response.Status, Header: response.Header, Body: response.Body, Done: response.Release}
 }
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -41,6 +41,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Done, if set, is called once the response is written or dropped.
+	Done func()
 }
 
 // Handler returns the response to a request. If it returns nil, the connection is
@@ -400,6 +402,9 @@
 			_, err := c.Write(encode(r, last, p.isHead))
 			ended = err != nil
 		}
+		if r != nil && r.Done != nil {
+			r.Done()
+		}
 		// If this response is missing, the caller would read the next one as the
 		// response to this request.
 		ended = ended || last || r == nil
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -4,7 +4,8 @@
 //
 // Guarantees: a request is written at most once. A response is returned only if
 // it is complete and has the id of the request. A connection is reused only after
-// a complete exchange without unread bytes.
+// a complete exchange without unread bytes. What a server sends without end is cut:
+// a head at a fixed size, a body when the memory that all exchanges share is used up.
 package upstream
 
 import (
@@ -12,6 +13,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -19,6 +21,7 @@
 	"sync"
 	"time"
 
+	"github.com/lycheerudder/lycheerudder/internal/membudget"
 	"github.com/lycheerudder/lycheerudder/internal/schedule"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
@@ -48,8 +51,14 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// memory holds the bytes of Body in the client's budget.
+	memory *membudget.Holder
 }
 
+// Release returns the memory of the response to the client's budget. The body must
+// not be used after that.
+func (r *Response) Release() { r.memory.Release() }
+
 // Outcome is the result of an exchange. Response is nil unless the server's
 // response is complete and shows that the request ran.
 type Outcome struct {
@@ -70,8 +79,13 @@
 	// idle connection is closed here before the server closes it.
 	idleMargin = 1500 * time.Millisecond
 	// defaultIdle is the idle timeout for servers that state no keep-alive timeout.
-	defaultIdle      = 4 * time.Second
-	maxResponseBytes = 64 << 20
+	defaultIdle = 4 * time.Second
+	// maxHeadBytes bounds the status line and the headers of a response: four times
+	// what callers may send by default.
+	maxHeadBytes = 64 << 10
+	// firstBodyBytes is the memory that a body gets before any of it has arrived; it
+	// doubles as more arrives. A stated length is no reason to hold more.
+	firstBodyBytes = 16 << 10
 	// maxResponses bounds the responses that are read in one exchange, with interim
 	// responses and late responses to earlier requests.
 	maxResponses   = 3
@@ -82,6 +96,7 @@
 // safe for concurrent use.
 type Client struct {
 	headers Headers
+	memory  *membudget.Budget
 	dial    func(ctx context.Context, address string) (net.Conn, error)
 
 	mu   sync.Mutex
@@ -90,21 +105,23 @@
 
 type conn struct {
 	net.Conn
-	br      *bufio.Reader
-	expires time.Time // end of reuse: the server may close the idle connection later
+	limited *io.LimitedReader // reads from Conn
+	br      *bufio.Reader     // reads from limited
+	expires time.Time         // end of reuse: the server may close the idle connection later
 }
 
-// New returns a client that opens TCP connections.
-func New(headers Headers) *Client {
+// New returns a client that opens TCP connections. The bodies of responses that are
+// being received or were not released hold at most the memory of the budget.
+func New(headers Headers, memory *membudget.Budget) *Client {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	return NewWithDialer(headers, func(ctx context.Context, address string) (net.Conn, error) {
+	return NewWithDialer(headers, memory, func(ctx context.Context, address string) (net.Conn, error) {
 		return d.DialContext(ctx, "tcp", address)
 	})
 }
 
 // NewWithDialer returns a client that opens connections with dial.
-func NewWithDialer(headers Headers, dial func(ctx context.Context, address string) (net.Conn, error)) *Client {
-	return &Client{headers: headers, dial: dial, idle: make(map[string][]*conn)}
+func NewWithDialer(headers Headers, memory *membudget.Budget, dial func(ctx context.Context, address string) (net.Conn, error)) *Client {
+	return &Client{headers: headers, memory: memory, dial: dial, idle: make(map[string][]*conn)}
 }
 
 // get returns an idle connection or a new one, and whether it was used before.
@@ -129,7 +146,8 @@
 	if err != nil {
 		return nil, false, err
 	}
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBufferSize)}, false, nil
+	limited := &io.LimitedReader{R: nc}
+	return &conn{Conn: nc, limited: limited, br: bufio.NewReaderSize(limited, readBufferSize)}, false, nil
 }
 
 func (c *Client) put(address string, cn *conn, idleTimeout time.Duration) {
@@ -283,52 +301,87 @@
 	}
 	method := &http.Request{Method: r.Method}
 	for range maxResponses {
+		cn.limited.N = maxHeadBytes
 		resp, err := http.ReadResponse(cn.br, method)
 		if err != nil {
+			if cn.limited.N <= 0 {
+				err = errors.New("response head is too large")
+			}
 			return fail(err)
 		}
+		cn.limited.N = math.MaxInt64 // the body is limited by the budget
 		if resp.StatusCode < 200 {
 			_ = resp.Body.Close()
 			continue
 		}
-		body, err := readBody(resp)
-		_ = resp.Body.Close()
+		memory := c.memory.Holder()
+		body, err := readBody(resp, memory)
 		if err != nil {
+			memory.Release()
 			return fail(err)
 		}
 		if id := resp.Header.Get(c.headers.RequestID); id != r.ID {
+			memory.Release()
 			if id == "" {
 				return fail(errors.New("response has no request id"))
 			}
 			continue // a late or duplicate response to an earlier request
 		}
-		outcome := c.classify(resp, body)
+		outcome := c.classify(resp)
+		if outcome.Response == nil {
+			memory.Release()
+		} else {
+			outcome.Response.Body, outcome.Response.memory = body, memory
+		}
 		return outcome, c.idleTimeout(resp, written)
 	}
 	return fail(errors.New("too many interim responses or responses to other requests"))
 }
 
-func readBody(resp *http.Response) ([]byte, error) {
-	if resp.Request.Method == http.MethodHead {
+// errNoMemory is returned for a response that the budget has no room for.
+var errNoMemory = errors.New("response body is larger than the memory that is free")
+
+// readBody reads the body of a response into memory of the holder.
+func readBody(resp *http.Response, memory *membudget.Holder) ([]byte, error) {
+	if resp.Request.Method == http.MethodHead || resp.ContentLength == 0 {
 		return nil, nil
 	}
-	if resp.ContentLength > maxResponseBytes {
-		return nil, errors.New("response body is too large")
+	size := int64(firstBodyBytes)
+	if resp.ContentLength > 0 {
+		size = min(size, resp.ContentLength)
 	}
-	if resp.ContentLength >= 0 {
-		body := make([]byte, resp.ContentLength)
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
+	if !memory.Grow(size) {
+		return nil, errNoMemory
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errors.New("response body is too large")
+	body := make([]byte, 0, size)
+	for {
+		n, err := resp.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, err
+		case len(body) < cap(body):
+			continue
+		case int64(len(body)) == resp.ContentLength:
+			return body, nil
+		}
+		size = int64(cap(body))
+		if resp.ContentLength > 0 {
+			size = min(size, resp.ContentLength-int64(len(body)))
+		}
+		if !memory.Grow(size) {
+			return nil, errNoMemory
+		}
+		grown := make([]byte, len(body), int64(len(body))+size)
+		copy(grown, body)
+		body = grown
 	}
-	return body, err
 }
 
 // classify determines the outcome of a request from its complete response.
-func (c *Client) classify(resp *http.Response, body []byte) Outcome {
+func (c *Client) classify(resp *http.Response) Outcome {
 	outcome := Outcome{Result: schedule.Succeeded}
 	outcome.Report.Running, outcome.Report.Waiting, outcome.Report.LoadKnown = parseLoad(resp.Header.Get(c.headers.ServerLoad))
 	status := resp.StatusCode
@@ -356,7 +409,7 @@
 		outcome.Result, outcome.Cause = schedule.Failed, errors.New("server refused the request without confirming that it did not run")
 		return outcome
 	}
-	outcome.Response = &Response{Status: status, Header: resp.Header, Body: body}
+	outcome.Response = &Response{Status: status, Header: resp.Header}
 	return outcome
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -14,6 +14,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/lycheerudder/lycheerudder/internal/membudget"
 	"github.com/lycheerudder/lycheerudder/internal/schedule"
 	"github.com/lycheerudder/lycheerudder/internal/upstream"
 )
@@ -22,6 +23,9 @@
 	RequestID: "X-Id", TimeLeft: "X-Left", Target: "X-Target", Signature: "X-Signature", NotExecuted: "X-Not-Executed", ServerLoad: "X-Load",
 }
 
+// testMemory is the budget of the clients in these tests in bytes.
+const testMemory = 16 << 20
+
 // script handles the first exchange on a connection. It returns whether the
 // connection stays open.
 type script func(c net.Conn, br *bufio.Reader) bool
@@ -140,7 +144,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
 			address, _ := startServer(t, c.first)
-			client := upstream.New(headers)
+			client := upstream.New(headers, membudget.New(testMemory))
 			deadline := time.Now().Add(400 * time.Millisecond)
 			ctx, cancel := context.WithDeadline(t.Context(), deadline)
 			defer cancel()
@@ -165,7 +169,7 @@
 // retries some requests when a reused connection is closed.
 func TestRequestIsWrittenOnce(t *testing.T) {
 	g := NewWithT(t)
-	client := upstream.New(headers)
+	client := upstream.New(headers, membudget.New(testMemory))
 	deadline := time.Now().Add(time.Second)
 	out := client.Do(t.Context(), "s", "127.0.0.1:1", deadline, request("x", ""))
 	g.Expect([]any{out.Result, out.NotRun}).To(Equal([]any{schedule.ConnectFailed, true}))
@@ -199,7 +203,7 @@
 		got <- r.Header.Get("X-Left") + " " + r.Header.Get("X-Target")
 		return false
 	})
-	upstream.New(headers).Do(t.Context(), "s-7", address, time.Now().Add(250*time.Millisecond), request("x", ""))
+	upstream.New(headers, membudget.New(testMemory)).Do(t.Context(), "s-7", address, time.Now().Add(250*time.Millisecond), request("x", ""))
 	var left int
 	var target string
 	_, err := fmt.Sscanf(<-got, "%d %s", &left, &target)
