Refuse requests that still wait for a server when their host stops

Cause: a stopping host let requests wait for a server until the end of the grace period, and then cut them off without an answer. The accepted connections of the 0.5 s that Shutdown lingers made it likelier; it could happen before.

The leader is told to forget them. The rest of the period is left for the requests that run.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,6 +45,9 @@
 	// stopReserve is the end of the grace period that is kept for the exit of
 	// the process.
 	stopReserve = 400 * time.Millisecond
+	// stopWaitShare is the share of the grace period after which a stopping host
+	// lets no request wait for a server. The rest is left for running requests.
+	stopWaitShare = 2.0 / 3
 )
 
 // gateway is the state of one process.
@@ -306,12 +309,15 @@
 
 // stop reports the host as not ready, so that the balancer sends requests
 // elsewhere, ends the leadership, and returns once all requests have a response
-// or the grace period is over.
+// or the grace period is over. Requests that wait for a server for too long are
+// refused before that.
 func (g *gateway) stop(parent context.Context, callers *httpserver.Server, stopLead func()) {
 	g.log.Info("host stops")
 	g.stopping.Store(true)
 	startedAt := time.Now()
 	stopLead()
+	refuse := time.AfterFunc(time.Duration(stopWaitShare*float64(g.active.bounds.Load().StopGrace)), g.leaderClient.refuseWaiting)
+	defer refuse.Stop()
 	time.Sleep(g.active.timing().notReadyTime)
 	ctx, cancel := context.WithDeadline(parent, startedAt.Add(g.active.bounds.Load().StopGrace-stopReserve))
 	defer cancel()
--- a/internal/gateway/leaderclient.go
+++ b/internal/gateway/leaderclient.go
@@ -91,6 +91,8 @@
 	peerIndex     int
 	peerAskedAt   time.Duration // time of the last message to a peer
 	endLeadership func()        // ends the leadership of this host
+	// refusing is set by refuseWaiting.
+	refusing bool
 }
 
 func newLeaderClient(clk clock.Clock, link *hostlink.Link, incarnation uint64, dc topology.DataCentre, suspectLeader func(), listUsable func() bool) *leaderClient {
@@ -152,6 +154,10 @@
 	job.DataCentre = c.dataCentre
 	now := c.clk.Now()
 	r := &routingRequest{serviceHash: serviceHash, job: job, decision: make(chan schedule.Decision, 1), lastSent: now, firstSent: now}
+	if c.refusing {
+		c.mu.Unlock()
+		return hostStopsDecision(&r.job), job.ID.Number, nil
+	}
 	c.pending[job.ID.Number] = r
 	c.mu.Unlock()
 	c.submit(r)
@@ -167,6 +173,26 @@
 	}
 }
 
+// refuseWaiting refuses the requests that wait for a server, and from now on all
+// others. A stopping host calls it while there is time for the requests that run: a
+// request that still waited at the end would be cut off without a response.
+func (c *leaderClient) refuseWaiting() {
+	c.mu.Lock()
+	c.refusing = true
+	waiting := c.pending
+	c.pending = make(map[uint32]*routingRequest)
+	c.mu.Unlock()
+	for _, r := range waiting {
+		r.decision <- hostStopsDecision(&r.job)
+		c.report(schedule.Report{ID: r.job.ID, Result: schedule.CallerDisconnected})
+	}
+}
+
+// hostStopsDecision refuses a request that another host can serve at once.
+func hostStopsDecision(j *schedule.Job) schedule.Decision {
+	return schedule.Decision{Job: j, Refused: true, Reason: schedule.HostStops, RetryAfter: minRetryAfter}
+}
+
 // submit passes a request to the leader, or to a scheduler of this host.
 func (c *leaderClient) submit(r *routingRequest) {
 	c.mu.Lock()
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -91,11 +91,13 @@
 	NoServer
 	// Harmful: the request has crashed several servers.
 	Harmful
+	// HostStops: the host of the request stops before a server is free.
+	HostStops
 )
 
 // String returns the name of the reason in logs and metrics.
 func (r Reason) String() string {
-	return [...]string{"none", "overloaded", "no-owner", "no-server", "harmful"}[r]
+	return [...]string{"none", "overloaded", "no-owner", "no-server", "harmful", "host-stops"}[r]
 }
 
 // Server describes a server to which jobs may be assigned.
