Count restarted hosts as lost to an earlier leader

Cause: a new leader waits up to 10 s before it moves keys of servers that it cannot reach, until a majority of the hosts listed by the earlier leader follows it. Hosts are listed by the incarnation of their process, so a host that was restarted in between counted for neither.

Change: the leader record lists the addresses of the hosts as well. A listed process has ended when another one follows from its address. Records without addresses are read as before, earlier releases ignore the new field.

--- a/internal/gateway/elector.go
+++ b/internal/gateway/elector.go
@@ -68,6 +68,8 @@
 	// Followers holds the hosts a majority of which lets the leader act without
 	// the store.
 	Followers []uint64 `json:"list,omitempty"`
+	// FollowerAddresses holds the addresses of Followers in the same order.
+	FollowerAddresses []string `json:"addresses,omitempty"`
 	// Earlier holds the earlier leaders that may still act.
 	Earlier []leaderlease.EarlierLeader `json:"earlier,omitempty"`
 }
@@ -78,7 +80,7 @@
 	if r.Member == "" {
 		return nil
 	}
-	return append(slices.Clone(r.Earlier), leaderlease.EarlierLeader{Address: r.Address, Incarnation: r.Incarnation, Followers: r.Followers})
+	return append(slices.Clone(r.Earlier), leaderlease.EarlierLeader{Address: r.Address, Incarnation: r.Incarnation, Followers: r.Followers, FollowerAddresses: r.FollowerAddresses})
 }
 
 // elector finds the leader or becomes the leader.
--- a/internal/gateway/leadershipstore.go
+++ b/internal/gateway/leadershipstore.go
@@ -207,6 +207,7 @@
 	now := l.clk.Now()
 	record := l.record
 	record.Followers = l.lease.Followers(now)
+	record.FollowerAddresses = l.lease.Addresses(record.Followers)
 	record.Earlier = l.lease.EarlierLeaders(now)
 	if slices.Equal(record.Followers, l.record.Followers) && len(record.Earlier) == len(l.record.Earlier) {
 		l.recordStaleSince = 0
--- a/internal/leaderlease/lease.go
+++ b/internal/leaderlease/lease.go
@@ -10,8 +10,9 @@
 // It acts for up to ExtendedDuration while a majority of the followers listed
 // in its stored record still follow it. A host follows one leader at a time
 // and never returns to an earlier one. Therefore an earlier leader has ended
-// once a majority of its listed followers follow the new leader, or once its
-// process is known to have ended.
+// once a majority of its listed followers follow the new leader or have ended,
+// or once its own process is known to have ended. A process has ended when
+// another one follows from its address.
 //
 // The package performs no I/O and reads no clock; times are durations since an
 // arbitrary origin of this host.
@@ -49,19 +50,31 @@
 	// follow the leader while it acts for up to ExtendedDuration. If it is
 	// empty, the leader acts for BaseDuration only.
 	Followers []uint64 `json:"List"`
+	// FollowerAddresses holds the addresses of Followers in the same order; it is
+	// empty in records of releases that did not store them.
+	FollowerAddresses []string `json:"Addresses,omitempty"`
 }
 
 // Lease is the leader lease of one leadership of this host.
 type Lease struct {
 	settings    Settings
 	self        uint64 // incarnation of this host
+	address     string // address of this host
 	claimedAt   time.Duration
 	confirmedAt time.Duration
 	// storedFollowers holds the followers that the stored record of this leader
 	// lists.
 	storedFollowers []uint64
 	earlier         []*earlierState
-	lastMessage     map[uint64]time.Duration // by incarnation of the follower
+	followers       map[uint64]follower // by incarnation
+	// incarnations holds the incarnation that was last heard from each address.
+	incarnations map[string]uint64
+}
+
+// follower is a host that follows this leader.
+type follower struct {
+	address     string
+	lastMessage time.Duration
 }
 
 // earlierState is what this host knows of an earlier leader.
@@ -77,7 +90,10 @@
 // New returns the lease of a leader that claimed the leadership at the given
 // time, while the given earlier leaders may still act.
 func New(settings Settings, self uint64, address string, claimedAt time.Duration, earlier []EarlierLeader) *Lease {
-	l := &Lease{settings: settings, self: self, claimedAt: claimedAt, confirmedAt: claimedAt, lastMessage: make(map[uint64]time.Duration)}
+	l := &Lease{
+		settings: settings, self: self, address: address, claimedAt: claimedAt, confirmedAt: claimedAt,
+		followers: make(map[uint64]follower), incarnations: map[string]uint64{address: self},
+	}
 	for _, e := range earlier {
 		// This process no longer acts on an earlier claim of its own, and an
 		// earlier process with its address has ended.
@@ -97,7 +113,8 @@
 
 // RecordFollower records a message of a host that follows this leader.
 func (l *Lease) RecordFollower(host uint64, address string, now time.Duration) {
-	l.lastMessage[host] = now
+	l.followers[host] = follower{address: address, lastMessage: now}
+	l.incarnations[address] = host
 	for _, e := range l.earlier {
 		if e.endedAt != 0 {
 			continue
@@ -107,7 +124,7 @@
 			// The earlier leader follows this one, or another process now has its
 			// address.
 			e.endedAt, e.processGone = now, true
-		case len(e.Followers) > 0 && l.countFollowers(e.Followers, now) > len(e.Followers)/2:
+		case len(e.Followers) > 0 && l.countLost(e.EarlierLeader, now) > len(e.Followers)/2:
 			e.endedAt = now
 		}
 	}
@@ -117,7 +134,31 @@
 func (l *Lease) countFollowers(hosts []uint64, now time.Duration) int {
 	n := 0
 	for _, h := range hosts {
-		if at, ok := l.lastMessage[h]; h == l.self || (ok && now-at <= l.settings.FollowerTimeout) {
+		if l.follows(h, now) {
+			n++
+		}
+	}
+	return n
+}
+
+// follows reports whether a host follows this leader.
+func (l *Lease) follows(host uint64, now time.Duration) bool {
+	f, ok := l.followers[host]
+	return host == l.self || (ok && now-f.lastMessage <= l.settings.FollowerTimeout)
+}
+
+// countLost returns how many of its listed followers an earlier leader has lost:
+// they follow this leader, or another process has their address. Hosts that are
+// restarted in turn while a data centre is cut off are counted only by the latter.
+func (l *Lease) countLost(e EarlierLeader, now time.Duration) int {
+	n := 0
+	for i, h := range e.Followers {
+		lost := l.follows(h, now)
+		if !lost && len(e.FollowerAddresses) == len(e.Followers) {
+			present, ok := l.incarnations[e.FollowerAddresses[i]]
+			lost = ok && present != h
+		}
+		if lost {
 			n++
 		}
 	}
@@ -175,11 +216,23 @@
 // including itself, in ascending order.
 func (l *Lease) Followers(now time.Duration) []uint64 {
 	hosts := []uint64{l.self}
-	for h, at := range l.lastMessage {
-		if now-at <= l.settings.FollowerTimeout && h != l.self {
+	for h := range l.followers {
+		if h != l.self && l.follows(h, now) {
 			hosts = append(hosts, h)
 		}
 	}
 	slices.Sort(hosts)
 	return hosts
 }
+
+// Addresses returns the addresses of hosts that Followers returned, in the same
+// order.
+func (l *Lease) Addresses(hosts []uint64) []string {
+	addresses := make([]string, len(hosts))
+	for i, h := range hosts {
+		if addresses[i] = l.followers[h].address; h == l.self {
+			addresses[i] = l.address
+		}
+	}
+	return addresses
+}
