Do not send a request to a former owner again without a leader

Cause: a host whose leader does not respond follows the last known key map. Each attempt uses the retry budget of the service and time of a server.

With a leader nothing changes: it grants the key again.

--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -217,6 +217,11 @@
 	if outcome.Response != nil && outcome.Response.Status == http.StatusGatewayTimeout {
 		return false
 	}
+	if outcome.Result == schedule.WrongServer && in.leaderClient.leaderSilent() {
+		// This host follows the last known key map, which names the same server
+		// again. A new leader is found within about a second.
+		return false
+	}
 	switch {
 	case !outcome.NotRun && !c.route.Idempotent,
 		c.sends >= maxSends,
