--- a/internal/hostlink/hostlink.go
+++ b/internal/hostlink/hostlink.go
@@ -175,16 +175,23 @@
 		if err != nil {
 			return err
 		}
-		var m message
-		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
+		if err := Dispatch(buf[:n], from, h); err != nil {
 			onDecodeError(err)
-			continue
-		}
-		switch {
-		case m.ToLeader != nil:
-			h.HandleToLeader(from, m.ToLeader)
-		case m.FromLeader != nil:
-			h.HandleFromLeader(from, m.FromLeader)
 		}
 	}
 }
+
+// Dispatch decodes one datagram and passes its message to h.
+func Dispatch(datagram []byte, from netip.AddrPort, h Handler) error {
+	var m message
+	if err := cbor.Unmarshal(datagram, &m); err != nil {
+		return err
+	}
+	switch {
+	case m.ToLeader != nil:
+		h.HandleToLeader(from, m.ToLeader)
+	case m.FromLeader != nil:
+		h.HandleFromLeader(from, m.FromLeader)
+	}
+	return nil
+}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -97,7 +97,11 @@
 
 // String returns the name of the reason in logs and metrics.
 func (r Reason) String() string {
-	return [...]string{"none", "overloaded", "no-owner", "no-server", "harmful", "host-stops"}[r]
+	names := [...]string{"none", "overloaded", "no-owner", "no-server", "harmful", "host-stops"}
+	if int(r) >= len(names) {
+		return "unknown" // sent by a later release
+	}
+	return names[r]
 }
 
 // Server describes a server to which jobs may be assigned.
