Refuse late requests of a saturated service without keys earlier

Cause: a service without keys that gets more than it can do let requests wait until their deadline and then refused them.

Change: while demand is above 1.2 times the slots, a request that has less than twice its expected time left before its target is late, and only the youngest late ones are kept, enough for half of the slots.

TestSaturatedServiceWithoutKeys fails on the version before: refused callers waited for up to 3.9 s.

--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -180,6 +180,7 @@
 	// waiting holds the jobs of an unkeyed service, unowned the jobs of a keyed
 	// service whose keys have no owner with a grant.
 	waiting, unowned []*Job
+	demand           demand // of the jobs of an unkeyed service
 	assigned         map[JobID]*server
 	jobs             map[JobID]*Job
 	estimates        map[uint32]*durationEstimate
@@ -253,8 +254,10 @@
 	s.jobs[j.ID] = j
 	if s.keyed {
 		if srv := s.servers[s.ownerOf(j.Key).Server]; srv != nil {
-			srv.addDemand(j.estimate.expectedSeconds(), now)
+			srv.demand.add(j.estimate.expectedSeconds(), now)
 		}
+	} else {
+		s.demand.add(j.estimate.expectedSeconds(), now)
 	}
 	s.enqueue(j)
 }
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -415,3 +415,56 @@
 	g.Expect(s.Decide(6 * ms)).To(BeEmpty())
 	g.Expect(s.Decide(40 * ms)).To(HaveLen(1))
 }
+
+// Sends a service without keys one and a half times the requests that its 26 slots
+// can process, for ten seconds. Guards against requests that are held until their
+// deadline and then refused, and against responses that all miss their target by a
+// little because requests start in the order of their targets.
+func TestSaturatedServiceWithoutKeys(t *testing.T) {
+	g := NewWithT(t)
+	s := schedule.New(false, schedule.Settings{RemoteCost: 2})
+	s.SetServers(pool(13), 0)
+	const target, deadline = time.Second, 4 * time.Second
+	type run struct {
+		job *schedule.Job
+		end time.Duration
+		// took is the processing time.
+		took time.Duration
+	}
+	var running []run
+	addedAt := make(map[schedule.JobID]time.Duration)
+	var longestWait time.Duration
+	added, onTime, served := 0, 0, 0
+	for now := time.Duration(0); now < 10*time.Second; now += ms {
+		if now%(4*ms) == 0 { // 250 requests/s; the service processes 167
+			j := job(schedule.NoKey, 1, now, target, deadline)
+			addedAt[j.ID] = now
+			s.Add(j, now)
+			added++
+		}
+		unfinished := running[:0]
+		for _, r := range running {
+			if now < r.end {
+				unfinished = append(unfinished, r)
+				continue
+			}
+			s.HandleReport(schedule.Report{ID: r.job.ID, Result: schedule.Succeeded, Duration: r.took}, now)
+			served++
+			if now <= r.job.Target {
+				onTime++
+			}
+		}
+		running = unfinished
+		for _, d := range s.Decide(now) {
+			if d.Refused {
+				longestWait = max(longestWait, now-addedAt[d.Job.ID])
+				continue
+			}
+			took := time.Duration(60+added%5*48) * ms // 156 ms on average, 252 at most
+			running = append(running, run{d.Job, now + took, took})
+		}
+	}
+	g.Expect(longestWait).To(BeNumerically("<", target), "a refused caller can still try again in time")
+	g.Expect(served).To(BeNumerically(">", 1500), "26 slots, 156 ms each, for ten seconds: 1,667")
+	g.Expect(onTime).To(BeNumerically(">", served*9/10))
+}
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -24,33 +24,35 @@
 	waiting    []*Job        // jobs whose keys this server owns
 	// dirty is true if the queue or the running jobs have changed since the last
 	// call of Decide.
-	dirty bool
-	// demand is the mean number of slots that the arriving jobs would keep busy
-	// at a server of mean speed.
-	demand        float64
-	demandUpdated time.Duration // time of the last update of demand
+	dirty  bool
+	demand demand // of the jobs whose keys this server owns
+}
+
+// demand is the mean number of slots that arriving jobs would keep busy at a server
+// of mean speed.
+type demand struct {
+	slots   float64
+	updated time.Duration // time of the last update
 }
 
 // demandTimeConstant is the time constant of the decay of demand. A queue that
 // grows for longer than this is not drained before its jobs are late.
 const demandTimeConstant = 700 * time.Millisecond
 
-// addDemand adds the expected processing time of a job to the demand.
-func (srv *server) addDemand(expectedSeconds float64, now time.Duration) {
-	srv.decayDemand(now)
-	srv.demand += expectedSeconds / demandTimeConstant.Seconds()
+// add adds the expected processing time of a job.
+func (d *demand) add(expectedSeconds float64, now time.Duration) {
+	d.slots = d.at(now) + expectedSeconds/demandTimeConstant.Seconds()
+	d.updated = now
 }
 
-// decayDemand applies the decay since the last update to the demand.
-func (srv *server) decayDemand(now time.Duration) {
-	srv.demand *= math.Exp(-float64(now-srv.demandUpdated) / float64(demandTimeConstant))
-	srv.demandUpdated = now
+// at returns the demand after the decay since the last update.
+func (d *demand) at(now time.Duration) float64 {
+	return d.slots * math.Exp(-float64(now-d.updated)/float64(demandTimeConstant))
 }
 
 // saturated reports whether more work arrives than the server can process.
 func (srv *server) saturated(now time.Duration) bool {
-	srv.decayDemand(now)
-	return srv.demand*srv.slowness > saturationThreshold*float64(srv.Slots)
+	return srv.demand.at(now)*srv.slowness > saturationThreshold*float64(srv.Slots)
 }
 
 // targetMargin returns the multiple of its expected processing time that a job
--- a/internal/schedule/unkeyed.go
+++ b/internal/schedule/unkeyed.go
@@ -4,12 +4,28 @@
 	"time"
 )
 
+const (
+	// poolSaturation is the ratio of demand to slots above which a service without
+	// keys counts as saturated. Its queue grows at any ratio above one.
+	poolSaturation = 1.2
+	// poolMargin is the multiple of its expected time that a job must have left
+	// before its target to be expected to meet it: of the processing times, nine in
+	// ten are below twice the mean.
+	poolMargin = 2
+)
+
 // decideUnkeyed assigns waiting jobs to free servers and refuses the jobs that
 // cannot be completed in time.
 func (s *Scheduler) decideUnkeyed(now time.Duration, out []Decision) []Decision {
 	s.waiting = s.dropFinished(s.waiting)
+	slots, running := 0, 0
+	for _, srv := range s.sortedServers {
+		slots += srv.Slots
+		running += len(srv.running)
+	}
+	saturated := slots > 0 && s.demand.at(now) > poolSaturation*float64(slots)
 	for len(s.waiting) > 0 {
-		i := s.nextJob(s.waiting, now, 1)
+		i := s.nextJob(s.waiting, now, poolMargin)
 		j := s.waiting[i]
 		srv := s.pickServer(j, now)
 		if srv == nil {
@@ -21,19 +37,28 @@
 	if len(s.waiting) == 0 {
 		return out
 	}
-	slots, running := 0, 0
-	for _, srv := range s.sortedServers {
-		slots += srv.Slots
-		running += len(srv.running)
+	late := func(j *Job) bool { return saturated && now+poolMargin*s.expectedTime(j, 1) > j.Target }
+	// Late jobs get only the slots that no other job can use. The youngest are kept,
+	// enough for half of the slots; the others would wait until their deadline and
+	// then be refused.
+	excess := -slots / 2
+	for _, j := range s.waiting {
+		if late(j) {
+			excess++
+		}
 	}
 	backlog := s.expectedWait(s.waiting, running, slots, 1)
 	kept := s.waiting[:0]
 	for _, j := range s.waiting {
 		work := s.expectedTime(j, 1)
+		surplus := excess > 0 && late(j)
+		if surplus {
+			excess--
+		}
 		switch {
 		case slots == 0 && now-j.arrived > maxUnownedWait/2:
 			out = append(out, s.refuse(j, NoServer, time.Second))
-		case now+work/2 > j.Deadline, j.arrived == now && slots > 0 && now+backlog+work > j.Deadline:
+		case surplus, now+work/2 > j.Deadline, j.arrived == now && slots > 0 && now+backlog+work > j.Deadline:
 			out = append(out, s.refuse(j, Overloaded, max(minRetryAfter, backlog/2)))
 		default:
 			kept = append(kept, j)
