Split the refusals of unkeyed services from their assignments

Change: refuseUnkeyed holds the refusals; the count of running jobs follows the assignments of the same call again.

--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -70,6 +70,8 @@
 var past = time.Unix(1, 0)
 
 // Server accepts connections and runs a handler for each request.
+//
+// Lock order: Server.mu before conn.mu.
 type Server struct {
 	handler Handler
 	limits  func() Limits
--- a/internal/keyplacement/keyplacement.go
+++ b/internal/keyplacement/keyplacement.go
@@ -107,6 +107,7 @@
 	// MinMoves and ServersPerMove bound the moves of one plan that balance load:
 	// one for each ServersPerMove servers, and at least MinMoves. With a fixed
 	// number, a service with many servers follows a change of its load too slowly.
+	// ServersPerMove is at least one.
 	MinMoves, ServersPerMove int
 	// MinUtilisationGap is the minimum difference in utilisation between two servers
 	// for a move from one to the other.
--- a/internal/schedule/unkeyed.go
+++ b/internal/schedule/unkeyed.go
@@ -33,10 +33,17 @@
 		}
 		s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
 		out = append(out, s.assign(j, srv))
+		running++
 	}
-	if len(s.waiting) == 0 {
-		return out
+	if len(s.waiting) > 0 {
+		out = s.refuseUnkeyed(now, slots, running, saturated, out)
 	}
+	return out
+}
+
+// refuseUnkeyed refuses the waiting jobs of an unkeyed service that cannot be
+// completed in time.
+func (s *Scheduler) refuseUnkeyed(now time.Duration, slots, running int, saturated bool, out []Decision) []Decision {
 	late := func(j *Job) bool { return saturated && now+poolMargin*s.expectedTime(j, 1) > j.Target }
 	// Late jobs get only the slots that no other job can use. The youngest are kept,
 	// enough for half of the slots; the others would wait until their deadline and
