Join key ranges as fast as moves split them

Change: the bound of the joins of a plan grows with the servers like that of the moves, and above 2.5 ranges for each server a plan makes no more than three moves that balance load.

TestRangesDoNotGrowWithTime fails on the version before: 4,728 ranges on 154 servers after a minute of changing hot keys (bound 770), 248 on 22 servers (bound 110).

--- a/internal/keyplacement/keyplacement.go
+++ b/internal/keyplacement/keyplacement.go
@@ -160,13 +160,20 @@
 	}
 	p.assignRanges()
 	p.moveHotKey()
-	for range max(settings.MinMoves, len(servers)/settings.ServersPerMove) {
+	moves := max(settings.MinMoves, len(servers)/settings.ServersPerMove)
+	joins := max(minJoinsPerPlan, len(servers)/settings.ServersPerMove)
+	rangeLimit := settings.MaxRangesPerServer * float64(len(servers))
+	if float64(len(ranges)) > rangeLimit {
+		// Most moves split a range. Above the limit, joins must outnumber them.
+		moves = settings.MinMoves
+	}
+	for range moves {
 		if !p.balance(settings) {
 			break
 		}
 	}
-	for range maxJoinsPerPlan {
-		if float64(len(p.ranges)) <= settings.MaxRangesPerServer*float64(len(p.servers)) || !p.joinRange() {
+	for range joins {
+		if float64(len(p.ranges)) <= rangeLimit || !p.joinRange() {
 			break
 		}
 	}
@@ -209,8 +216,9 @@
 }
 
 const (
-	// maxJoinsPerPlan is the maximum number of moves of one plan that only join ranges.
-	maxJoinsPerPlan = 2
+	// minJoinsPerPlan is the least bound of the moves of one plan that only join
+	// ranges. With more servers, the bound is that of the moves that balance load.
+	minJoinsPerPlan = 2
 	// maxJoinLoad is the load below which a range may be moved only to join it with
 	// an adjacent one, as a fraction of the capacity of the server that receives it.
 	maxJoinLoad = 0.04
--- a/internal/keyplacement/keyplacement_test.go
+++ b/internal/keyplacement/keyplacement_test.go
@@ -244,3 +244,33 @@
 		})
 	}
 }
+
+// Replaces the set of busy keys once a second, for a minute. Guards against ranges
+// whose number grows with time: each one is renewed by the leader several times a
+// second, on a host that may have a sixth of a core.
+func TestRangesDoNotGrowWithTime(t *testing.T) {
+	for _, n := range []int{22, 154} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			g := NewWithT(t)
+			capacities := make([]float64, n)
+			for i := range capacities {
+				capacities[i] = 2
+			}
+			list, ranges := servers(capacities...), evenRanges(n)
+			load := 1.2 * float64(n) // 0.6 of the slots
+			most := 0
+			for second := range 60 {
+				first := second * 7919 % (keymap.KeyCount - 1000)
+				prefixSums := sums(func(k int) float64 {
+					if k >= first && k < first+1000 {
+						return 0.5 * load / 1000
+					}
+					return 0.5 * load / (keymap.KeyCount - 1000)
+				})
+				ranges, _ = applyPlans(ranges, list, prefixSums, 4)
+				most = max(most, len(ranges))
+			}
+			g.Expect(most).To(BeNumerically("<", 2*settings.MaxRangesPerServer*float64(n)))
+		})
+	}
+}
