Log and count the decisions of the retry budget

The hypotheses on too many retries could not be told apart: no line had the number of hosts, the requests or the retries that decided, and denials were not counted. A request's lines now carry the last decision on it with its inputs; each host writes at most one line a second and service with the retries allowed and denied; `retry-denied` counts denials.

No decision logic is changed.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,8 @@
 	// for the leader, idleTick the interval otherwise.
 	busyTick = 15 * time.Millisecond
 	idleTick = 100 * time.Millisecond
+	// retryLogInterval is the interval of the log lines on retries.
+	retryLogInterval = time.Second
 	// closeExpiredInterval is the interval at which idle connections to servers
 	// are closed.
 	closeExpiredInterval = 2 * time.Second
@@ -359,12 +361,28 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// tick repeats routing requests and closes idle connections until the context
-// ends.
+// serviceName returns the name of a service of the present configuration.
+func (g *gateway) serviceName(serviceHash uint32) string {
+	if cfg := g.watcher.config.Load(); cfg != nil {
+		for name := range cfg.Services {
+			if hash32(string(name)) == serviceHash {
+				return string(name)
+			}
+		}
+	}
+	return "unknown"
+}
+
+// tick repeats routing requests, logs the retries and closes idle connections until
+// the context ends.
 func (g *gateway) tick(ctx context.Context) {
-	lastClose := time.Now()
+	lastClose, lastRetryLog := time.Now(), time.Now()
 	for ctx.Err() == nil {
 		g.leaderClient.tick()
+		if time.Since(lastRetryLog) > retryLogInterval {
+			lastRetryLog = time.Now()
+			g.ingress.budget.logRecent(g.ingress.log.log, g.serviceName)
+		}
 		if time.Since(lastClose) > closeExpiredInterval {
 			lastClose = time.Now()
 			g.upstream.CloseExpired()
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -65,6 +65,8 @@
 	// counts those servers.
 	mayHaveRun   bool
 	possibleRuns int
+	// retry is the last decision of the retry budget on the request.
+	retry retryDecision
 }
 
 // handle processes one request and returns its response; nil if the caller has
@@ -232,7 +234,11 @@
 	if outcome.Result == schedule.ConnectFailed {
 		return true // the service received nothing, so no budget is used
 	}
-	return in.budget.allowRetry(c.serviceHash, in.leaderClient.state().hosts)
+	c.retry = in.budget.decideRetry(c.serviceHash, in.leaderClient.state().hosts)
+	if c.retry.denied {
+		in.metrics.inc("retry-denied")
+	}
+	return !c.retry.denied
 }
 
 // failedResponse returns the response to a request whose exchange failed and
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -58,6 +58,7 @@
 	if cause != nil {
 		e = e.With("cause", cause.Error())
 	}
+	e = c.retry.logFields(e)
 	e.Info(message)
 }
 
