Use no retry slack until the number of hosts is known for a window

Cause: the slack of the budget is divided by the number of hosts, and a process that has heard from no leader took itself for the only host: each used the slack of all. The same happens in part when a new leader, which counts its followers from one upwards, tells the count so far, when both sides of a partition count only their own, and when a process uses its share in the window in which its predecessor used it. Class: an allowance that all hosts share, divided by a number that a process does not know.

Now a host uses no slack until it has known the number for a whole window (then its predecessor's retries are out of the window, and a new leader has heard from all), divides by the largest number that it ever heard, and uses a third of its share, so that three sides of a partition stay within the bound. The ratio part needs no number: it counts the host's own requests.

Ruled out: sends that use no budget (after failed connections); the sum of the allowed retries explains what arrived.

TestReload expected 0.7 of the slack in the first moment of a process, which is the fault; it now expects none of it, then exactly the share under each bound.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -379,6 +379,7 @@
 	lastClose, lastRetryLog := time.Now(), time.Now()
 	for ctx.Err() == nil {
 		g.leaderClient.tick()
+		g.ingress.budget.setHosts(g.leaderClient.state().hosts)
 		if time.Since(lastRetryLog) > retryLogInterval {
 			lastRetryLog = time.Now()
 			g.ingress.budget.logRecent(g.ingress.log.log, g.serviceName)
--- a/internal/gateway/leaderclient.go
+++ b/internal/gateway/leaderclient.go
@@ -82,7 +82,7 @@
 	firstReport         uint32        // number of the first report in reports
 	reports             []hostlink.Report
 	reportsSentAt       time.Duration
-	hostCount           int
+	hostCount           int           // told by the leader; zero until one did
 	leaderListAge       time.Duration // age of the leader's list of servers at lastHeard
 	leaderConfigVersion int64         // version of the configuration that the leader knows
 	// peers holds addresses of other hosts, which are asked in turn when the
@@ -98,7 +98,7 @@
 func newLeaderClient(clk clock.Clock, link *hostlink.Link, incarnation uint64, dc topology.DataCentre, suspectLeader func(), listUsable func() bool) *leaderClient {
 	c := &leaderClient{
 		clk: clk, link: link, incarnation: incarnation, dataCentre: dc, suspectLeader: suspectLeader,
-		pending: make(map[uint32]*routingRequest), firstReport: 1, hostCount: 1,
+		pending: make(map[uint32]*routingRequest), firstReport: 1,
 	}
 	c.fallback = newScheduler(clk, c.deliver, listUsable)
 	return c
--- a/internal/gateway/retrybudget.go
+++ b/internal/gateway/retrybudget.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/logging"
@@ -10,7 +11,9 @@
 
 // retryBudget bounds the repeated attempts that each service receives. The
 // bound holds over all hosts without coordination: each host uses the retry
-// ratio of its own requests and its share of the slack.
+// ratio of its own requests and its share of the slack. A host whose number of
+// peers is not known for a whole window uses no slack: it may be one of many, and
+// its predecessor may have used its share.
 //
 // It limits load on a service that fails or refuses many requests while its
 // load is highest, when each retry takes the place of a first attempt.
@@ -22,6 +25,11 @@
 	services map[uint32]*window.Counts
 	// recent holds the decisions on each service since the last log line.
 	recent map[uint32]*recentRetries
+	// maxHosts is the largest number of hosts that a leader told this process, zero
+	// if none did. A smaller one may be that of a new leader or of one side of a
+	// partition. hostsKnownAt is the time of the first.
+	maxHosts     int
+	hostsKnownAt time.Duration
 }
 
 // recentRetries counts decisions on retries of one service.
@@ -30,9 +38,15 @@
 	last            retryDecision
 }
 
-// budgetShare is the fraction of the bound that is used: windows slide, and
-// hosts do not learn a new number of hosts at the same time.
-const budgetShare = 0.7
+const (
+	// ratioShare is the fraction of the retry ratio that is used: the newest bucket
+	// of a window is incomplete, and retries arrive later than they are decided on.
+	ratioShare = 0.7
+	// slackShare is the fraction of the slack that is used: hosts that start while
+	// they are cut off count the hosts of their side only, and three sides may
+	// each use the share of all.
+	slackShare = 1.0 / 3
+)
 
 func newRetryBudget(clk clock.Clock, active *activeBounds) *retryBudget {
 	return &retryBudget{clk: clk, active: active, services: make(map[uint32]*window.Counts), recent: make(map[uint32]*recentRetries)}
@@ -51,26 +65,31 @@
 	denied            bool
 	requests, retries float64 // in the window, without the retry in question
 	limit             float64 // retries in the window that the budget permits
-	hosts             int
+	hosts             int     // that share the slack; zero if their number is not known for long enough
 }
 
 // logFields adds the decision to a log line.
 func (d retryDecision) logFields(l logging.Logger) logging.Logger {
-	if d.hosts == 0 {
+	if d == (retryDecision{}) {
 		return l
 	}
 	return l.With("window_requests", d.requests).With("window_retries", d.retries).With("retry_limit", d.limit).With("hosts", d.hosts)
 }
 
 // decideRetry decides whether the budget permits a retry, and counts it if so.
+// Hosts is the number of hosts that the leader told last, zero if none did.
 func (b *retryBudget) decideRetry(serviceHash uint32, hosts int) retryDecision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.counts(serviceHash)
-	d := retryDecision{hosts: max(1, hosts)}
+	b.learnHosts(hosts)
+	d := retryDecision{hosts: b.sharingHosts()}
 	d.requests, d.retries = c.Sums()
 	bounds := b.active.bounds.Load()
-	d.limit = budgetShare * (bounds.RetryRatio*d.requests + bounds.RetrySlack/float64(d.hosts))
+	d.limit = ratioShare * bounds.RetryRatio * d.requests
+	if d.hosts > 0 {
+		d.limit += slackShare * bounds.RetrySlack / float64(d.hosts)
+	}
 	d.denied = d.retries+1 > d.limit
 	if !d.denied {
 		c.CountRetry()
@@ -79,6 +98,31 @@
 	return d
 }
 
+// setHosts takes note of the number of hosts that the leader told last, zero if none
+// did.
+func (b *retryBudget) setHosts(hosts int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.learnHosts(hosts)
+}
+
+// learnHosts is setHosts for a caller that holds the lock.
+func (b *retryBudget) learnHosts(hosts int) {
+	if hosts > 0 && b.maxHosts == 0 {
+		b.hostsKnownAt = b.clk.Now()
+	}
+	b.maxHosts = max(b.maxHosts, hosts)
+}
+
+// sharingHosts returns the number of hosts that share the slack, zero if it is not
+// known for a whole window. The caller holds the lock.
+func (b *retryBudget) sharingHosts() int {
+	if b.maxHosts == 0 || b.clk.Now()-b.hostsKnownAt < b.active.bounds.Load().RetryWindow {
+		return 0
+	}
+	return b.maxHosts
+}
+
 // countDecision counts a decision for the log. The caller holds the lock.
 func (b *retryBudget) countDecision(serviceHash uint32, d retryDecision) {
 	r, ok := b.recent[serviceHash]
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -92,11 +92,13 @@
 		}
 		return n
 	}
-	g.Expect(permitted()).To(Equal(43), "0.7 of 62")
+	g.Expect(permitted()).To(BeZero(), "the number of hosts is not known for a window")
+	now.Advance(set.Bounds.RetryWindow)
+	g.Expect(permitted()).To(Equal(20), "a third of 62")
 
 	set.Bounds.RetrySlack, set.Bounds.DrainWindow = 100, time.Second
 	gw.reload(set)
-	g.Expect(permitted()).To(Equal(70-43), "0.7 of 100")
+	g.Expect(permitted()).To(Equal(33-20), "a third of 100")
 	g.Expect(gw.active.timing().maxListAge).To(Equal(700 * time.Millisecond))
 
 	set.Bounds.RetrySlack, set.StoreAddress = 1000, "nowhere"
