Count a retry in the window in which it is sent

Cause: a retry was counted when it was decided on, and then waited for a server, up to the timeout of its route. Retries allowed in one window arrived in the next, which had a budget of its own. Class: a rate that is limited at one moment and takes effect at another.

Now an allowed retry counts as waiting until it has a server or is refused, and enters the window only then.

Tried and not kept: a retry that is refused in the queue gives its budget back.

--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -65,8 +65,10 @@
 	// counts those servers.
 	mayHaveRun   bool
 	possibleRuns int
-	// retry is the last decision of the retry budget on the request.
-	retry retryDecision
+	// retry is the last decision of the retry budget on the request; retryWaits is
+	// true while a retry that it allowed waits for a server.
+	retry      retryDecision
+	retryWaits bool
 }
 
 // handle processes one request and returns its response; nil if the caller has
@@ -87,6 +89,7 @@
 	defer cancel()
 	in.budget.countRequest(c.serviceHash)
 	response := in.forward(ctx, c)
+	in.endRetryWait(c)
 	in.metrics.observeLatency(route.Name, time.Since(c.startedAt))
 	return response
 }
@@ -179,6 +182,7 @@
 			clock.Sleep(ctx, drainingRetryDelay)
 			continue
 		}
+		in.endRetryWait(c)
 		outcome := in.upstream.Do(ctx, decision.Server, decision.Address, c.deadline, &c.request)
 		outcome.Report.ID = id
 		in.leaderClient.report(outcome.Report)
@@ -202,6 +206,14 @@
 	}
 }
 
+// endRetryWait tells the budget that the wait of a retry for a server has ended.
+func (in *ingress) endRetryWait(c *callerRequest) {
+	if c.retryWaits {
+		c.retryWaits = false
+		in.budget.endRetryWait(c.serviceHash)
+	}
+}
+
 // serverDraining reports whether this host knows that the server is draining.
 func (in *ingress) serverDraining(id topology.ServerID) bool {
 	in.watcher.mu.Lock()
@@ -235,10 +247,11 @@
 		return true // the service received nothing, so no budget is used
 	}
 	c.retry = in.budget.decideRetry(c.serviceHash, in.leaderClient.state().hosts)
+	c.retryWaits = !c.retry.denied
 	if c.retry.denied {
 		in.metrics.inc("retry-denied")
 	}
-	return !c.retry.denied
+	return c.retryWaits
 }
 
 // failedResponse returns the response to a request whose exchange failed and
--- a/internal/gateway/retrybudget.go
+++ b/internal/gateway/retrybudget.go
@@ -22,7 +22,7 @@
 	active *activeBounds
 
 	mu       sync.Mutex
-	services map[uint32]*window.Counts
+	services map[uint32]*serviceRetries
 	// recent holds the decisions on each service since the last log line.
 	recent map[uint32]*recentRetries
 	// maxHosts is the largest number of hosts that a leader told this process, zero
@@ -32,6 +32,14 @@
 	hostsKnownAt time.Duration
 }
 
+// serviceRetries holds the counts of one service.
+type serviceRetries struct {
+	window.Counts
+	// waiting counts the retries that were allowed and wait for a server. They enter
+	// the window when the wait ends: it moves on meanwhile.
+	waiting int
+}
+
 // recentRetries counts decisions on retries of one service.
 type recentRetries struct {
 	allowed, denied int
@@ -49,7 +57,7 @@
 )
 
 func newRetryBudget(clk clock.Clock, active *activeBounds) *retryBudget {
-	return &retryBudget{clk: clk, active: active, services: make(map[uint32]*window.Counts), recent: make(map[uint32]*recentRetries)}
+	return &retryBudget{clk: clk, active: active, services: make(map[uint32]*serviceRetries), recent: make(map[uint32]*recentRetries)}
 }
 
 // countRequest counts a first attempt.
@@ -63,7 +71,7 @@
 // hosts that it follows from. The zero value is a retry that no budget decided on.
 type retryDecision struct {
 	denied            bool
-	requests, retries float64 // in the window, without the retry in question
+	requests, retries float64 // in the window, without the retry in question; retries that wait are included
 	limit             float64 // retries in the window that the budget permits
 	hosts             int     // that share the slack; zero if their number is not known for long enough
 }
@@ -76,8 +84,9 @@
 	return l.With("window_requests", d.requests).With("window_retries", d.retries).With("retry_limit", d.limit).With("hosts", d.hosts)
 }
 
-// decideRetry decides whether the budget permits a retry, and counts it if so.
-// Hosts is the number of hosts that the leader told last, zero if none did.
+// decideRetry decides whether the budget permits a retry. If so, the caller must
+// call endRetryWait once the retry has a server or is refused. Hosts is the number
+// of hosts that the leader told last, zero if none did.
 func (b *retryBudget) decideRetry(serviceHash uint32, hosts int) retryDecision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -85,6 +94,7 @@
 	b.learnHosts(hosts)
 	d := retryDecision{hosts: b.sharingHosts()}
 	d.requests, d.retries = c.Sums()
+	d.retries += float64(c.waiting)
 	bounds := b.active.bounds.Load()
 	d.limit = ratioShare * bounds.RetryRatio * d.requests
 	if d.hosts > 0 {
@@ -92,12 +102,23 @@
 	}
 	d.denied = d.retries+1 > d.limit
 	if !d.denied {
-		c.CountRetry()
+		c.waiting++
 	}
 	b.countDecision(serviceHash, d)
 	return d
 }
 
+// endRetryWait counts an allowed retry that is sent now or was refused in the queue.
+// One that was refused counts as well: it took a place in the queue of a service
+// that is short of room.
+func (b *retryBudget) endRetryWait(serviceHash uint32) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := b.counts(serviceHash)
+	c.waiting--
+	c.CountRetry()
+}
+
 // setHosts takes note of the number of hosts that the leader told last, zero if none
 // did.
 func (b *retryBudget) setHosts(hosts int) {
@@ -151,16 +172,11 @@
 	}
 }
 
-// allowRetry reports whether the budget permits a retry, and counts it if so.
-func (b *retryBudget) allowRetry(serviceHash uint32, hosts int) bool {
-	return !b.decideRetry(serviceHash, hosts).denied
-}
-
 // counts returns the counts of a service, advanced to the present window.
-func (b *retryBudget) counts(serviceHash uint32) *window.Counts {
+func (b *retryBudget) counts(serviceHash uint32) *serviceRetries {
 	c, ok := b.services[serviceHash]
 	if !ok {
-		c = new(window.Counts)
+		c = new(serviceRetries)
 		b.services[serviceHash] = c
 	}
 	c.Advance(b.clk.Now(), b.active.bounds.Load().RetryWindow)
--- a/internal/gateway/retrybudget_test.go
+++ b/internal/gateway/retrybudget_test.go
@@ -19,6 +19,8 @@
 	hosts  []*budgetHost
 	// requests and retries hold the arrivals in each step since the start.
 	requests, retries []float64
+	// delay is the number of steps for which a retry waits for a server.
+	delay int
 }
 
 // budgetHost is the process of one host.
@@ -27,6 +29,9 @@
 	budget *retryBudget
 	load   float64 // requests in each step
 	due    float64 // part of a request that is left over from earlier steps
+	// waiting holds the retries that wait for a server, by the step in which they
+	// are sent.
+	waiting map[int]int
 }
 
 const (
@@ -54,6 +59,7 @@
 	h.client = newLeaderClient(f.clk, nil, 1, "a", func() {}, func() bool { return true })
 	h.client.active = f.active
 	h.budget = newRetryBudget(f.clk, f.active)
+	h.waiting = make(map[int]int)
 }
 
 // follow makes the hosts follow a new leader. It tells each host the number of hosts
@@ -79,12 +85,16 @@
 		h.budget.countRequest(1)
 		f.requests[last]++
 		for range budgetAttempts {
-			if !h.budget.allowRetry(1, h.client.state().hosts) {
+			if h.budget.decideRetry(1, h.client.state().hosts).denied {
 				break
 			}
-			f.retries[last]++
+			h.waiting[last+f.delay]++
 		}
 	}
+	for ; h.waiting[last] > 0; h.waiting[last]-- {
+		h.budget.endRetryWait(1)
+		f.retries[last]++
+	}
 }
 
 // step advances the time and lets all hosts send.
@@ -172,3 +182,26 @@
 		g.Expect(f.excess()).To(BeNumerically("<=", 0))
 	})
 }
+
+// Guards against retries that were allowed within the budget and arrive together
+// beyond it, because they waited for a server of an overloaded service.
+func TestRetriesThatWaitStayInBudget(t *testing.T) {
+	g := NewWithT(t)
+	f := newBudgetFleet(12, 20)
+	f.follow(f.hosts)
+	for range 200 { // the service recovers: requests without retries
+		f.clk.Advance(budgetStep)
+		f.requests, f.retries = append(f.requests, 0), append(f.retries, 0)
+		for _, h := range f.hosts {
+			for range 20 {
+				h.budget.countRequest(1)
+				f.requests[len(f.requests)-1]++
+			}
+		}
+	}
+	f.delay = 30
+	f.run(3 * time.Second)
+	f.delay = 0
+	f.run(20 * time.Second)
+	g.Expect(f.excess()).To(BeNumerically("<=", 0))
+}
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -87,7 +87,7 @@
 	b := newRetryBudget(now, gw.active)
 	permitted := func() int {
 		n := 0
-		for b.allowRetry(1, 1) {
+		for !b.decideRetry(1, 1).denied {
 			n++
 		}
 		return n
