Read and log the limits that servers name

The hypotheses could not be told apart, because nothing said whether a host knew of a limit. A value that is no rate is logged and not used. The header is not passed on to callers. Requests are placed as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -156,7 +156,7 @@
 	metrics.RegisterFunc("response_memory_bytes", func() float64 { return float64(responses.Used()) })
 	g.upstream = upstream.New(upstream.Headers{
 		RequestID: names.RequestID, TimeLeft: names.TimeLeft, Target: names.Target,
-		Signature: names.Signature, NotExecuted: names.NotExecuted, ServerLoad: names.ServerLoad,
+		Signature: names.Signature, NotExecuted: names.NotExecuted, ServerLoad: names.ServerLoad, ServerLimit: names.ServerLimit,
 	}, responses)
 	g.watcher = newStoreWatcher(clk, store, g.active, g.readPolicy, g.storeChanged)
 	g.leaderClient = newLeaderClient(clk, link, incarnation, settings.DataCentre, func() { g.elector.checkNow() }, g.watcher.listUsable)
@@ -177,6 +177,7 @@
 	g.ingress = &ingress{
 		clk: clk, names: names, leaderClient: g.leaderClient, watcher: g.watcher, upstream: g.upstream,
 		budget: newRetryBudget(clk, g.active), log: &requestLog{log: logging.For(logging.Frontend), clk: clk}, metrics: metrics,
+		limits: newServerLimits(clk, logging.For(logging.Frontend)),
 	}
 	metrics.RegisterFunc("leads", func() float64 {
 		if g.leaderClient.state().leads {
@@ -194,6 +195,7 @@
 	} {
 		metrics.RegisterFunc(name, func() float64 { return g.elector.sumServices(pick) })
 	}
+	metrics.RegisterFunc("limited_servers", func() float64 { return float64(g.ingress.limits.count()) })
 	metrics.RegisterFunc("hosts", func() float64 { return float64(g.leaderClient.state().hosts) })
 	return g, nil
 }
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -44,6 +44,7 @@
 	watcher        *storeWatcher
 	upstream       *upstream.Client
 	budget         *retryBudget
+	limits         *serverLimits
 	log            *requestLog
 	metrics        *metrics
 	serviceChoices atomic.Uint64
@@ -184,6 +185,7 @@
 		}
 		in.endRetryWait(c)
 		outcome := in.upstream.Do(ctx, decision.Server, decision.Address, c.deadline, &c.request)
+		in.recordLimit(c, decision.Server, outcome)
 		outcome.Report.ID = id
 		in.leaderClient.report(outcome.Report)
 		c.sends++
@@ -206,6 +208,14 @@
 	}
 }
 
+// recordLimit takes note of what a response says of the limit of its server.
+func (in *ingress) recordLimit(c *callerRequest, server topology.ServerID, outcome upstream.Outcome) {
+	if outcome.LimitError != nil {
+		in.log.event(c, "the limit of a server cannot be read", string(server), outcome.Result.String(), outcome.LimitError)
+	}
+	in.limits.record(server, outcome.Limit)
+}
+
 // endRetryWait tells the budget that the wait of a retry for a server has ended.
 func (in *ingress) endRetryWait(c *callerRequest) {
 	if c.retryWaits {
@@ -321,7 +331,7 @@
 func (in *ingress) serverResponse(c *callerRequest, server topology.ServerID, response *upstream.Response) *httpserver.Response {
 	in.metrics.inc("answered-" + strconv.Itoa(response.Status/100) + "xx")
 	for _, name := range []string{
-		"Connection", "Keep-Alive", "Transfer-Encoding", "Trailer", "Upgrade", "Proxy-Connection", "Content-Length", in.names.ServerLoad,
+		"Connection", "Keep-Alive", "Transfer-Encoding", "Trailer", "Upgrade", "Proxy-Connection", "Content-Length", in.names.ServerLoad, in.names.ServerLimit,
 	} {
 		response.Header.Del(name)
 	}
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -20,6 +20,7 @@
 	Signature   string
 	NotExecuted string
 	ServerLoad  string
+	ServerLimit string
 	Key         string
 	ReadyPath   string
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -12,6 +12,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"net"
@@ -34,6 +35,7 @@
 	Signature   string
 	NotExecuted string
 	ServerLoad  string // running, waiting and slots, separated by commas
+	ServerLimit string // requests a second that the server accepts from all hosts
 }
 
 // Request is a complete request of a caller.
@@ -68,7 +70,11 @@
 	NotRun   bool
 	Response *Response
 	Report   schedule.Report
-	Cause    error
+	// Limit is what the response says of the rate that the server accepts. If the
+	// response states it in a way that cannot be read, LimitError is set.
+	Limit      schedule.Limit
+	LimitError error
+	Cause      error
 }
 
 const (
@@ -383,6 +389,9 @@
 // classify determines the outcome of a request from its complete response.
 func (c *Client) classify(resp *http.Response) Outcome {
 	outcome := Outcome{Result: schedule.Succeeded}
+	if resp.StatusCode != http.StatusMisdirectedRequest { // another server may have the address
+		outcome.Limit, outcome.LimitError = parseLimit(resp.Header.Get(c.headers.ServerLimit))
+	}
 	outcome.Report.Running, outcome.Report.Waiting, outcome.Report.LoadKnown = parseLoad(resp.Header.Get(c.headers.ServerLoad))
 	status := resp.StatusCode
 	switch {
@@ -438,6 +447,18 @@
 	return idle
 }
 
+// parseLimit parses the rate from the header ServerLimit.
+func parseLimit(value string) (schedule.Limit, error) {
+	if value == "" {
+		return schedule.NoLimit(), nil
+	}
+	perSecond, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	if err != nil || math.IsNaN(perSecond) || math.IsInf(perSecond, 0) || perSecond < 0 {
+		return schedule.Limit{}, fmt.Errorf("limit of requests %q is not a rate", value)
+	}
+	return schedule.Limit{Stated: true, PerSecond: perSecond}, nil
+}
+
 // parseLoad parses the numbers of running and waiting requests from the header
 // ServerLoad.
 func parseLoad(value string) (running, waiting int, ok bool) {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -21,6 +21,7 @@
 
 var headers = upstream.Headers{
 	RequestID: "X-Id", TimeLeft: "X-Left", Target: "X-Target", Signature: "X-Signature", NotExecuted: "X-Not-Executed", ServerLoad: "X-Load",
+	ServerLimit: "X-Limit",
 }
 
 // testMemory is the budget of the clients in these tests in bytes.
@@ -191,6 +192,41 @@
 	g.Expect(onReused.Load() + onOthers.Load()).To(Equal(int32(1)))
 }
 
+// Guards against a limit that is not read from a response of any status, against the
+// limit of another server that has the address, and against a value that is no rate.
+func TestServerLimit(t *testing.T) {
+	named := func(status, limit string) string {
+		return "HTTP/1.1 " + status + "\r\nX-Id: ID\r\nX-Signature: s\r\nX-Limit: " + limit + "\r\nContent-Length: 2\r\n\r\nok"
+	}
+	rate := func(perSecond float64) schedule.Limit { return schedule.Limit{Stated: true, PerSecond: perSecond} }
+	for _, c := range []struct {
+		name, response string
+		limit          schedule.Limit
+		invalid        bool
+	}{
+		{name: "no limit", response: okResponse, limit: schedule.NoLimit()},
+		{name: "limit with a success", response: named("200 OK", "2.3"), limit: rate(2.3)},
+		{name: "limit with a failure", response: named("500 X", "0.5"), limit: rate(0.5)},
+		{name: "limit with a refusal", response: named("503 X", "4"), limit: rate(4)},
+		{name: "no requests at all", response: named("503 X", "0"), limit: rate(0)},
+		{name: "another server has the address", response: named("421 X", "4")},
+		{name: "no response", response: ""},
+		{name: "truncated response", response: strings.TrimSuffix(named("200 OK", "2.3"), "ok")},
+		{name: "not a number", response: named("200 OK", "few"), invalid: true},
+		{name: "not finite", response: named("200 OK", "NaN"), invalid: true},
+		{name: "negative", response: named("200 OK", "-1"), invalid: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			address, _ := startServer(t, respond(c.response, false))
+			client := upstream.New(headers, membudget.New(testMemory))
+			out := client.Do(t.Context(), "s", address, time.Now().Add(time.Second), request("x", ""))
+			g.Expect(out.Limit).To(Equal(c.limit))
+			g.Expect(out.LimitError != nil).To(Equal(c.invalid))
+		})
+	}
+}
+
 // Guards against a TimeLeft header with more time than the caller has left.
 func TestTimeLeft(t *testing.T) {
 	g := NewWithT(t)
