Keep to the limits that servers name

Cause: no host knew of the limit; requests were placed by slots alone. Class: a statement of a server about itself that the router passes on and does not use.

Now hosts pass the limit on to the leader, which places the requests of all hosts: it spaces those to the server at the limit, refuses at once what the limit leaves no time for, and counts the server's capacity by the limit, so that its keys move away. Hosts tell each new leader what servers named to them. While no leader responds, each host uses its share of half the limit, by the largest number of hosts that it ever heard (300 if none), at a random phase, and turns that were not used lapse: otherwise all hosts that had a turn in hand would use it at once. A limit ends when a response of the server names none, when the server starts again, and after 30 s without a response. Messages of hosts keep their form, since earlier releases reject longer ones; limits have a message of their own.

--- a/internal/gateway/elector_test.go
+++ b/internal/gateway/elector_test.go
@@ -38,6 +38,7 @@
 	denials atomic.Int64
 }
 
+func (l *lateLeader) HandleServerLimits(*hostlink.ServerLimits) {}
 func (l *lateLeader) HandleToLeader(from netip.AddrPort, _ *hostlink.ToLeader) {
 	leads := l.leads.Load()
 	if !leads {
@@ -51,6 +52,7 @@
 type clientHandler struct{ client *leaderClient }
 
 func (h *clientHandler) HandleToLeader(netip.AddrPort, *hostlink.ToLeader) {}
+func (h *clientHandler) HandleServerLimits(*hostlink.ServerLimits)         {}
 func (h *clientHandler) HandleFromLeader(from netip.AddrPort, m *hostlink.FromLeader) {
 	h.client.handle(from, m)
 }
--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -135,6 +135,22 @@
 	}
 }
 
+// handleLimits processes the limits that servers named to a host.
+func (fs *followers) handleLimits(m *hostlink.ServerLimits) {
+	fs.mu.Lock()
+	s := fs.scheduler
+	fs.mu.Unlock()
+	if s == nil {
+		return // the host sends them again to the leader that it follows next
+	}
+	for _, l := range m.Limits {
+		if l.PerSecond >= 0 {
+			limit := schedule.Limit{Stated: true, PerSecond: l.PerSecond}
+			s.setLimit(serverLimit{service: l.Service, server: topology.ServerID(l.Server), limit: limit}, schedule.LimitShare{})
+		}
+	}
+}
+
 // takeRequestCounts returns the numbers of new and of repeated requests since
 // the last call.
 func (fs *followers) takeRequestCounts() (newRequests, repeated int) {
@@ -218,6 +234,8 @@
 		if d.Refused {
 			m.Kind, m.Reason = hostlink.KindRefused, uint8(d.Reason)
 			m.RetryAfterMS = uint32(d.RetryAfter.Milliseconds())
+		} else if d.Limited {
+			m.Kind = hostlink.KindAssignedLimited
 		}
 		byHost[d.Job.ID.HostIncarnation] = append(byHost[d.Job.ID.HostIncarnation], m)
 	}
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -28,6 +29,8 @@
 	b.client.handle(from, m)
 }
 
+func (b bothRoles) HandleServerLimits(m *hostlink.ServerLimits) { b.followers.handleLimits(m) }
+
 // Passes arbitrary datagrams to a leader and to a host with a waiting request, and
 // then uses the decision. Guards against a malformed message, or one of another
 // release, that ends the process.
@@ -53,6 +56,14 @@
 		}
 		f.Add(data)
 	}
+	for _, perSecond := range []float64{0, 2.3, 1e300, -1, math.NaN(), math.Inf(1)} {
+		limits := hostlink.ServerLimits{Limits: []hostlink.ServerLimit{{Service: hash32("svc"), Server: "s", PerSecond: perSecond}}}
+		data, err := cbor.Marshal([]any{nil, nil, limits})
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
 	link, err := hostlink.Listen("127.0.0.1:0")
 	if err != nil {
 		f.Fatal(err)
@@ -70,11 +81,13 @@
 		fs := &followers{clk: clk, link: link, incarnation: 7, header: func() hostlink.FromLeader { return hostlink.FromLeader{} }, deliverLocal: client.deliver, currentLeader: client.currentLeader}
 		s := newScheduler(clk, fs.deliver, usable)
 		s.addServices(&fleet.Config{Services: map[topology.Service]fleet.Service{"svc": {}, "keyed": {Keyed: true}}}, nil, nil)
+		s.updateServers([]fleet.Server{{ID: "s", Service: "svc", Slots: 1}})
 		fs.setScheduler(s, 1, func(uint64, string) {})
 		if hostlink.Dispatch(datagram, leader, bothRoles{followers: fs, client: client}) != nil {
 			return
 		}
 		client.tick()
+		s.add(hash32("svc"), &schedule.Job{ID: schedule.JobID{HostIncarnation: 7, Number: 2}, Key: schedule.NoKey, Deadline: clk.Now() + time.Hour})
 		s.dispatch()
 		select {
 		case d := <-request.decision:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,6 +79,9 @@
 	g.leaderClient.handle(from, m)
 }
 
+// HandleServerLimits implements hostlink.Handler.
+func (g *gateway) HandleServerLimits(m *hostlink.ServerLimits) { g.followers.handleLimits(m) }
+
 // Run serves until the context ends, and then stops gracefully. It accepts
 // changed settings while it runs: the bounds apply at once, the rest after the
 // next start.
@@ -177,7 +180,6 @@
 	g.ingress = &ingress{
 		clk: clk, names: names, leaderClient: g.leaderClient, watcher: g.watcher, upstream: g.upstream,
 		budget: newRetryBudget(clk, g.active), log: &requestLog{log: logging.For(logging.Frontend), clk: clk}, metrics: metrics,
-		limits: newServerLimits(clk, logging.For(logging.Frontend)),
 	}
 	metrics.RegisterFunc("leads", func() float64 {
 		if g.leaderClient.state().leads {
@@ -195,7 +197,7 @@
 	} {
 		metrics.RegisterFunc(name, func() float64 { return g.elector.sumServices(pick) })
 	}
-	metrics.RegisterFunc("limited_servers", func() float64 { return float64(g.ingress.limits.count()) })
+	metrics.RegisterFunc("limited_servers", func() float64 { return float64(g.leaderClient.limits.count()) })
 	metrics.RegisterFunc("hosts", func() float64 { return float64(g.leaderClient.state().hosts) })
 	return g, nil
 }
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -44,7 +44,6 @@
 	watcher        *storeWatcher
 	upstream       *upstream.Client
 	budget         *retryBudget
-	limits         *serverLimits
 	log            *requestLog
 	metrics        *metrics
 	serviceChoices atomic.Uint64
@@ -185,7 +184,7 @@
 		}
 		in.endRetryWait(c)
 		outcome := in.upstream.Do(ctx, decision.Server, decision.Address, c.deadline, &c.request)
-		in.recordLimit(c, decision.Server, outcome)
+		in.recordLimit(c, decision, outcome)
 		outcome.Report.ID = id
 		in.leaderClient.report(outcome.Report)
 		c.sends++
@@ -209,11 +208,13 @@
 }
 
 // recordLimit takes note of what a response says of the limit of its server.
-func (in *ingress) recordLimit(c *callerRequest, server topology.ServerID, outcome upstream.Outcome) {
+func (in *ingress) recordLimit(c *callerRequest, decision schedule.Decision, outcome upstream.Outcome) {
 	if outcome.LimitError != nil {
-		in.log.event(c, "the limit of a server cannot be read", string(server), outcome.Result.String(), outcome.LimitError)
+		in.log.event(c, "the limit of a server cannot be read", string(decision.Server), outcome.Result.String(), outcome.LimitError)
+	}
+	if outcome.Limit.Stated {
+		in.leaderClient.recordLimit(serverLimit{service: c.serviceHash, server: decision.Server, limit: outcome.Limit}, decision.Limited)
 	}
-	in.limits.record(server, outcome.Limit)
 }
 
 // endRetryWait tells the budget that the wait of a retry for a server has ended.
--- a/internal/gateway/leaderclient.go
+++ b/internal/gateway/leaderclient.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -83,6 +84,7 @@
 	reports             []hostlink.Report
 	reportsSentAt       time.Duration
 	hostCount           int           // told by the leader; zero until one did
+	maxHostCount        int           // largest hostCount so far
 	leaderListAge       time.Duration // age of the leader's list of servers at lastHeard
 	leaderConfigVersion int64         // version of the configuration that the leader knows
 	// peers holds addresses of other hosts, which are asked in turn when the
@@ -91,6 +93,8 @@
 	peerIndex     int
 	peerAskedAt   time.Duration // time of the last message to a peer
 	endLeadership func()        // ends the leadership of this host
+	limits        *serverLimits // that servers named to this host
+	limitPhase    float64       // of the fallback scheduler, see schedule.LimitShare
 	// refusing is set by refuseWaiting.
 	refusing bool
 }
@@ -98,9 +102,10 @@
 func newLeaderClient(clk clock.Clock, link *hostlink.Link, incarnation uint64, dc topology.DataCentre, suspectLeader func(), listUsable func() bool) *leaderClient {
 	c := &leaderClient{
 		clk: clk, link: link, incarnation: incarnation, dataCentre: dc, suspectLeader: suspectLeader,
-		pending: make(map[uint32]*routingRequest), firstReport: 1,
+		pending: make(map[uint32]*routingRequest), firstReport: 1, limitPhase: rand.Float64(),
 	}
 	c.fallback = newScheduler(clk, c.deliver, listUsable)
+	c.limits = newServerLimits(clk, logging.For(logging.Frontend))
 	return c
 }
 
@@ -116,6 +121,7 @@
 	c.unansweredSince = 0
 	c.mu.Unlock()
 	logging.For(logging.Lead).With("leader", addr.String()).With("epoch", epoch).Info("this host follows a leader")
+	c.passLimits(c.limits.list())
 	c.resubmitAll()
 }
 
@@ -127,6 +133,7 @@
 	c.lastHeard = c.clk.Now()
 	c.reports = nil
 	c.mu.Unlock()
+	c.passLimits(c.limits.list())
 	c.resubmitAll()
 }
 
@@ -290,6 +297,51 @@
 	c.sendToLeader(leader, nil)
 }
 
+// unknownHostCount is assumed by a host that was never told how many hosts share a
+// limit: about the number of hosts of the largest deployment.
+const unknownHostCount = 300
+
+// recordLimit passes what a response says of the limit of its server to the
+// schedulers that may send it requests. Known is true if the scheduler that chose
+// the server knew a limit.
+func (c *leaderClient) recordLimit(l serverLimit, known bool) {
+	if !c.limits.record(l) && !known {
+		return
+	}
+	c.mu.Lock()
+	share := schedule.LimitShare{Hosts: c.maxHostCount, Phase: c.limitPhase}
+	c.mu.Unlock()
+	if share.Hosts == 0 {
+		share.Hosts = unknownHostCount
+	}
+	c.fallback.setLimit(l, share)
+	c.passLimits([]serverLimit{l})
+}
+
+// passLimits passes limits to the leader, or to the scheduler of this host if it
+// leads.
+func (c *leaderClient) passLimits(limits []serverLimit) {
+	c.mu.Lock()
+	own, leader := c.ownScheduler, c.leader
+	c.mu.Unlock()
+	if own != nil {
+		for _, l := range limits {
+			own.setLimit(l, schedule.LimitShare{})
+		}
+		return
+	}
+	if !leader.IsValid() {
+		return
+	}
+	for part := range slices.Chunk(limits, maxDatagramItems) {
+		m := new(hostlink.ServerLimits)
+		for _, l := range part {
+			m.Limits = append(m.Limits, hostlink.ServerLimit{Service: l.service, Server: string(l.server), PerSecond: l.limit.PerSecond})
+		}
+		_ = c.link.SendServerLimits(leader, m) // the next response of the server states its limit again
+	}
+}
+
 // deliver passes decisions of a scheduler or the leader to the waiting requests
 // of this host.
 func (c *leaderClient) deliver(decisions []schedule.Decision) {
@@ -339,7 +391,7 @@
 	}
 	c.setPeers(m.Peers)
 	c.lastHeard, c.unansweredSince = c.clk.Now(), 0
-	c.hostCount = max(1, int(m.Hosts))
+	c.learnHostCount(int(m.Hosts))
 	c.leaderListAge = time.Duration(m.DirectoryAgeMS) * time.Millisecond
 	c.leaderConfigVersion = m.ConfigVersion
 	if n := int32(m.AckedReport - c.firstReport + 1); n > 0 {
@@ -360,6 +412,7 @@
 			Job: &r.job, Server: topology.ServerID(dec.Server), Address: dec.Address,
 			Refused: dec.Kind == hostlink.KindRefused, Reason: schedule.Reason(dec.Reason),
 			RetryAfter: time.Duration(dec.RetryAfterMS) * time.Millisecond,
+			Limited:    dec.Kind == hostlink.KindAssignedLimited,
 		})
 	}
 	c.mu.Unlock()
@@ -520,7 +573,13 @@
 func (c *leaderClient) setHostCount(n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.learnHostCount(n)
+}
+
+// learnHostCount is setHostCount for a caller that holds the lock.
+func (c *leaderClient) learnHostCount(n int) {
 	c.hostCount = max(1, n)
+	c.maxHostCount = max(c.maxHostCount, c.hostCount)
 }
 
 // followAfterDenial follows the leader at addr again if it responded that it
--- a/internal/gateway/leaderclient_test.go
+++ b/internal/gateway/leaderclient_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"sync/atomic"
 	"testing"
@@ -10,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lycheerudder/lycheerudder/internal/clock"
+	"github.com/lycheerudder/lycheerudder/internal/fleet"
 	"github.com/lycheerudder/lycheerudder/internal/hostlink"
 	"github.com/lycheerudder/lycheerudder/internal/schedule"
 )
@@ -19,6 +21,7 @@
 	timedOut atomic.Int64
 	// disconnected receives the numbers of requests that are reported as given up.
 	disconnected chan uint32
+	limits       chan hostlink.ServerLimit
 }
 
 func (l *silentLeader) HandleToLeader(_ netip.AddrPort, m *hostlink.ToLeader) {
@@ -30,6 +33,15 @@
 	}
 }
 func (l *silentLeader) HandleFromLeader(netip.AddrPort, *hostlink.FromLeader) {}
+func (l *silentLeader) HandleServerLimits(m *hostlink.ServerLimits) {
+	for _, limit := range m.Limits {
+		l.limits <- limit
+	}
+}
+
+func newSilentLeader() *silentLeader {
+	return &silentLeader{disconnected: make(chan uint32, 16), limits: make(chan hostlink.ServerLimit, 16)}
+}
 
 // clientWithLeader returns a client that follows a silent leader.
 func clientWithLeader(t *testing.T) (*leaderClient, *silentLeader) {
@@ -40,9 +52,9 @@
 		go func() { _ = link.Receive(h, func(error) {}) }()
 		return link, link.Address()
 	}
-	leader := &silentLeader{disconnected: make(chan uint32, 16)}
+	leader := newSilentLeader()
 	_, address := listen(leader)
-	link, _ := listen(&silentLeader{disconnected: make(chan uint32, 16)})
+	link, _ := listen(newSilentLeader())
 	client := newLeaderClient(clock.NewMonotonic(), link, 7, "dc", func() {}, func() bool { return true })
 	client.active, client.endLeadership = newActiveBounds(typicalBounds()), func() {}
 	client.follow(address, 1)
@@ -93,3 +105,46 @@
 	g.Eventually(refusals, time.Second).Should(Receive(&d))
 	g.Expect([]any{d.Refused, d.Reason}).To(Equal([]any{true, schedule.HostStops}))
 }
+
+// Guards against a leader that does not learn what servers named to other hosts: the
+// present one, one that follows it, and this host itself.
+func TestLeadersLearnLimitsOfServers(t *testing.T) {
+	g := NewWithT(t)
+	c, leader := clientWithLeader(t)
+	named := serverLimit{service: hash32("svc"), server: "s-1", limit: schedule.Limit{Stated: true, PerSecond: 2.3}}
+	passed := hostlink.ServerLimit{Service: named.service, Server: "s-1", PerSecond: 2.3}
+	ended := named
+	ended.limit = schedule.NoLimit()
+
+	c.recordLimit(ended, false)
+	g.Consistently(leader.limits, 50*time.Millisecond).ShouldNot(Receive(), "nothing to tell")
+	c.recordLimit(named, false)
+	g.Eventually(leader.limits, time.Second).Should(Receive(Equal(passed)))
+
+	address, _ := c.currentLeader()
+	c.follow(address, 2)
+	g.Eventually(leader.limits, time.Second).Should(Receive(Equal(passed)), "a new leader")
+
+	own := newScheduler(c.clk, c.deliver, func() bool { return true })
+	own.addServices(fleet.NewConfig(1, nil, []fleet.Service{{Name: "svc"}}, fleet.Limits{}), nil, nil)
+	own.updateServers([]fleet.Server{{ID: "s-1", Service: "svc", Slots: 2}})
+	c.setOwnScheduler(own, 3)
+	sched := own.services[named.service].sched
+	g.Expect(sched.Capacity("s-1", c.clk.Now())).To(BeNumerically("<", 1), "this host")
+
+	c.recordLimit(ended, true)
+	g.Expect(sched.Capacity("s-1", c.clk.Now())).To(Equal(2.0))
+	g.Expect(c.limits.count()).To(BeZero())
+}
+
+// Guards against a limit that another host ended, and that this host, which did not
+// know it, keeps in force at the leader by saying nothing.
+func TestHostReportsEndOfLimitThatItDidNotKnow(t *testing.T) {
+	g := NewWithT(t)
+	c, leader := clientWithLeader(t)
+	ended := serverLimit{service: 1, server: "s-1", limit: schedule.NoLimit()}
+	c.recordLimit(ended, true)
+	var got hostlink.ServerLimit
+	g.Eventually(leader.limits, time.Second).Should(Receive(&got))
+	g.Expect(math.IsInf(got.PerSecond, 1)).To(BeTrue())
+}
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -177,6 +177,16 @@
 	s.deliver(out)
 }
 
+// setLimit takes note of what a response of a server says of its limit, of
+// which this scheduler uses a share.
+func (s *scheduler) setLimit(l serverLimit, share schedule.LimitShare) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if svc, ok := s.services[l.service]; ok {
+		svc.sched.SetLimit(l.server, l.limit, share, s.clk.Now())
+	}
+}
+
 // isQueued reports whether the request waits and has not been sent to a server.
 func (s *scheduler) isQueued(serviceHash uint32, id schedule.JobID) bool {
 	s.mu.Lock()
@@ -285,11 +295,11 @@
 		}
 	})
 	var servers []keyplacement.Server
-	for id, srv := range svc.usable {
+	for id := range svc.usable {
 		if unreachable[id] {
 			continue
 		}
-		servers = append(servers, keyplacement.Server{ID: id, Capacity: float64(srv.Slots) / svc.sched.Slowness(id)})
+		servers = append(servers, keyplacement.Server{ID: id, Capacity: svc.sched.Capacity(id, now)})
 	}
 	svc.grants.Ranges(now, func(r ownership.RangeState) {
 		keyRange := keyplacement.Range{From: r.From, To: r.To, Server: r.Server, Next: r.Next, Movable: r.Granted}
--- a/internal/gateway/serverlimits.go
+++ b/internal/gateway/serverlimits.go
@@ -10,6 +10,13 @@
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
 
+// serverLimit is what a response says of the limit of its server.
+type serverLimit struct {
+	service uint32 // hash of the service's name
+	server  topology.ServerID
+	limit   schedule.Limit
+}
+
 // serverLimits holds the limits that servers named to this host.
 type serverLimits struct {
 	clk clock.Clock
@@ -21,59 +28,61 @@
 
 // namedLimit is the last limit of one server.
 type namedLimit struct {
-	limit    schedule.Limit
+	serverLimit
 	statedAt time.Duration
 	loggedAt time.Duration
 }
 
-const (
-	// limitLogInterval is the least interval between two log lines on the limit of
-	// one server, which may change with each response.
-	limitLogInterval = time.Second
-	// maxLimitAge is the age at which a limit without a further response of its
-	// server is forgotten.
-	maxLimitAge = 30 * time.Second
-)
+// limitLogInterval is the least interval between two log lines on the limit of one
+// server, which may change with each response.
+const limitLogInterval = time.Second
 
 func newServerLimits(clk clock.Clock, log logging.Logger) *serverLimits {
 	return &serverLimits{clk: clk, log: log, servers: make(map[topology.ServerID]*namedLimit)}
 }
 
-// record takes note of what a response says of the limit of its server.
-func (l *serverLimits) record(server topology.ServerID, limit schedule.Limit) {
-	if !limit.Stated {
-		return
-	}
+// record takes note of what a response says. It reports whether the server names a
+// limit, or named one before.
+func (l *serverLimits) record(stated serverLimit) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clk.Now()
-	n, known := l.servers[server]
+	n, known := l.servers[stated.server]
+	if !known && !stated.limit.Limited() {
+		return false
+	}
+	log := l.log.With("server", string(stated.server))
 	switch {
-	case !known && !limit.Limited():
-		return
+	case !stated.limit.Limited():
+		log.Info("a server limits its requests no longer")
+		delete(l.servers, stated.server)
+		return true
 	case !known:
+		log.With("per_second", stated.limit.PerSecond).Info("a server limits its requests")
 		n = &namedLimit{loggedAt: now}
-		l.servers[server] = n
-		l.log.With("server", string(server)).With("per_second", limit.PerSecond).Info("a server limits its requests")
-	case !limit.Limited():
-		l.log.With("server", string(server)).Info("a server limits its requests no longer")
-		delete(l.servers, server)
-	case limit != n.limit && now-n.loggedAt >= limitLogInterval:
+		l.servers[stated.server] = n
+	case stated.limit != n.limit && now-n.loggedAt >= limitLogInterval:
+		log.With("per_second", stated.limit.PerSecond).Info("a server has changed the limit of its requests")
 		n.loggedAt = now
-		l.log.With("server", string(server)).With("per_second", limit.PerSecond).Info("a server has changed the limit of its requests")
 	}
-	n.limit, n.statedAt = limit, now
+	n.serverLimit, n.statedAt = stated, now
+	return true
 }
 
-// count returns the number of servers that limit their requests, and forgets those
-// that have not stated it for long.
-func (l *serverLimits) count() int {
+// list returns the limits that are in force.
+func (l *serverLimits) list() []serverLimit {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	var out []serverLimit
 	for id, n := range l.servers {
-		if l.clk.Now()-n.statedAt > maxLimitAge {
+		if l.clk.Now()-n.statedAt > schedule.MaxLimitAge {
 			delete(l.servers, id)
+			continue
 		}
+		out = append(out, n.serverLimit)
 	}
-	return len(l.servers)
+	return out
 }
+
+// count returns the number of servers whose limit is in force.
+func (l *serverLimits) count() int { return len(l.list()) }
--- a/internal/hostlink/hostlink.go
+++ b/internal/hostlink/hostlink.go
@@ -62,6 +62,22 @@
 	TimedOut uint16
 }
 
+// ServerLimit says how many requests a second a server accepts from all hosts
+// together.
+type ServerLimit struct {
+	_         struct{} `cbor:",toarray"`
+	Service   uint32   // hash of the service's name
+	Server    string
+	PerSecond float64 // infinite if the server names no limit
+}
+
+// ServerLimits is a message from a host to the leader with the limits that servers
+// named in responses to the host.
+type ServerLimits struct {
+	_      struct{} `cbor:",toarray"`
+	Limits []ServerLimit
+}
+
 // Decision is the leader's response to a routing request: a server, a refusal,
 // or the notice that the request is queued.
 type Decision struct {
@@ -80,6 +96,10 @@
 	KindAssigned uint8 = iota
 	KindRefused
 	KindQueued
+	// KindAssignedLimited assigns a server that named a limit: the host reports the
+	// limit of each response, also if there is none. Earlier releases take it for
+	// KindAssigned.
+	KindAssignedLimited
 )
 
 // FromLeader is a message from the leader to a host, or the reply of a host that
@@ -116,6 +136,19 @@
 	FromLeader *FromLeader
 }
 
+// limitsMessage is the encoded form of ServerLimits. Its array is longer than that of
+// message, so earlier releases reject it and nothing else.
+type limitsMessage struct {
+	_            struct{} `cbor:",toarray"`
+	ToLeader     *struct{}
+	FromLeader   *struct{}
+	ServerLimits *ServerLimits
+}
+
+// limitsMessageHead is the first byte of an encoded limitsMessage: an array of three
+// elements.
+const limitsMessageHead = 0x83
+
 // Link sends and receives messages on one UDP socket. It is safe for concurrent
 // use.
 type Link struct {
@@ -151,7 +184,12 @@
 	return l.send(to, message{FromLeader: m})
 }
 
-func (l *Link) send(to netip.AddrPort, m message) error {
+// SendServerLimits sends a message to the leader.
+func (l *Link) SendServerLimits(to netip.AddrPort, m *ServerLimits) error {
+	return l.send(to, limitsMessage{ServerLimits: m})
+}
+
+func (l *Link) send(to netip.AddrPort, m any) error {
 	data, err := cbor.Marshal(m)
 	if err != nil {
 		return err
@@ -164,6 +202,7 @@
 type Handler interface {
 	HandleToLeader(from netip.AddrPort, m *ToLeader)
 	HandleFromLeader(from netip.AddrPort, m *FromLeader)
+	HandleServerLimits(m *ServerLimits)
 }
 
 // Receive passes messages to h until the link is closed or reading fails.
@@ -183,6 +222,16 @@
 
 // Dispatch decodes one datagram and passes its message to h.
 func Dispatch(datagram []byte, from netip.AddrPort, h Handler) error {
+	if len(datagram) > 0 && datagram[0] == limitsMessageHead {
+		var m limitsMessage
+		if err := cbor.Unmarshal(datagram, &m); err != nil {
+			return err
+		}
+		if m.ServerLimits != nil {
+			h.HandleServerLimits(m.ServerLimits)
+		}
+		return nil
+	}
 	var m message
 	if err := cbor.Unmarshal(datagram, &m); err != nil {
 		return err
--- a/internal/schedule/report.go
+++ b/internal/schedule/report.go
@@ -92,11 +92,7 @@
 
 // observeProcessingTime updates the estimate of a class after a success.
 func (s *Scheduler) observeProcessingTime(class uint32, duration time.Duration) {
-	estimate := s.estimateFor(class)
-	if !estimate.observed {
-		estimate.seconds, estimate.observed = duration.Seconds(), true
-	}
-	estimate.seconds += classWeight * (duration.Seconds() - estimate.seconds)
+	s.estimateFor(class).observe(duration.Seconds())
 }
 
 // observeResult updates the slowness and the failure rate of a server after an
@@ -149,7 +145,10 @@
 			s.crashTracker.recordCrash(id, now)
 		}
 		if !ok || srv.Incarnation != desc.Incarnation {
-			srv = &server{id: id, running: make(map[JobID]bool), slowness: 1}
+			if ok {
+				delete(s.limits, id) // named by the earlier incarnation
+			}
+			srv = &server{id: id, running: make(map[JobID]bool), slowness: 1, limit: s.limits[id]}
 			if desc.WarmupLeft > 0 {
 				srv.slowness = coldSlowness
 			}
@@ -163,6 +162,7 @@
 	for id, srv := range s.servers {
 		if _, ok := servers[id]; !ok {
 			delete(s.servers, id)
+			delete(s.limits, id)
 			s.releaseQueue(srv)
 			s.crashTracker.recordCrash(id, now)
 		}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -57,6 +57,14 @@
 	observed bool // at least one job has succeeded
 }
 
+// observe adds an observation in seconds to the moving average.
+func (e *durationEstimate) observe(seconds float64) {
+	if !e.observed {
+		e.seconds, e.observed = seconds, true
+	}
+	e.seconds += classWeight * (seconds - e.seconds)
+}
+
 // expectedSeconds returns the expected processing time at a server of mean speed.
 func (e *durationEstimate) expectedSeconds() float64 {
 	if !e.observed {
@@ -74,6 +82,9 @@
 	Refused    bool
 	Reason     Reason
 	RetryAfter time.Duration
+	// Limited is true if the server named a limit of its requests: the host then
+	// reports what the response says of it.
+	Limited bool
 }
 
 // Reason is the reason for a refusal.
@@ -184,7 +195,10 @@
 	assigned         map[JobID]*server
 	jobs             map[JobID]*Job
 	estimates        map[uint32]*durationEstimate
-	lastExpiry       time.Duration // time of the last check of assigned
+	// meanWork is the mean of the expected processing times of the jobs.
+	meanWork   durationEstimate
+	limits     map[topology.ServerID]*rateLimit
+	lastExpiry time.Duration // time of the last check of assigned
 	// dirty lists the servers whose state has changed since the last Decide.
 	dirty        []*server
 	crashTracker *crashTracker
@@ -205,6 +219,7 @@
 		assigned:     make(map[JobID]*server),
 		jobs:         make(map[JobID]*Job),
 		estimates:    make(map[uint32]*durationEstimate),
+		limits:       make(map[topology.ServerID]*rateLimit),
 		crashTracker: newCrashTracker(),
 		ownerOf:      func(int) Owner { return Owner{} },
 	}
@@ -252,6 +267,7 @@
 		return
 	}
 	s.jobs[j.ID] = j
+	s.meanWork.observe(j.estimate.expectedSeconds())
 	if s.keyed {
 		if srv := s.servers[s.ownerOf(j.Key).Server]; srv != nil {
 			srv.demand.add(j.estimate.expectedSeconds(), now)
@@ -338,6 +354,7 @@
 		return
 	}
 	s.lastExpiry = now
+	s.dropLimits(now)
 	for id := range s.assigned {
 		if now > s.jobs[id].Deadline+inflightGrace {
 			s.Remove(id)
@@ -364,12 +381,13 @@
 	s.dirty = nil
 	for _, srv := range servers {
 		srv.waiting = s.dropFinished(srv.waiting)
-		for len(srv.waiting) > 0 && now >= srv.fullUntil && len(srv.running) < srv.Slots+s.settings.Prefetch {
-			i := s.nextJob(srv.waiting, now, srv.slowness*srv.targetMargin(now))
+		for len(srv.waiting) > 0 && srv.accepts(now) && len(srv.running) < srv.Slots+s.settings.Prefetch {
+			i := s.nextJob(srv.waiting, now, srv.slowness*s.targetMargin(srv, now))
 			j := srv.waiting[i]
 			srv.waiting = append(srv.waiting[:i], srv.waiting[i+1:]...)
-			out = append(out, s.assign(j, srv))
+			out = append(out, s.assign(j, srv, now))
 		}
+		out = s.refuseBeyondLimit(srv, now, out)
 		out = s.refuseLate(srv, now, out)
 	}
 	return out
@@ -406,8 +424,8 @@
 		return out
 	}
 	backlog := s.expectedWait(srv.waiting, len(srv.running), srv.Slots, srv.slowness)
-	saturated := srv.saturated(now)
-	margin := srv.targetMargin(now)
+	saturated := s.saturated(srv, now)
+	margin := s.targetMargin(srv, now)
 	kept := srv.waiting[:0]
 	for _, j := range srv.waiting {
 		work := s.expectedTime(j, srv.slowness)
@@ -468,10 +486,11 @@
 	return time.Duration(j.estimate.expectedSeconds() * slowness * float64(time.Second))
 }
 
-func (s *Scheduler) assign(j *Job, srv *server) Decision {
+func (s *Scheduler) assign(j *Job, srv *server, now time.Duration) Decision {
 	srv.running[j.ID] = true
 	s.assigned[j.ID] = srv
-	return Decision{Job: j, Server: srv.id, Address: srv.Address}
+	srv.limit.take(now)
+	return Decision{Job: j, Server: srv.id, Address: srv.Address, Limited: srv.limit.inForce(now)}
 }
 
 func (s *Scheduler) refuse(j *Job, reason Reason, after time.Duration) Decision {
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -25,7 +25,14 @@
 	// dirty is true if the queue or the running jobs have changed since the last
 	// call of Decide.
 	dirty  bool
-	demand demand // of the jobs whose keys this server owns
+	demand demand     // of the jobs whose keys this server owns
+	limit  *rateLimit // nil if the server named none
+}
+
+// accepts reports whether the server may be sent a request now, if it has a free
+// slot.
+func (srv *server) accepts(now time.Duration) bool {
+	return now >= srv.fullUntil && srv.limit.admits(now)
 }
 
 // demand is the mean number of slots that arriving jobs would keep busy at a server
@@ -50,17 +57,17 @@
 	return d.slots * math.Exp(-float64(now-d.updated)/float64(demandTimeConstant))
 }
 
-// saturated reports whether more work arrives than the server can process.
-func (srv *server) saturated(now time.Duration) bool {
-	return srv.demand.at(now)*srv.slowness > saturationThreshold*float64(srv.Slots)
+// saturated reports whether more work arrives for a server than it can process.
+func (s *Scheduler) saturated(srv *server, now time.Duration) bool {
+	return srv.demand.at(now) > saturationThreshold*s.capacity(srv, now)
 }
 
 // targetMargin returns the multiple of its expected processing time that a job
 // must have left before its target to be expected to meet it. A saturated
 // server always has other jobs with more time left, so it does not spend a
 // slot on a job that would barely meet its target.
-func (srv *server) targetMargin(now time.Duration) float64 {
-	if srv.saturated(now) {
+func (s *Scheduler) targetMargin(srv *server, now time.Duration) float64 {
+	if s.saturated(srv, now) {
 		return saturatedMargin
 	}
 	return normalMargin
--- a/internal/schedule/unkeyed.go
+++ b/internal/schedule/unkeyed.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"math"
 	"time"
 )
 
@@ -18,11 +19,12 @@
 // cannot be completed in time.
 func (s *Scheduler) decideUnkeyed(now time.Duration, out []Decision) []Decision {
 	s.waiting = s.dropFinished(s.waiting)
-	slots, running := 0, 0
+	usable, running := 0.0, 0
 	for _, srv := range s.sortedServers {
-		slots += srv.Slots
+		usable += s.usableSlots(srv, now)
 		running += len(srv.running)
 	}
+	slots := int(math.Ceil(usable))
 	saturated := slots > 0 && s.demand.at(now) > poolSaturation*float64(slots)
 	for len(s.waiting) > 0 {
 		i := s.nextJob(s.waiting, now, poolMargin)
@@ -32,7 +34,7 @@
 			break
 		}
 		s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
-		out = append(out, s.assign(j, srv))
+		out = append(out, s.assign(j, srv, now))
 		running++
 	}
 	if len(s.waiting) > 0 {
@@ -81,7 +83,7 @@
 	var best *server
 	var bestCost float64
 	for _, srv := range s.sortedServers {
-		if now < srv.fullUntil || len(srv.running) >= srv.Slots {
+		if !srv.accepts(now) || len(srv.running) >= srv.Slots {
 			continue
 		}
 		cost := srv.slowness * (1 + 0.25*float64(len(srv.running))/float64(srv.Slots))
