Move no keys between servers that are all saturated

Cause: with a limit on each server of a service, every server is above its capacity. No move lets a service serve more if the server that receives the keys refuses requests as well.

Now keys move only to a server below 1.5 times its capacity.

--- a/internal/keyplacement/keyplacement.go
+++ b/internal/keyplacement/keyplacement.go
@@ -339,10 +339,17 @@
 	return slices.MinFunc(p.servers, func(a, b *serverLoad) int { return cmp.Compare(a.utilisation(), b.utilisation()) })
 }
 
+// saturatedUtilisation is the utilisation above which a server gains nothing from a
+// move of keys to another that is above it as well: both refuse requests.
+const saturatedUtilisation = 1.5
+
 // balance moves a range from a server with high utilisation to the one with the
 // lowest. It returns false if no move gains enough.
 func (p *planner) balance(settings Settings) bool {
 	low := p.leastUtilised()
+	if low.utilisation() > saturatedUtilisation {
+		return false
+	}
 	byUtilisation := slices.Clone(p.servers)
 	slices.SortStableFunc(byUtilisation, func(a, b *serverLoad) int { return cmp.Compare(b.utilisation(), a.utilisation()) })
 	for _, high := range byUtilisation {
--- a/internal/keyplacement/keyplacement_test.go
+++ b/internal/keyplacement/keyplacement_test.go
@@ -245,6 +245,26 @@
 	}
 }
 
+// Guards against keys that move back and forth between servers that are all saturated,
+// as when each server of a service limits its requests: no move lets it serve more.
+func TestNoMovesBetweenSaturatedServers(t *testing.T) {
+	g := NewWithT(t)
+	skewed := sums(func(key int) float64 { return (4 + 8*float64(key)/keymap.KeyCount) / keymap.KeyCount })
+	limited := servers(0.2, 0.2, 0.2, 0.2, 0.2, 0.2)
+	_, moves := applyPlans(evenRanges(6), limited, skewed, 40)
+	g.Expect(moves).To(BeZero())
+
+	ranges, moves := applyPlans(evenRanges(6), append(limited, keyplacement.Server{ID: id(6), Capacity: 2}), skewed, 40)
+	g.Expect(moves).To(BeNumerically(">", 0), "a server with room gets keys")
+	owned := 0
+	for _, r := range ranges {
+		if r.Server == id(6) {
+			owned += r.To - r.From + 1
+		}
+	}
+	g.Expect(owned).To(BeNumerically(">", 0))
+}
+
 // Replaces the set of busy keys once a second, for a minute. Guards against ranges
 // whose number grows with time: each one is renewed by the leader several times a
 // second, on a host that may have a sixth of a core.
