Keep small shares of a limit in force until their next turn

Found by a test that lets responses name varying limits. A limit now stays in force for one interval longer. The phase that sets hosts apart was also drawn again each time the limit rose, which brought the next turn forward; it now applies to the first statement only (TestVaryingLimitGivesNoExtraTurns fails with the earlier rule).

--- a/internal/schedule/limit.go
+++ b/internal/schedule/limit.go
@@ -77,14 +77,18 @@
 	known := l.inForce(now)
 	l.statedAt = now
 	l.perSecond = share.rate(limit)
-	if next := now + l.interval(); !known || l.nextAt > next {
+	next := now + l.interval()
+	if !known {
 		l.nextAt = next - time.Duration(share.Phase*float64(l.interval()))
+		return
 	}
+	l.nextAt = min(l.nextAt, next)
 }
 
-// inForce reports whether there is a limit that is not out of date.
+// inForce reports whether there is a limit that is not out of date. A small share may
+// have its next turn only after MaxLimitAge.
 func (l *rateLimit) inForce(now time.Duration) bool {
-	return l != nil && l.perSecond > 0 && now-l.statedAt <= MaxLimitAge
+	return l != nil && l.perSecond > 0 && now-l.statedAt <= MaxLimitAge+l.interval()
 }
 
 func (l *rateLimit) interval() time.Duration {
