--- a/internal/election/safety_test.go
+++ b/internal/election/safety_test.go
@@ -1,13 +1,13 @@
 package election
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
+
+	"github.com/lycheerudder/lycheerudder/internal/rapidtest"
 )
 
 // isolateMinority cuts the third member off from the leader and the other
@@ -137,12 +137,4 @@
 	}
 }
 
-// TestMain fixes the seed and the number of random runs; flags override them.
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "30", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, 30) }
--- a/internal/grant/safety_test.go
+++ b/internal/grant/safety_test.go
@@ -1,26 +1,17 @@
 package grant
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/lycheerudder/lycheerudder/internal/rapidtest"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
 
-// TestMain fixes the seed and the number of random runs; flags override them.
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "60", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, 60) }
 
 // newSettledSim returns a simulation in which all shards are served.
 func newSettledSim(t *testing.T, seed uint64, noFenceChecks bool) *sim {
