--- a/internal/gateway/elector.go
+++ b/internal/gateway/elector.go
@@ -110,7 +110,7 @@
 
 	mu        sync.Mutex
 	keyMaps   map[topology.Service]keymap.Map // as last read
-	ownersEnd int64
+	ownersEnd Position
 	// cancel ends the present leadership of this host; nil if it does not lead.
 	cancel context.CancelFunc
 }
@@ -153,6 +153,10 @@
 		}
 	}
 	e.mu.Lock()
+	if e.ownersEnd.Era != 0 && e.ownersEnd.Era != end.Era {
+		e.log.With("era", end.Era).With("end", end.Offset).With("known_end", e.ownersEnd.Offset).With("epoch", leader.Epoch).
+			Warn("the store was restored from a copy")
+	}
 	e.keyMaps, e.ownersEnd = keyMaps, end
 	e.mu.Unlock()
 	e.leaderClient.fallback.setKeyMaps(keyMaps)
@@ -254,7 +258,7 @@
 	switch {
 	case err != nil:
 		return false, storeUnavailable
-	case newEnd > end:
+	case newEnd != end:
 		return true, "another host has claimed the leadership"
 	}
 	return e.claim(ctx, end, leader), "this host claimed the leadership"
@@ -263,9 +267,9 @@
 // claim makes this host the leader if the ownership topic in the store still
 // ends at end, and leads until the leadership ends. It returns false if the
 // caller should pause before the next search.
-func (e *elector) claim(ctx context.Context, end int64, earlier leaderRecord) bool {
+func (e *elector) claim(ctx context.Context, end Position, earlier leaderRecord) bool {
 	record := leaderRecord{
-		Member: e.memberID, Address: e.self.String(), Epoch: end + 1, Incarnation: e.leaderClient.incarnation, Earlier: earlier.leadersThatMayAct(),
+		Member: e.memberID, Address: e.self.String(), Epoch: end.Offset + 1, Incarnation: e.leaderClient.incarnation, Earlier: earlier.leadersThatMayAct(),
 	}
 	claimedAt := e.clk.Now()
 	value, err := json.Marshal(record)
@@ -283,9 +287,9 @@
 		return errors.Is(err, ErrOutdated)
 	}
 	l := newLeadership(e, record, claimedAt, newEnd)
-	e.log.With("epoch", end+1).Info("this host leads")
+	e.log.With("epoch", record.Epoch).Info("this host leads")
 	l.run(ctx)
-	e.log.With("epoch", end+1).Info("this host no longer leads")
+	e.log.With("epoch", record.Epoch).Info("this host no longer leads")
 	return true
 }
 
--- a/internal/gateway/elector_test.go
+++ b/internal/gateway/elector_test.go
@@ -22,9 +22,9 @@
 	record leaderRecord
 }
 
-func (s *leaderStore) Owners(context.Context) ([]Record, int64, error) {
+func (s *leaderStore) Owners(context.Context) ([]Record, Position, error) {
 	value, err := json.Marshal(s.record)
-	return []Record{{Key: leaderKey, Value: value}}, 1, err
+	return []Record{{Key: leaderKey, Value: value}}, Position{Era: FirstEra, Offset: 1}, err
 }
 
 func (s *leaderStore) Members(context.Context) ([]string, error) {
--- a/internal/gateway/leadership.go
+++ b/internal/gateway/leadership.go
@@ -27,7 +27,7 @@
 	lease            *leaderlease.Lease
 	record           leaderRecord  // the leader record in the store
 	recordStaleSince time.Duration // time since which the followers differ from record; zero if they do not
-	ownersEnd        int64         // end of the ownership topic
+	ownersEnd        Position      // end of the ownership topic
 	confirmedAt      time.Duration // send time of the last confirmation
 	storeSeenAt      time.Duration // time of the last response of the store
 	confirmReadAt    time.Duration // send time of the last read by confirmWithStore
@@ -41,7 +41,7 @@
 	storeWake        chan struct{} // wakes storeKeyMaps
 }
 
-func newLeadership(e *elector, record leaderRecord, claimedAt time.Duration, ownersEnd int64) *leadership {
+func newLeadership(e *elector, record leaderRecord, claimedAt time.Duration, ownersEnd Position) *leadership {
 	t := e.active.timing()
 	l := &leadership{
 		storeWake: make(chan struct{}, 1),
--- a/internal/gateway/leadershipstore.go
+++ b/internal/gateway/leadershipstore.go
@@ -35,7 +35,9 @@
 	end := l.elector.ownersEnd
 	l.elector.mu.Unlock()
 	l.mu.Lock()
-	l.ownersEnd = max(l.ownersEnd, end)
+	if end.Offset > l.ownersEnd.Offset {
+		l.ownersEnd = end
+	}
 	l.mu.Unlock()
 	l.scheduler.confirmLeadership()
 }
@@ -115,7 +117,7 @@
 		l.mu.Lock()
 		known := l.ownersEnd
 		l.mu.Unlock()
-		if end > known {
+		if end.Offset > known.Offset {
 			l.verifyLeadership(ctx, false)
 			clock.Sleep(ctx, minRetryPause)
 			continue
@@ -181,7 +183,7 @@
 		}
 		outcomeUnknown = false
 		l.mu.Lock()
-		l.ownersEnd = max(l.ownersEnd, end)
+		l.ownersEnd = end
 		l.mu.Unlock()
 		l.confirm(sent)
 		if changed {
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -34,6 +34,10 @@
 // ErrOutdated is returned by an append whose condition no longer holds.
 var ErrOutdated = eris.New("the store has newer records")
 
+// ErrRestored is returned by a call that relies on a position of an earlier era: the
+// store has been restored from a copy since. An append may have taken effect.
+var ErrRestored = eris.New("the store was restored from a copy")
+
 // ErrRefused is returned by a call that was refused and had no effect.
 var ErrRefused = eris.New("the call was refused")
 
@@ -45,6 +49,16 @@
 // intended one has stopped, and its address was reused.
 var ErrWrongServer = eris.New("another server has the address")
 
+// Position is an offset of a topic in one era of the store. An era ends when the store
+// is restored from a copy: it then lacks the newest records, and their offsets are
+// given out again.
+type Position struct {
+	Era, Offset int64
+}
+
+// FirstEra is the era of a store that was never restored.
+const FirstEra = 1
+
 // ServerChange is a registration, or the end of one if Server is nil.
 type ServerChange struct {
 	ID     topology.ServerID
@@ -59,8 +73,8 @@
 	Next    int64
 }
 
-// Store is the platform's store. All calls are linearizable. A call that
-// returns an error may have been carried out, or may be carried out seconds
+// Store is the platform's store. All calls are linearizable within an era. A call
+// that returns an error may have been carried out, or may be carried out seconds
 // later if its condition still holds.
 type Store interface {
 	// ConfigChange waits until the configuration changes after offset from, and
@@ -71,13 +85,15 @@
 	// or all if from is negative.
 	ServerChanges(ctx context.Context, from int64) (ServerChanges, error)
 	// Owners returns the ownership records and the end of their topic.
-	Owners(ctx context.Context) ([]Record, int64, error)
-	// OwnersEnd waits until the ownership topic has records after offset from,
-	// at most for wait, and returns its end.
-	OwnersEnd(ctx context.Context, from int64, wait time.Duration) (int64, error)
-	// Append adds ownership records if their topic ends at offset at, and
-	// returns its new end.
-	Append(ctx context.Context, at int64, records []Record) (int64, error)
+	Owners(ctx context.Context) ([]Record, Position, error)
+	// OwnersEnd waits until the ownership topic has records after position
+	// from, at most for wait, and returns its end. It returns ErrRestored if
+	// the era of from has ended.
+	OwnersEnd(ctx context.Context, from Position, wait time.Duration) (Position, error)
+	// Append adds ownership records if their topic ends at position at, and
+	// returns its new end. It returns ErrRestored if the era of at has ended;
+	// the records are then stored if the topic ended at the same offset.
+	Append(ctx context.Context, at Position, records []Record) (Position, error)
 	// Join makes the member part of the leader's group for ttl. It takes the
 	// generation that its last call returned and returns the new one.
 	Join(ctx context.Context, member string, generation int64, ttl time.Duration) (int64, error)
