Read a restored store anew, not from an offset of its lost records

Cause: readers keep an offset. In a restored store offsets are given out again; once the topic has grown to the remembered offset, the records below it are skipped and nothing fails. Only an offset past the end was refused (410). Class: a position that outlives the records it refers to. Registrations were read in the same way.

Now a position holds the era of the store, and a reader whose era has ended reads the newest record of each key.

--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -51,7 +51,7 @@
 
 // Position is an offset of a topic in one era of the store. An era ends when the store
 // is restored from a copy: it then lacks the newest records, and their offsets are
-// given out again.
+// given out again. The zero Position precedes all records of all eras.
 type Position struct {
 	Era, Offset int64
 }
@@ -70,20 +70,21 @@
 	// Full is true if Changes holds all registrations.
 	Full    bool
 	Changes []ServerChange
-	Next    int64
+	Next    Position
 }
 
 // Store is the platform's store. All calls are linearizable within an era. A call
 // that returns an error may have been carried out, or may be carried out seconds
 // later if its condition still holds.
 type Store interface {
-	// ConfigChange waits until the configuration changes after offset from, and
-	// returns it and the offset for the next call. The configuration is nil if
-	// it did not change within wait.
-	ConfigChange(ctx context.Context, from int64, wait time.Duration) (*fleet.Config, int64, error)
-	// ServerChanges returns the registrations that changed since offset from,
-	// or all if from is negative.
-	ServerChanges(ctx context.Context, from int64) (ServerChanges, error)
+	// ConfigChange waits until the configuration changes after position from,
+	// and returns it and the position for the next call. The configuration is
+	// nil if it did not change within wait. If from is zero or its era has
+	// ended, it returns the present configuration at once.
+	ConfigChange(ctx context.Context, from Position, wait time.Duration) (*fleet.Config, Position, error)
+	// ServerChanges returns the registrations that changed since position from,
+	// or all if from is zero or its era has ended.
+	ServerChanges(ctx context.Context, from Position) (ServerChanges, error)
 	// Owners returns the ownership records and the end of their topic.
 	Owners(ctx context.Context) ([]Record, Position, error)
 	// OwnersEnd waits until the ownership topic has records after position
--- a/internal/gateway/storewatcher.go
+++ b/internal/gateway/storewatcher.go
@@ -56,7 +56,7 @@
 
 	mu            sync.Mutex
 	directory     *fleet.Directory
-	nextOffset    int64
+	next          Position      // of the registrations
 	lastReadAt    time.Duration // time of the last response; a read of all registrations can take seconds
 	failedAt      time.Duration // time of the last failed read
 	failed        bool
@@ -88,14 +88,14 @@
 func newStoreWatcher(clk clock.Clock, store Store, active *activeBounds, policy func() readPolicy, onChange func()) *storeWatcher {
 	return &storeWatcher{
 		clk: clk, store: store, log: logging.For(logging.Platform), active: active, policy: policy, onChange: onChange,
-		directory: fleet.NewDirectory(), nextOffset: -1, wake: make(chan struct{}, 1),
+		directory: fleet.NewDirectory(), wake: make(chan struct{}, 1),
 	}
 }
 
 // runConfig follows the configuration until the context ends.
 func (w *storeWatcher) runConfig(ctx context.Context) {
 	go w.cancelStaleReads(ctx)
-	from := int64(-1)
+	var from Position
 	failing := false
 	var pause backoff
 	for ctx.Err() == nil {
@@ -223,11 +223,11 @@
 
 func (w *storeWatcher) readServers(ctx context.Context) error {
 	w.mu.Lock()
-	from := w.nextOffset
+	from := w.next
 	sent := w.clk.Now()
 	limit := storeTimeout
-	if from < 0 || sent-w.lastReadAt > w.active.timing().fullReadAge {
-		from, limit = -1, fullReadTimeout
+	if from == (Position{}) || sent-w.lastReadAt > w.active.timing().fullReadAge {
+		from, limit = Position{}, fullReadTimeout
 	}
 	w.readStartedAt = sent
 	w.mu.Unlock()
@@ -246,7 +246,7 @@
 	}
 	w.directory.ReadSucceeded(sent)
 	w.lastReadAt = now
-	w.nextOffset = c.Next
+	w.next = c.Next
 	if c.Full {
 		var list []fleet.Server
 		for _, ch := range c.Changes {
--- a/internal/gateway/storewatcher_test.go
+++ b/internal/gateway/storewatcher_test.go
@@ -55,34 +55,34 @@
 	return configs, servers
 }
 
-func (s *countingStore) ConfigChange(ctx context.Context, from int64, wait time.Duration) (*fleet.Config, int64, error) {
+func (s *countingStore) ConfigChange(ctx context.Context, from Position, wait time.Duration) (*fleet.Config, Position, error) {
 	s.mu.Lock()
 	s.configReads++
 	down, version, changed := s.down, s.version, s.changed
 	s.mu.Unlock()
 	time.Sleep(s.latency)
 	if down {
-		return nil, 0, ErrRefused
+		return nil, Position{}, ErrRefused
 	}
-	if version <= from && wait > 0 {
+	if version <= from.Offset && wait > 0 {
 		select {
 		case <-changed:
 			time.Sleep(s.latency)
 		case <-time.After(wait):
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, Position{}, ctx.Err()
 		}
 		s.mu.Lock()
 		version = s.version
 		s.mu.Unlock()
 	}
-	if version == 0 || version <= from {
-		return nil, version, nil
+	if version == 0 || version <= from.Offset {
+		return nil, Position{Era: FirstEra, Offset: version}, nil
 	}
-	return &fleet.Config{Version: version}, version, nil
+	return &fleet.Config{Version: version}, Position{Era: FirstEra, Offset: version}, nil
 }
 
-func (s *countingStore) ServerChanges(ctx context.Context, from int64) (ServerChanges, error) {
+func (s *countingStore) ServerChanges(ctx context.Context, from Position) (ServerChanges, error) {
 	s.mu.Lock()
 	s.serverReads++
 	down, full := s.down, s.fullReadTime
@@ -90,14 +90,14 @@
 	if down {
 		return ServerChanges{}, ErrRefused
 	}
-	if from < 0 {
+	if from == (Position{}) {
 		select {
 		case <-time.After(full):
 		case <-ctx.Done():
 			return ServerChanges{}, ctx.Err()
 		}
 	}
-	return ServerChanges{Full: from < 0, Next: 1}, nil
+	return ServerChanges{Full: from == (Position{}), Next: Position{Era: FirstEra, Offset: 1}}, nil
 }
 
 // startWatcher runs a storeWatcher in the bubble of a test until the test ends.
