Stop grants of all ranges after a lost connection

A replaced leader that was cut off from the store could grant keys to a server that had started again, although the later leader had moved them: two servers could run requests for the same key for up to one grant duration (2.2 s).

Cause: the last failed call was recorded for one key range. The connection to a server is shared by all of its ranges, and its loss is reported to the first call only, so the other ranges were granted without a later confirmation of the leadership (rule 7 of docs/platform.md speaks of the server).

The time of the last failed call is now kept for each server until a newer confirmation, so every grant to it waits.

--- /dev/null
+++ b/internal/ownership/lost_connection_test.go
@@ -0,0 +1,53 @@
+package ownership_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lycheerudder/lycheerudder/internal/keymap"
+	"github.com/lycheerudder/lycheerudder/internal/ownership"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+)
+
+// Guards against a replaced leader that, after the connection to a server was lost,
+// grants another of the server's key ranges without a later confirmation. The server
+// may have started again and forgotten the fences of the later leader, which may have
+// moved those keys.
+func TestLostConnectionStopsGrantsOfAllRangesOfServer(t *testing.T) {
+	var fence int64
+	keyMap := keymap.Map{{From: 0, To: 99, Server: "c"}, {From: 100, To: 199, Server: "b"}, {From: 200, To: keymap.KeyCount - 1, Server: "c"}}
+	m := ownership.New("booking", settings, keyMap, func() int64 { fence++; return fence }, 0)
+	m.SetServers(map[topology.ServerID]ownership.Server{"b": {Address: "b", Incarnation: 1}, "c": {Address: "c", Incarnation: 1}}, 0)
+
+	const ms = time.Millisecond
+	var lost bool
+	var lostAt, confirmedAt time.Duration
+	granted := make(map[int]bool) // first keys of the ranges granted to c after the loss
+	for now := time.Duration(0); now < 2400*ms; now += step {
+		switch {
+		case now == 100*ms, now == 2*time.Second:
+			confirmedAt = now
+		}
+		for _, o := range m.Step(now, confirmedAt) {
+			switch {
+			case o.Server == "b":
+				m.HandleResult(o, ownership.Done, "", now)
+			case now == 0 && o.From == 0:
+				// The renewals of the two ranges are not due at the same time.
+				m.HandleResult(o, ownership.Unsent, "", now)
+			case !lost && now > 500*ms && o.From == 200:
+				m.HandleResult(o, ownership.Unsent, "", now)
+				lost, lostAt = true, now
+			case lost && confirmedAt < lostAt:
+				t.Errorf("at %v: %v of the range from key %d; the connection was lost at %v, the last confirmation was at %v", now, o.Kind, o.From, lostAt, confirmedAt)
+				m.HandleResult(o, ownership.Done, "", now)
+			default:
+				granted[o.From] = lost
+				m.HandleResult(o, ownership.Done, "", now)
+			}
+		}
+	}
+	if !lost || !granted[0] || !granted[200] {
+		t.Errorf("connection lost: %v, granted to c after the confirmation: %v; want both ranges", lost, granted)
+	}
+}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -17,6 +17,7 @@
 package ownership
 
 import (
+	"maps"
 	"time"
 
 	"github.com/lycheerudder/lycheerudder/internal/keymap"
@@ -148,11 +149,8 @@
 	// unansweredGrant is true if a grant under the current fence got no response; the
 	// server may still carry it out.
 	unansweredGrant bool
-	// failures counts the failed calls since the last success, failedAt is the time
-	// of the last of them.
-	failures  int
-	failedAt  time.Duration
-	appending bool // a key map that names next as the owner is being stored
+	failures        int  // failed calls since the last success
+	appending       bool // a key map that names next as the owner is being stored
 	// appendInDoubt is true if an append of such a key map got no response.
 	appendInDoubt bool
 	// ownerUnknown is true if any server may own the keys by a grant of an earlier
@@ -167,8 +165,12 @@
 	settings  Settings
 	nextFence func() int64
 	servers   map[topology.ServerID]Server
-	ranges    []*keyRange // in the order of keys
-	nextID    int
+	// failedAt holds the time of the last failed call to each server until the
+	// leadership is confirmed. All ranges of a server share one connection, and its
+	// loss is reported to one call only.
+	failedAt map[topology.ServerID]time.Duration
+	ranges   []*keyRange // in the order of keys
+	nextID   int
 	// earlierUntil is the time until which grants of earlier leaders may arrive.
 	earlierUntil time.Duration
 	// movesFrom is the time before which no range changes its server, movesAllowed
@@ -186,7 +188,7 @@
 // leaders may arrive until earlierUntil. Each call of nextFence returns a fence that
 // is higher than all earlier ones, including those of earlier leaders.
 func New(service topology.Service, settings Settings, keyMap keymap.Map, nextFence func() int64, earlierUntil time.Duration) *Manager {
-	m := &Manager{service: service, settings: settings, nextFence: nextFence, earlierUntil: earlierUntil, servers: make(map[topology.ServerID]Server)}
+	m := &Manager{service: service, settings: settings, nextFence: nextFence, earlierUntil: earlierUntil, servers: make(map[topology.ServerID]Server), failedAt: make(map[topology.ServerID]time.Duration)}
 	for _, e := range keyMap {
 		r := &keyRange{from: e.From, to: e.To, server: e.Server, fence: nextFence(), earlierGrants: true, sentAt: -time.Hour, latestExpiry: -time.Hour}
 		switch {
@@ -399,10 +401,11 @@
 func (m *Manager) Step(now, confirmedAt time.Duration) []Order {
 	m.merge()
 	m.movesAllowed = now >= m.movesFrom
+	maps.DeleteFunc(m.failedAt, func(_ topology.ServerID, at time.Duration) bool { return at < confirmedAt })
 	var orders []Order
 	for _, r := range m.ranges {
 		m.advance(r, now)
-		if o, due := m.dueOrder(r, now, confirmedAt); due {
+		if o, due := m.dueOrder(r, now); due {
 			r.sentAt, r.inFlight = now, true
 			if o.Kind == Grant {
 				// The grant duration starts when the grant arrives, which can be as
@@ -460,7 +463,7 @@
 }
 
 // dueOrder returns the order for a range, and whether it has to be sent now.
-func (m *Manager) dueOrder(r *keyRange, now, confirmedAt time.Duration) (Order, bool) {
+func (m *Manager) dueOrder(r *keyRange, now time.Duration) (Order, bool) {
 	if r.inFlight {
 		return Order{}, false
 	}
@@ -474,7 +477,7 @@
 	_, registered := m.servers[r.server]
 	switch r.phase {
 	case granting, granted:
-		return m.grantOrder(r, confirmedAt), registered && m.mayGrant(r, confirmedAt)
+		return m.grantOrder(r), registered && m.mayGrant(r)
 	case releasing:
 		return Order{Kind: Release, Address: r.address}, r.address != ""
 	case expiring:
@@ -482,7 +485,7 @@
 		// own them by a grant of an earlier leader, it first needs a grant of this
 		// leader; that is sent only while it does not prolong the wait.
 		if r.earlierGrants {
-			return m.grantOrder(r, confirmedAt), registered && now+m.settings.CallTimeout <= m.earlierUntil && m.mayGrant(r, confirmedAt)
+			return m.grantOrder(r), registered && now+m.settings.CallTimeout <= m.earlierUntil && m.mayGrant(r)
 		}
 		return Order{Kind: Release, Address: r.address}, r.address != ""
 	default:
@@ -494,14 +497,15 @@
 // have restarted and lost the fence of a later leader, so it would accept the grant.
 // This leader therefore needs a confirmation by the store that is newer than the
 // failure.
-func (m *Manager) mayGrant(r *keyRange, confirmedAt time.Duration) bool {
-	return r.failures == 0 || r.failedAt < confirmedAt
+func (m *Manager) mayGrant(r *keyRange) bool {
+	_, failed := m.failedAt[r.server]
+	return !failed
 }
 
 // grantOrder returns a grant. After a grant without a response the new one has a
 // higher fence, so that the server refuses the earlier one if it arrives later.
-func (m *Manager) grantOrder(r *keyRange, confirmedAt time.Duration) Order {
-	if r.unansweredGrant && m.mayGrant(r, confirmedAt) {
+func (m *Manager) grantOrder(r *keyRange) Order {
+	if r.unansweredGrant && m.mayGrant(r) {
 		r.fence = m.nextFence()
 	}
 	return Order{Kind: Grant, Address: r.address, Handover: r.handover}
--- a/internal/ownership/result.go
+++ b/internal/ownership/result.go
@@ -7,6 +7,10 @@
 // HandleResult records the outcome of an order. The time now is that of the response
 // or of the timeout.
 func (m *Manager) HandleResult(o Order, outcome Outcome, handover string, now time.Duration) {
+	// A release that waits for long requests times out without a lost connection.
+	if outcome != Done && (o.Kind == Grant || outcome != Unknown) {
+		m.failedAt[o.Server] = now
+	}
 	r := m.rangeByID(o.id)
 	if r == nil {
 		m.handleUnmatched(o, outcome, now)
@@ -17,7 +21,7 @@
 		if o.Kind == Grant {
 			r.latestExpiry = r.priorExpiry
 		}
-		r.recordFailure(now)
+		r.failures++
 		return
 	}
 	if outcome == ServerGone {
@@ -25,7 +29,7 @@
 		return
 	}
 	if o.Kind == Release {
-		m.handleRelease(r, o, outcome, handover, now)
+		m.handleRelease(r, o, outcome, handover)
 		return
 	}
 	m.handleGrant(r, o, outcome, now)
@@ -35,18 +39,12 @@
 func (m *Manager) handleServerGone(r *keyRange, now time.Duration) {
 	r.latestExpiry, r.earlierGrants, r.unansweredGrant = now, false, false
 	r.failures = max(r.failures, unreachableAfter)
-	r.failedAt = now
 	m.version++
 }
 
-func (r *keyRange) recordFailure(now time.Duration) {
-	r.failures++
-	r.failedAt = now
-}
-
-func (m *Manager) handleRelease(r *keyRange, o Order, outcome Outcome, handover string, now time.Duration) {
+func (m *Manager) handleRelease(r *keyRange, o Order, outcome Outcome, handover string) {
 	if outcome != Done || (r.phase != releasing && r.phase != expiring) || r.from < o.From || r.to > o.To || r.earlierGrants {
-		r.recordFailure(now)
+		r.failures++
 		return
 	}
 	if r.unansweredGrant {
@@ -83,20 +81,20 @@
 	case Unknown:
 		r.latestExpiry = max(r.latestExpiry, now+m.maxGrantDuration())
 		r.unansweredGrant = true
-		r.recordFailure(now)
+		r.failures++
 	case Refused:
 		r.latestExpiry = r.priorExpiry
-		r.recordFailure(now)
+		r.failures++
 	case Fenced:
 		r.latestExpiry = r.priorExpiry
-		r.recordFailure(now)
+		r.failures++
 		if r.failures > 1 {
 			m.suspectsLaterLeader = true
 		}
 		r.fence = m.nextFence()
 		r.sentAt = -time.Hour
 	default:
-		r.recordFailure(now)
+		r.failures++
 	}
 }
 
