Keep the end of grants when a server starts again

Keys of a server that had started again could be granted to another server at once, while the new incarnation held them: two owners for up to 2.2 s, with one leader and without late calls.

Cause: SetServers set the end of all grants to now when the list named a later incarnation. The list is up to 0.45 s old and shows a restart later than the calls do, so a grant may have reached the new incarnation before.

The end of the last grants now stays. Keys that are to move get a grant and a release first, or wait for that end. The argument now of SetServers is not needed any more.

--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -241,7 +241,7 @@
 		svc.usable = usable
 		svc.sched.SetServers(usable, now)
 		if svc.grants != nil {
-			svc.grants.SetServers(reachable, now)
+			svc.grants.SetServers(reachable)
 		}
 	}
 }
--- a/internal/ownership/lost_connection_test.go
+++ b/internal/ownership/lost_connection_test.go
@@ -17,7 +17,7 @@
 	var fence int64
 	keyMap := keymap.Map{{From: 0, To: 99, Server: "c"}, {From: 100, To: 199, Server: "b"}, {From: 200, To: keymap.KeyCount - 1, Server: "c"}}
 	m := ownership.New("booking", settings, keyMap, func() int64 { fence++; return fence }, 0)
-	m.SetServers(map[topology.ServerID]ownership.Server{"b": {Address: "b", Incarnation: 1}, "c": {Address: "c", Incarnation: 1}}, 0)
+	m.SetServers(map[topology.ServerID]ownership.Server{"b": {Address: "b", Incarnation: 1}, "c": {Address: "c", Incarnation: 1}})
 
 	const ms = time.Millisecond
 	var lost bool
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -240,7 +240,7 @@
 
 // SetServers replaces the registered servers. A server with a later incarnation owns
 // no keys of its earlier one.
-func (m *Manager) SetServers(servers map[topology.ServerID]Server, now time.Duration) {
+func (m *Manager) SetServers(servers map[topology.ServerID]Server) {
 	m.servers = servers
 	for _, r := range m.ranges {
 		srv, ok := servers[r.server]
@@ -251,7 +251,7 @@
 			continue
 		}
 		if r.incarnation != 0 && srv.Incarnation > r.incarnation {
-			r.latestExpiry = now
+			// latestExpiry stays: the last grants may have reached the new incarnation.
 			r.earlierGrants = true // the new incarnation has seen no fence yet
 			r.unansweredGrant = false
 			r.failures = 0
--- a/internal/ownership/property_test.go
+++ b/internal/ownership/property_test.go
@@ -176,7 +176,7 @@
 			h.contact = m.now
 		}
 		if !h.cutOff {
-			h.manager.SetServers(m.registered(), m.now)
+			h.manager.SetServers(m.registered())
 		}
 		if m.now-h.contact > autonomy {
 			continue
