Wait for earlier leaders after the end of a server

If another server responds at the address of a server, its keys were granted to another one at once, although an earlier leader may still grant them to a new incarnation with the same id at another address.

Cause: the response proves the end of one process, but it also cleared the mark that grants of earlier leaders may still be accepted.

Evidence: the new test; the keys were free at 0 s, the earlier leader may act until 3 s.

The mark now stays until a grant of this leader succeeds. Without earlier leaders nothing changes: the grants of this leader end with the process.

--- a/internal/ownership/restart_test.go
+++ b/internal/ownership/restart_test.go
@@ -55,3 +55,23 @@
 	}
 	t.Error("the keys were not moved")
 }
+
+// Guards against keys that are granted to another server while an earlier leader may
+// grant them to a new incarnation of their server, which started at another address.
+func TestServerGoneWhileEarlierLeaderMayAct(t *testing.T) {
+	earlierUntil := 3 * time.Second
+	m := newLeader(earlierUntil)
+	m.SetServers(registrations(1))
+	for _, o := range m.Step(0, 0) {
+		m.HandleResult(o, ownership.ServerGone, "", 0)
+	}
+	m.Move(0, keymap.KeyCount-1, "b")
+	for now := time.Duration(0); now < earlierUntil; now += step {
+		for _, o := range m.Step(now, now) {
+			m.HandleResult(o, ownership.ServerGone, "", now)
+		}
+		if _, changed := m.NextKeyMap(); changed {
+			t.Fatalf("at %v the keys are free; an earlier leader may grant them to server a until %v", now, earlierUntil)
+		}
+	}
+}
--- a/internal/ownership/result.go
+++ b/internal/ownership/result.go
@@ -35,9 +35,10 @@
 	m.handleGrant(r, o, outcome, now)
 }
 
-// handleServerGone records that the process that owned the range no longer exists.
+// handleServerGone records that the process that owned the range no longer exists. An
+// earlier leader may still grant the keys to a new incarnation of the server.
 func (m *Manager) handleServerGone(r *keyRange, now time.Duration) {
-	r.latestExpiry, r.earlierGrants, r.unansweredGrant = now, false, false
+	r.latestExpiry, r.unansweredGrant = now, false
 	r.failures = max(r.failures, unreachableAfter)
 	m.version++
 }
