Raise the fence after a failed call

A server that had started again got keys with the fence of its earlier incarnation.

Cause: only a grant without a response and a new entry in the list of servers raised the fence. Grants resume after a lost connection, before the list names the new incarnation.

Evidence: the new test; the grant after the lost connection had fence 1 again.

After a failed call the next grant of each range of that server has a higher fence.

--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -149,8 +149,11 @@
 	// unansweredGrant is true if a grant under the current fence got no response; the
 	// server may still carry it out.
 	unansweredGrant bool
-	failures        int  // failed calls since the last success
-	appending       bool // a key map that names next as the owner is being stored
+	// raisesFence is true if the next grant needs a higher fence, because the server
+	// may have started again since the last one.
+	raisesFence bool
+	failures    int  // failed calls since the last success
+	appending   bool // a key map that names next as the owner is being stored
 	// appendInDoubt is true if an append of such a key map got no response.
 	appendInDoubt bool
 	// ownerUnknown is true if any server may own the keys by a grant of an earlier
@@ -503,10 +506,12 @@
 }
 
 // grantOrder returns a grant. After a grant without a response the new one has a
-// higher fence, so that the server refuses the earlier one if it arrives later.
+// higher fence, so that the server refuses the earlier one if it arrives later. After
+// a failed call it has one because a new incarnation must not get the fence of the
+// earlier one.
 func (m *Manager) grantOrder(r *keyRange) Order {
-	if r.unansweredGrant && m.mayGrant(r) {
-		r.fence = m.nextFence()
+	if (r.unansweredGrant || r.raisesFence) && m.mayGrant(r) {
+		r.fence, r.raisesFence = m.nextFence(), false
 	}
 	return Order{Kind: Grant, Address: r.address, Handover: r.handover}
 }
--- a/internal/ownership/restart_test.go
+++ b/internal/ownership/restart_test.go
@@ -75,3 +75,22 @@
 		}
 	}
 }
+
+// Guards against a new incarnation of a server that gets keys with the fence of the
+// earlier one.
+func TestGrantAfterLostConnectionHasHigherFence(t *testing.T) {
+	m := newLeader(-time.Hour)
+	m.SetServers(registrations(1))
+	var fence int64
+	for _, o := range m.Step(0, 0) {
+		fence = o.Fence
+		m.HandleResult(o, ownership.Done, "", 0)
+	}
+	for _, o := range m.Step(650*time.Millisecond, 0) {
+		m.HandleResult(o, ownership.Unsent, "", 650*time.Millisecond)
+	}
+	orders := m.Step(850*time.Millisecond, 700*time.Millisecond)
+	if len(orders) != 1 || orders[0].Fence <= fence {
+		t.Errorf("orders after the connection was lost: %+v; want a grant with a fence above %d", orders, fence)
+	}
+}
--- a/internal/ownership/result.go
+++ b/internal/ownership/result.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
 
 // HandleResult records the outcome of an order. The time now is that of the response
@@ -9,7 +11,7 @@
 func (m *Manager) HandleResult(o Order, outcome Outcome, handover string, now time.Duration) {
 	// A release that waits for long requests times out without a lost connection.
 	if outcome != Done && (o.Kind == Grant || outcome != Unknown) {
-		m.failedAt[o.Server] = now
+		m.recordFailure(o.Server, now)
 	}
 	r := m.rangeByID(o.id)
 	if r == nil {
@@ -35,6 +37,16 @@
 	m.handleGrant(r, o, outcome, now)
 }
 
+// recordFailure records a failed call to a server, which concerns all of its ranges.
+func (m *Manager) recordFailure(server topology.ServerID, now time.Duration) {
+	m.failedAt[server] = now
+	for _, r := range m.ranges {
+		if r.server == server {
+			r.raisesFence = true
+		}
+	}
+}
+
 // handleServerGone records that the process that owned the range no longer exists. An
 // earlier leader may still grant the keys to a new incarnation of the server.
 func (m *Manager) handleServerGone(r *keyRange, now time.Duration) {
