Send one grant to a server at a time

A replaced leader could grant keys to a server that had started again, as before, if grants of two ranges were due together: only the first of them met the lost connection, the second was on its way already and opened a new one.

The new test failed before.

Grants to one server share a connection and were sent one by one already. The Manager now makes the next one only after the result of the last, so a lost connection is known to all later ones.

--- a/internal/ownership/lost_connection_test.go
+++ b/internal/ownership/lost_connection_test.go
@@ -51,3 +51,33 @@
 		t.Errorf("connection lost: %v, granted to c after the confirmation: %v; want both ranges", lost, granted)
 	}
 }
+
+// Guards against a replaced leader that sends a grant of another key range after the
+// connection to a server was lost, because it made both orders at the same time. The
+// server may have started again and forgotten the fences of the later leader.
+func TestGrantsOfServerWaitForEachOther(t *testing.T) {
+	var fence int64
+	keyMap := keymap.Map{{From: 0, To: 99, Server: "c"}, {From: 100, To: 199, Server: "b"}, {From: 200, To: keymap.KeyCount - 1, Server: "c"}}
+	m := ownership.New("booking", settings, keyMap, func() int64 { fence++; return fence }, 0)
+	m.SetServers(map[topology.ServerID]ownership.Server{"b": {Address: "b", Incarnation: 1}, "c": {Address: "c", Incarnation: 1}})
+	grants := make(map[topology.ServerID][]ownership.Order)
+	record := func(orders []ownership.Order) {
+		for _, o := range orders {
+			grants[o.Server] = append(grants[o.Server], o)
+		}
+	}
+	record(m.Step(0, 0))
+	if len(grants["b"]) != 1 || len(grants["c"]) != 1 {
+		t.Fatalf("%d grants to b and %d to c at the same time; want one each", len(grants["b"]), len(grants["c"]))
+	}
+	m.HandleResult(grants["c"][0], ownership.Done, "", 0)
+	record(m.Step(0, 0))
+	if len(grants["c"]) != 2 || grants["c"][1].From == grants["c"][0].From {
+		t.Errorf("grants to c: %+v; want one of each range", grants["c"])
+	}
+	m.HandleResult(grants["c"][1], ownership.Unsent, "", 0)
+	record(m.Step(time.Second, 0))
+	if len(grants["c"]) != 2 {
+		t.Errorf("a grant to c without a later confirmation: %+v", grants["c"][2:])
+	}
+}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -172,8 +172,11 @@
 	// leadership is confirmed. All ranges of a server share one connection, and its
 	// loss is reported to one call only.
 	failedAt map[topology.ServerID]time.Duration
-	ranges   []*keyRange // in the order of keys
-	nextID   int
+	// grantsInFlight holds the servers to which a grant is being sent. One is sent at a
+	// time, so that no other is on its way when the loss of the connection is noticed.
+	grantsInFlight map[topology.ServerID]bool
+	ranges         []*keyRange // in the order of keys
+	nextID         int
 	// earlierUntil is the time until which grants of earlier leaders may arrive.
 	earlierUntil time.Duration
 	// movesFrom is the time before which no range changes its server, movesAllowed
@@ -191,7 +194,10 @@
 // leaders may arrive until earlierUntil. Each call of nextFence returns a fence that
 // is higher than all earlier ones, including those of earlier leaders.
 func New(service topology.Service, settings Settings, keyMap keymap.Map, nextFence func() int64, earlierUntil time.Duration) *Manager {
-	m := &Manager{service: service, settings: settings, nextFence: nextFence, earlierUntil: earlierUntil, servers: make(map[topology.ServerID]Server), failedAt: make(map[topology.ServerID]time.Duration)}
+	m := &Manager{
+		service: service, settings: settings, nextFence: nextFence, earlierUntil: earlierUntil, servers: make(map[topology.ServerID]Server),
+		failedAt: make(map[topology.ServerID]time.Duration), grantsInFlight: make(map[topology.ServerID]bool),
+	}
 	for _, e := range keyMap {
 		r := &keyRange{from: e.From, to: e.To, server: e.Server, fence: nextFence(), earlierGrants: true, sentAt: -time.Hour, latestExpiry: -time.Hour}
 		switch {
@@ -413,6 +419,7 @@
 			if o.Kind == Grant {
 				// The grant duration starts when the grant arrives, which can be as
 				// late as the timeout of the call.
+				m.grantsInFlight[r.server] = true
 				r.priorExpiry = r.latestExpiry
 				r.latestExpiry = max(r.latestExpiry, now+m.settings.CallTimeout+m.maxGrantDuration())
 			}
@@ -499,10 +506,10 @@
 // mayGrant reports whether a grant may be sent. After a failed call the server may
 // have restarted and lost the fence of a later leader, so it would accept the grant.
 // This leader therefore needs a confirmation by the store that is newer than the
-// failure.
+// failure. Whether a call has failed is known once the grant in flight has ended.
 func (m *Manager) mayGrant(r *keyRange) bool {
 	_, failed := m.failedAt[r.server]
-	return !failed
+	return !failed && !m.grantsInFlight[r.server]
 }
 
 // grantOrder returns a grant. After a grant without a response the new one has a
--- a/internal/ownership/result.go
+++ b/internal/ownership/result.go
@@ -13,6 +13,9 @@
 	if outcome != Done && (o.Kind == Grant || outcome != Unknown) {
 		m.recordFailure(o.Server, now)
 	}
+	if o.Kind == Grant {
+		delete(m.grantsInFlight, o.Server)
+	}
 	r := m.rangeByID(o.id)
 	if r == nil {
 		m.handleUnmatched(o, outcome, now)
