Count a failed call from its end

After a failed call the leader reads its record in the store and may grant again with that confirmation. The failure was recorded only after the read, so the read never counted, and grants waited for the next one (up to 1.6 s by confirmationInterval and leaderWatchWait).

The result now has the time at which the call ended. No test of its own; the wait was not measured.

--- a/internal/gateway/leadership.go
+++ b/internal/gateway/leadership.go
@@ -273,7 +273,7 @@
 		handover, err = l.grantClient.Release(callCtx, o)
 		cancel()
 	}
-	outcome := outcomeOf(err)
+	outcome, ended := outcomeOf(err), l.clk.Now()
 	l.metrics.inc("order-" + o.Kind.String() + "-" + outcome.String())
 	if outcome != ownership.Done {
 		l.log.With("server", string(o.Server)).With("from", o.From).With("to", o.To).With("fence", o.Fence).
@@ -283,7 +283,7 @@
 	if outcome != ownership.Done {
 		confirmedAt = l.confirmWithStore(ctx)
 	}
-	fenced, next := l.scheduler.recordResult(o, outcome, handover, confirmedAt)
+	fenced, next := l.scheduler.recordResult(o, outcome, handover, ended, confirmedAt)
 	if o.Kind == ownership.Release {
 		l.wakeStoreLoop()
 	}
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -412,9 +412,9 @@
 	return svc.grants.Step(now, confirmedAt)
 }
 
-// recordResult records the result of a call to a server and returns the calls
-// that are due then. fenced is true if a server has refused the newest fence.
-func (s *scheduler) recordResult(o ownership.Order, outcome ownership.Outcome, handover string, confirmedAt time.Duration) (fenced bool, next []ownership.Order) {
+// recordResult records the result of a call to a server, which ended at the given
+// time, and returns the calls that are due now. fenced is true if a server has refused the newest fence.
+func (s *scheduler) recordResult(o ownership.Order, outcome ownership.Outcome, handover string, ended, confirmedAt time.Duration) (fenced bool, next []ownership.Order) {
 	s.mu.Lock()
 	svc, ok := s.services[hash32(string(o.Service))]
 	if !ok || svc.grants == nil {
@@ -422,7 +422,7 @@
 		return false, nil
 	}
 	now := s.clk.Now()
-	svc.grants.HandleResult(o, outcome, handover, now)
+	svc.grants.HandleResult(o, outcome, handover, ended)
 	next = s.dueOrders(svc, now, confirmedAt)
 	svc.updateOwners(now)
 	out := s.decide(svc, now)
