Reject a response head that contains the beginning of another

What callers could see: a request that ran was answered as refused, or a failure of the server as a success. A faulty server wrote a part of an earlier response on a kept connection, and behind it the response to the present request.

Cause: a head that breaks off inside a line swallows the status line of the next response. net/http reads "X-Not-Executed: HTTP/1.1 200 OK" and "503 HTTP/1.1 200 OK" as one head, with the status of the first response and the request id, the signature and the body of the second, so the id does not tell them apart.

Why the fix works: the next response begins with a status line. If the break is inside a line, that line contains it, in the reason phrase or in the value of a field; anywhere else net/http rejects the line. Such an exchange is broken: its outcome is unknown and its connection is not used again.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -17,6 +17,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -315,6 +316,9 @@
 			}
 			return fail(err)
 		}
+		if err := checkHead(resp); err != nil {
+			return fail(err)
+		}
 		cn.limited.N = math.MaxInt64 // the body is limited by the budget
 		if resp.StatusCode < 200 {
 			_ = resp.Body.Close()
@@ -344,6 +348,41 @@
 	return fail(errors.New("too many interim responses or responses to other requests"))
 }
 
+// checkHead returns an error if the head of a response contains another status line. A
+// server that breaks off in a head and then writes the next response on the connection
+// leaves one head with the fields of both.
+func checkHead(resp *http.Response) error {
+	if containsStatusLine(resp.Status) {
+		return errSplicedHead
+	}
+	for _, values := range resp.Header {
+		if slices.ContainsFunc(values, containsStatusLine) {
+			return errSplicedHead
+		}
+	}
+	return nil
+}
+
+var errSplicedHead = errors.New("response head contains the beginning of another response")
+
+// containsStatusLine reports whether text contains a protocol version that is followed
+// by a status code.
+func containsStatusLine(text string) bool {
+	const version, rest = "HTTP/1.", "1 200"
+	for {
+		i := strings.Index(text, version)
+		if i < 0 || len(text) < i+len(version)+len(rest) {
+			return false
+		}
+		text = text[i+len(version):]
+		if text[1] == ' ' && isDigit(text[0]) && isDigit(text[2]) && isDigit(text[3]) && isDigit(text[4]) {
+			return true
+		}
+	}
+}
+
+func isDigit(b byte) bool { return b >= '0' && b <= '9' }
+
 // errNoMemory is returned for a response that the budget has no room for.
 var errNoMemory = errors.New("response body is larger than the memory that is free")
 
