Send a request on a connection only once

What callers could see: 503 (not run, never will be) for a request that a server was running, or a request that is not idempotent and ran at a second server. A faulty server refused the request, got it once more on the same kept connection, and wrote its first refusal again.

Cause: responses are matched by the request id, and all sends of a request have the same one. A request for a key goes back to the server that owns the key after that server has refused it, usually on the connection used last.

Evidence: TestCopyOfRefusalToEarlierSend failed on for each of 503, 429 and 421 ("the second send has run: Expected true to be false").

Why the fix works: a request remembers the kept connections that carried it (at most four, the bound on sends), and none of them carries it again. On any other connection a response with its id can only belong to the present send. The skipped connections stay in use for other requests.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -4,8 +4,9 @@
 //
 // Guarantees: a request is written at most once. A response is returned only if
 // it is complete and has the id of the request. A connection is reused only after
-// a complete exchange without unread bytes. What a server sends without end is cut:
-// a head at a fixed size, a body when the memory that all exchanges share is used up.
+// a complete exchange without unread bytes, and never for the same request. What a
+// server sends without end is cut: a head at a fixed size, a body when the memory that
+// all exchanges share is used up.
 package upstream
 
 import (
@@ -47,6 +48,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// carriedBy holds the kept connections on which the request was sent.
+	carriedBy []*conn
 }
 
 // Response is a complete response of a server.
@@ -131,19 +134,16 @@
 	return &Client{headers: headers, memory: memory, dial: dial, idle: make(map[string][]*conn)}
 }
 
-// get returns an idle connection or a new one, and whether it was used before.
-func (c *Client) get(ctx context.Context, address string) (*conn, bool, error) {
+// get returns an idle connection or a new one, and whether it was used before. It returns
+// none that has carried r: all sends of a request have the same id, so a late copy of the
+// response to an earlier send would pass for that to the present one.
+func (c *Client) get(ctx context.Context, address string, r *Request) (*conn, bool, error) {
 	now := time.Now()
 	for {
-		c.mu.Lock()
-		list := c.idle[address]
-		if len(list) == 0 {
-			c.mu.Unlock()
+		cn := c.takeIdle(address, r.carriedBy)
+		if cn == nil {
 			break
 		}
-		cn := list[len(list)-1]
-		c.idle[address] = list[:len(list)-1]
-		c.mu.Unlock()
 		if now.Before(cn.expires) && Reusable(cn.Conn) {
 			return cn, true, nil
 		}
@@ -157,6 +157,21 @@
 	return &conn{Conn: nc, limited: limited, br: bufio.NewReaderSize(limited, readBufferSize)}, false, nil
 }
 
+// takeIdle removes the idle connection to address that was used last and is not in
+// except, and returns it; nil if there is none.
+func (c *Client) takeIdle(address string, except []*conn) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[address]
+	for i, cn := range slices.Backward(list) {
+		if !slices.Contains(except, cn) {
+			c.idle[address] = slices.Delete(list, i, i+1)
+			return cn
+		}
+	}
+	return nil
+}
+
 func (c *Client) put(address string, cn *conn, idleTimeout time.Duration) {
 	if idleTimeout <= 0 {
 		_ = cn.Close()
@@ -201,7 +216,7 @@
 }
 
 func (c *Client) exchange(ctx context.Context, server topology.ServerID, address string, deadline time.Time, r *Request) Outcome {
-	cn, reused, err := c.get(ctx, address)
+	cn, reused, err := c.get(ctx, address, r)
 	if err != nil {
 		if ctx.Err() != nil {
 			return Outcome{Result: contextResult(ctx), NotRun: true, Cause: err}
@@ -227,6 +242,7 @@
 	if idleTimeout <= 0 || interrupted || cn.br.Buffered() > 0 {
 		reset(cn.Conn)
 	} else {
+		r.carriedBy = append(r.carriedBy, cn)
 		c.put(address, cn, idleTimeout)
 	}
 	if outcome.Result == schedule.Broken && reused && outcome.NotRun {
