--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -29,6 +29,8 @@
 type Record struct {
 	Key   string
 	Value []byte
+	// Offset is the place of the record in its topic; it is not used in appends.
+	Offset int64
 }
 
 // ErrOutdated is returned by an append whose condition no longer holds.
