Keep what was known of owners whose records cannot be read

What callers could see: two servers that hold and serve the same keys, after another writer left a leader record or a key map that cannot be decoded.

Cause: such a record counted as one that was never written. Without a leader record, a host that claims the leadership knows no earlier leader whose grants may still arrive; of a record with one field of another type it used the fields before that. A key map that was never stored lets the leader grant all keys at once.

Why the fix works: what was last read of that key stays in force. The record may be that of another leader, so the claimant also waits for as long as any leader may act without the store. A host that has read no earlier key map takes the owner to be an unregistered server: its keys move when the grants of earlier leaders must have expired. Both waits end by themselves, so that one record does not stop the service for good; the next leader writes a new one.

--- a/internal/gateway/elector.go
+++ b/internal/gateway/elector.go
@@ -132,6 +132,7 @@
 
 	mu      sync.Mutex
 	keyMaps map[topology.Service]keymap.Map // as last read
+	leader  leaderRecord                    // the last one that could be decoded
 	// cancel ends the present leadership of this host; nil if it does not lead.
 	cancel context.CancelFunc
 }
@@ -156,32 +157,65 @@
 	if err != nil {
 		return leaderRecord{}, Position{}, err
 	}
+	e.mu.Lock()
+	leader, keyMaps := e.decodeOwners(records, end.Era)
+	e.keyMaps = keyMaps
+	e.mu.Unlock()
+	e.leaderClient.fallback.setKeyMaps(keyMaps)
+	return leader, end, nil
+}
+
+// unknownLeader stands for the leader of a record that cannot be decoded. Nothing is known
+// of its followers, so it counts as able to act for as long as any leader without the store.
+var unknownLeader = leaderlease.EarlierLeader{Followers: []uint64{0}}
+
+// decodeOwners decodes the leader record and the key maps. For a record that cannot be
+// decoded it returns what was last read of the same key: without it, a leader would grant
+// the keys although their owner or an earlier leader may still act. The owners of a key map
+// that is not of the present era of the store are unknown. The caller holds the lock.
+func (e *elector) decodeOwners(records []Record, present int64) (leaderRecord, map[topology.Service]keymap.Map) {
 	var leader leaderRecord
 	keyMaps := make(map[topology.Service]keymap.Map)
 	for _, r := range records {
 		if r.Key == leaderKey {
-			if err := json.Unmarshal(r.Value, &leader); err != nil {
-				e.log.Error("the leader record in the store cannot be decoded", err)
-			}
+			leader = e.decodeLeader(r.Value)
 			continue
 		}
-		if name, ok := strings.CutPrefix(r.Key, keyMapPrefix); ok {
-			keyMap, era, err := keymap.Decode(r.Value)
-			if err != nil {
-				e.log.Error("a key map in the store cannot be decoded", err)
-				continue
-			}
-			if max(era, FirstEra) < end.Era {
-				keyMap = keyMap.WithUnknownOwners()
+		name, ok := strings.CutPrefix(r.Key, keyMapPrefix)
+		if !ok {
+			continue
+		}
+		keyMap, era, err := keymap.Decode(r.Value)
+		if err != nil {
+			e.log.Error("a key map in the store cannot be decoded", err)
+			if keyMap = e.keyMaps[topology.Service(name)]; keyMap == nil {
+				keyMap = keymap.Empty()
 			}
-			keyMaps[topology.Service(name)] = keyMap
 		}
+		if err != nil || max(era, FirstEra) < present {
+			keyMap = keyMap.WithUnknownOwners()
+		}
+		keyMaps[topology.Service(name)] = keyMap
 	}
-	e.mu.Lock()
-	e.keyMaps = keyMaps
-	e.mu.Unlock()
-	e.leaderClient.fallback.setKeyMaps(keyMaps)
-	return leader, end, nil
+	return leader, keyMaps
+}
+
+// decodeLeader decodes the leader record. If it cannot be decoded, it returns the last one
+// that could be, with unknownLeader among the earlier leaders. The caller holds the lock.
+func (e *elector) decodeLeader(value []byte) leaderRecord {
+	var leader leaderRecord
+	err := json.Unmarshal(value, &leader)
+	if err == nil {
+		e.leader = leader
+		return leader
+	}
+	e.log.Error("the leader record in the store cannot be decoded", err)
+	leader = e.leader
+	if leader.Member == "" {
+		leader.Member = "(unknown)"
+	}
+	leader.Earlier = append(slices.Clone(leader.Earlier), unknownLeader)
+	return leader
 }
 
 // checkNow makes run check at once whether there is a leader.
