Wait for all leaders that a restored store may have forgotten

A leader whose claim the store has lost could act for longer than the next one waited: its followers may be hosts that the records of the copy do not name, since records named only hosts heard in the last 1.5 s, and a leader that follows itself alone counted as a majority. Records now name absent hosts too, for a minute, and a leader acts on without the store only if its followers outnumber them. A list that names no host is no proof that no leader acts.

A response sent before the claim of a restored store could arrive after it and start the claim again; that forgot that an append was in doubt. Signs of an era now count for that era only. A response that does not state the era, from a store that has stated one, is an error.

--- a/internal/gateway/elector.go
+++ b/internal/gateway/elector.go
@@ -76,6 +76,9 @@
 	Followers []uint64 `json:"list,omitempty"`
 	// FollowerAddresses holds the addresses of Followers in the same order.
 	FollowerAddresses []string `json:"addresses,omitempty"`
+	// Absent holds the addresses of other hosts that earlier records named. They
+	// count as hosts without contact to the leader.
+	Absent []string `json:"absent,omitempty"`
 	// Earlier holds the earlier leaders that may still act.
 	Earlier []leaderlease.EarlierLeader `json:"earlier,omitempty"`
 }
@@ -353,18 +356,27 @@
 	return !silent && e.clk.Now()-e.eraSeenAt < t.membershipTTL+t.joinInterval
 }
 
-// hostsOfLostLeaders describes the leaders whose claims the store may have lost: they
-// run on one of the hosts that this host knows.
-func (e *elector) hostsOfLostLeaders(record leaderRecord) leaderlease.EarlierLeader {
-	addresses := e.leaderClient.knownAddresses()
+// otherHosts returns the addresses of all hosts that a leader record names but this one.
+func (e *elector) otherHosts(record leaderRecord) []string {
+	addresses := slices.Clone(record.Absent)
 	for _, l := range record.leadersThatMayAct() {
 		addresses = append(append(addresses, l.Address), l.FollowerAddresses...)
 	}
+	return e.distinctOthers(addresses)
+}
+
+// distinctOthers returns the distinct addresses of other hosts, in ascending order.
+func (e *elector) distinctOthers(addresses []string) []string {
 	slices.Sort(addresses)
-	addresses = slices.Compact(addresses)
+	return slices.DeleteFunc(slices.Compact(addresses), func(a string) bool { return a == "" || a == e.self.String() })
+}
+
+// hostsOfLostLeaders describes the leaders whose claims the store may have lost: they
+// run on one of the hosts that the record names or this host knows.
+func (e *elector) hostsOfLostLeaders(record leaderRecord) leaderlease.EarlierLeader {
 	return leaderlease.EarlierLeader{
 		Unlisted:          true,
-		FollowerAddresses: slices.DeleteFunc(addresses, func(a string) bool { return a == "" || a == e.self.String() }),
+		FollowerAddresses: e.distinctOthers(append(e.leaderClient.knownAddresses(), e.otherHosts(record)...)),
 	}
 }
 
@@ -374,6 +386,7 @@
 func (e *elector) claim(ctx context.Context, end Position, earlier leaderRecord) bool {
 	record := leaderRecord{
 		Member: e.memberID, Address: e.self.String(), Epoch: epochAt(end), Era: end.Era, Incarnation: e.leaderClient.incarnation, Earlier: earlier.leadersThatMayAct(),
+		Absent: e.otherHosts(earlier),
 	}
 	if earlier.outdated(end.Era) {
 		record.Earlier = append(record.Earlier, e.hostsOfLostLeaders(earlier))
--- a/internal/gateway/leadership.go
+++ b/internal/gateway/leadership.go
@@ -26,30 +26,32 @@
 	epoch int64
 	lease *leaderlease.Lease
 	// restored is true from the first sign that the store was restored until
-	// this leader has claimed the leadership again, reclaiming while its claim
-	// is under way: no grants are sent then.
-	restored, reclaiming bool
-	record               leaderRecord  // the leader record in the store
-	recordStaleSince     time.Duration // time since which the followers differ from record; zero if they do not
-	ownersEnd            Position      // end of the ownership topic
-	confirmedAt          time.Duration // send time of the last confirmation
-	storeSeenAt          time.Duration // time of the last response of the store
-	confirmReadAt        time.Duration // send time of the last read by confirmWithStore
-	lastFence            int64
-	cancel               context.CancelFunc
-	calls                sync.WaitGroup
-	summaryLoggedAt      time.Duration
-	startedAt            time.Duration
-	lag                  leaderlease.TickLagMonitor
-	retransmissions      leaderlease.RetransmissionMonitor
-	storeWake            chan struct{} // wakes storeKeyMaps
+	// this leader has claimed the leadership again.
+	restored bool
+	// absentSince holds the time since which hosts that the leader record names
+	// have not followed this leader, by address.
+	absentSince      map[string]time.Duration
+	record           leaderRecord  // the leader record in the store
+	recordStaleSince time.Duration // time since which the followers differ from record; zero if they do not
+	ownersEnd        Position      // end of the ownership topic
+	confirmedAt      time.Duration // send time of the last confirmation
+	storeSeenAt      time.Duration // time of the last response of the store
+	confirmReadAt    time.Duration // send time of the last read by confirmWithStore
+	lastFence        int64
+	cancel           context.CancelFunc
+	calls            sync.WaitGroup
+	summaryLoggedAt  time.Duration
+	startedAt        time.Duration
+	lag              leaderlease.TickLagMonitor
+	retransmissions  leaderlease.RetransmissionMonitor
+	storeWake        chan struct{} // wakes storeKeyMaps
 }
 
 func newLeadership(e *elector, record leaderRecord, claimedAt time.Duration, ownersEnd Position) *leadership {
 	t := e.active.timing()
 	l := &leadership{
-		storeWake: make(chan struct{}, 1),
-		elector:   e, timing: t, startedAt: e.clk.Now(), epoch: record.Epoch, record: record, ownersEnd: ownersEnd,
+		storeWake: make(chan struct{}, 1), absentSince: make(map[string]time.Duration),
+		elector: e, timing: t, startedAt: e.clk.Now(), epoch: record.Epoch, record: record, ownersEnd: ownersEnd,
 		confirmedAt: claimedAt, storeSeenAt: e.clk.Now(), lastFence: record.Epoch * fencesPerEpoch,
 		// The store may have taken the claim at any time between the call and
 		// its response: until the response, an earlier leader may have had a
@@ -60,7 +62,7 @@
 	l.scheduler.mayGrant = func() bool {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		return !l.reclaiming && l.lease.Valid(l.clk.Now())
+		return l.lease.Valid(l.clk.Now())
 	}
 	l.scheduler.earlierGrantsUntil = func() time.Duration {
 		l.mu.Lock()
--- a/internal/gateway/leadershipstore.go
+++ b/internal/gateway/leadershipstore.go
@@ -18,7 +18,7 @@
 // has higher fences, so the leadership then also ends if the store does not
 // respond.
 func (l *leadership) verifyLeadership(ctx context.Context, fenced bool) {
-	sent := l.clk.Now()
+	sent, known := l.clk.Now(), l.end()
 	leader, end, err := l.readOwners(ctx)
 	if err != nil {
 		if fenced && ctx.Err() == nil {
@@ -27,8 +27,8 @@
 		}
 		return
 	}
-	if end.Era != l.end().Era {
-		l.noteRestore()
+	if end.Era != known.Era {
+		l.noteRestore(known.Era)
 		return
 	}
 	if leader.Member != l.memberID {
@@ -79,7 +79,7 @@
 	end, err := l.store.OwnersEnd(callCtx, from, 0)
 	switch {
 	case errors.Is(err, ErrRestored):
-		l.noteRestore()
+		l.noteRestore(from.Era)
 	case err == nil && end == from:
 		l.confirm(now)
 	}
@@ -116,13 +116,13 @@
 			clock.Sleep(ctx, confirmationInterval-(l.clk.Now()-confirmedAt))
 			continue
 		}
-		sent := l.clk.Now()
+		sent, from := l.clk.Now(), l.end()
 		callCtx, cancel := context.WithTimeout(ctx, leaderWatchWait+storeTimeout)
-		end, err := l.store.OwnersEnd(callCtx, l.end(), leaderWatchWait)
+		end, err := l.store.OwnersEnd(callCtx, from, leaderWatchWait)
 		cancel()
 		if err != nil {
 			if errors.Is(err, ErrRestored) {
-				l.noteRestore()
+				l.noteRestore(from.Era)
 			}
 			// This matches the text of platform.errCompacted: the store has
 			// dropped records that this leader has not read.
@@ -151,8 +151,9 @@
 	outcomeUnknown := false
 	for ctx.Err() == nil {
 		if l.restoreNoted() {
-			l.reclaim(ctx)
-			outcomeUnknown = false
+			if l.reclaim(ctx) {
+				outcomeUnknown = false
+			}
 			continue
 		}
 		keyMaps := l.scheduler.changedKeyMaps()
@@ -172,7 +173,7 @@
 			records = append(records, Record{Key: leaderKey, Value: value})
 			// Until the store has responded, neither the old nor the new list
 			// of followers is sure to be the stored one.
-			l.setStoredFollowers(nil)
+			l.setStoredFollowers(nil, 0)
 		}
 		sent := l.clk.Now()
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -182,7 +183,7 @@
 			l.scheduler.recordNotStored(keyMaps, !errors.Is(err, ErrRefused) && !errors.Is(err, ErrOutdated))
 			switch confirmedAt, _ := l.confirmation(); {
 			case errors.Is(err, ErrRestored):
-				l.noteRestore()
+				l.noteRestore(at.Era)
 			case errors.Is(err, ErrRefused) && !outcomeUnknown:
 				l.startCalls(ctx, l.scheduler.revertMoves(confirmedAt))
 				clock.Sleep(ctx, minRetryPause)
@@ -202,7 +203,7 @@
 			l.mu.Lock()
 			l.record = record
 			l.mu.Unlock()
-			l.setStoredFollowers(record.Followers)
+			l.setStoredFollowers(record.Followers, len(record.Absent))
 		}
 		l.startCalls(ctx, l.scheduler.recordStored(keyMaps, sent))
 	}
@@ -222,11 +223,16 @@
 	return records
 }
 
-// noteRestore makes storeKeyMaps claim the leadership again in a restored store. Only
-// the first sign of it decides whether this leader may do so: its key maps are the
-// newest if no other leader could have moved keys when the store went away.
-func (l *leadership) noteRestore() {
+// noteRestore makes storeKeyMaps claim the leadership again in a restored store, unless it
+// has done so since the given era. Only the first sign decides whether this leader may:
+// its key maps are the newest if no other leader could have moved keys when the store
+// went away.
+func (l *leadership) noteRestore(endedEra int64) {
 	l.mu.Lock()
+	if endedEra != l.ownersEnd.Era {
+		l.mu.Unlock()
+		return
+	}
 	first, valid := !l.restored, l.lease.Valid(l.clk.Now())
 	l.restored = true
 	l.mu.Unlock()
@@ -243,56 +249,62 @@
 	return l.restored
 }
 
-func (l *leadership) endRestore() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.restored, l.reclaiming = false, false
-}
-
 // reclaim claims the leadership again in a restored store, and writes the key maps that
-// this leader has in memory in the same append. It leaves the rest to the next call if
-// the append does not succeed.
-func (l *leadership) reclaim(ctx context.Context) {
-	leader, end, err := l.readOwners(ctx)
+// this leader has in memory in the same append. Until then it renews its grants. It
+// reports whether the append succeeded, and leaves the rest to the next call otherwise.
+func (l *leadership) reclaim(ctx context.Context) bool {
 	old := l.end()
+	leader, end, err := l.readOwners(ctx)
 	switch {
 	case err != nil:
-		clock.Sleep(ctx, minRetryPause)
-		return
-	case end.Era == old.Era:
-		l.endRestore() // a response did not state the era
-		return
+		l.pauseReclaim(ctx)
+		return false
 	case end.Era != old.Era+1:
 		// A leader of the era between may have moved keys.
 		l.log.With("era", end.Era).With("known_era", old.Era).Warn("the store was restored more than once; this host resigns")
 		l.cancel()
-		return
+		return false
 	case !leader.outdated(end.Era) && leader.Member != l.memberID:
 		l.log.With("leader", leader.Member).Info("the restored store names another leader")
 		l.cancel()
-		return
+		return false
 	}
-	record := l.beginReclaim(end)
-	keyMaps := l.scheduler.grantAgain(func() { l.startFencesAt(record.Epoch) })
+	record := l.reclaimRecord(end)
 	value, err := json.Marshal(record)
 	if err != nil {
 		l.log.Error("the leader record cannot be encoded", err)
 		l.cancel()
-		return
+		return false
 	}
-	records := append(l.encodeKeyMaps(keyMaps, end.Era), Record{Key: leaderKey, Value: value})
+	records := append(l.encodeKeyMaps(l.scheduler.keyMapsToGrantAgain(), end.Era), Record{Key: leaderKey, Value: value})
 	sent := l.clk.Now()
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	newEnd, err := l.store.Append(callCtx, end, records)
 	cancel()
 	if err != nil {
 		l.log.Warn("the restored store cannot be claimed: " + err.Error())
-		clock.Sleep(ctx, minRetryPause)
-		return
+		l.pauseReclaim(ctx)
+		return false
 	}
 	l.endReclaim(record, newEnd, sent)
+	l.scheduler.grantAgain(func() { l.startFencesAt(record.Epoch) })
 	l.log.With("epoch", record.Epoch).With("era", newEnd.Era).With("end", newEnd.Offset).Info("this host leads in the restored store")
 	l.leaderClient.announceLeadership(l.followers.header(), l.earlierLeaderAddresses())
+	return true
+}
+
+// pauseReclaim waits before the next attempt to claim a restored store. It ends the
+// leadership if its lease has ended, so that another host can claim the store.
+func (l *leadership) pauseReclaim(ctx context.Context) {
+	l.mu.Lock()
+	valid := l.lease.Valid(l.clk.Now())
+	l.mu.Unlock()
+	if !valid {
+		l.log.Warn("the restored store was not claimed within the lease; this host resigns")
+		l.cancel()
+		return
+	}
+	clock.Sleep(ctx, minRetryPause)
 }
 
 // startFencesAt makes fences those of the given epoch.
@@ -302,32 +314,33 @@
 	l.lastFence = epoch * fencesPerEpoch
 }
 
-// beginReclaim stops all grants and returns the leader record for a claim at the given
-// end of the ownership topic.
-func (l *leadership) beginReclaim(end Position) leaderRecord {
+// reclaimRecord returns the leader record for a claim at the given end of the ownership
+// topic.
+func (l *leadership) reclaimRecord(end Position) leaderRecord {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clk.Now()
-	l.reclaiming = true
 	record := l.record
 	record.Epoch, record.Era = epochAt(end), end.Era
 	record.Followers = l.lease.Followers(now)
 	record.FollowerAddresses = l.lease.Addresses(record.Followers)
-	record.Earlier = append(l.lease.EarlierLeaders(now), l.hostsOfLostLeaders(record))
+	record.Absent = l.updateAbsent(record.FollowerAddresses, now)
+	record.Earlier = l.lease.EarlierLeaders(now)
+	record.Earlier = append(record.Earlier, l.hostsOfLostLeaders(record))
 	return record
 }
 
-// endReclaim records that the claim with the given record is stored, and allows grants.
+// endReclaim records that the claim with the given record is stored.
 func (l *leadership) endReclaim(record leaderRecord, end Position, sent time.Duration) {
+	l.followers.setEpoch(record.Epoch)
+	l.leaderClient.setOwnEpoch(record.Epoch)
 	l.mu.Lock()
-	l.restored, l.reclaiming = false, false
+	l.restored = false
 	l.epoch, l.record, l.ownersEnd = record.Epoch, record, end
 	l.lease.Reclaimed(l.clk.Now(), record.Earlier[len(record.Earlier)-1])
-	l.lease.SetStoredFollowers(record.Followers)
+	l.lease.SetStoredFollowers(record.Followers, len(record.Absent))
 	l.mu.Unlock()
 	l.confirm(sent)
-	l.followers.setEpoch(record.Epoch)
-	l.leaderClient.setOwnEpoch(record.Epoch)
 }
 
 // recordSettleTime is the time for which the followers must differ from the
@@ -344,8 +357,9 @@
 	record := l.record
 	record.Followers = l.lease.Followers(now)
 	record.FollowerAddresses = l.lease.Addresses(record.Followers)
+	record.Absent = l.updateAbsent(record.FollowerAddresses, now)
 	record.Earlier = l.lease.EarlierLeaders(now)
-	if slices.Equal(record.Followers, l.record.Followers) && len(record.Earlier) == len(l.record.Earlier) {
+	if slices.Equal(record.Followers, l.record.Followers) && len(record.Earlier) == len(l.record.Earlier) && len(record.Absent) == len(l.record.Absent) {
 		l.recordStaleSince = 0
 		return record, false
 	}
@@ -359,10 +373,35 @@
 	return record, true
 }
 
-func (l *leadership) setStoredFollowers(followers []uint64) {
+func (l *leadership) setStoredFollowers(followers []uint64, absent int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.lease.SetStoredFollowers(followers)
+	l.lease.SetStoredFollowers(followers, absent)
+}
+
+// absentHostTime is the time after which a host that does not follow the leader is no
+// longer named in its record. It exceeds the age of a copy from which the store may be
+// restored.
+const absentHostTime = time.Minute
+
+// updateAbsent returns the addresses of hosts that the stored record names and that are
+// not among the present followers. The caller holds the lock.
+func (l *leadership) updateAbsent(followers []string, now time.Duration) []string {
+	absent := l.distinctOthers(append(slices.Clone(l.record.Absent), l.record.FollowerAddresses...))
+	absent = slices.DeleteFunc(absent, func(a string) bool { return slices.Contains(followers, a) })
+	for a := range l.absentSince {
+		if !slices.Contains(absent, a) {
+			delete(l.absentSince, a)
+		}
+	}
+	return slices.DeleteFunc(absent, func(a string) bool {
+		since, ok := l.absentSince[a]
+		if !ok {
+			since = now
+			l.absentSince[a] = now
+		}
+		return now-since > absentHostTime
+	})
 }
 
 // storeBatchDelay is the time for which released keys are collected: those that
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -476,26 +476,35 @@
 	return orders
 }
 
-// grantAgain grants all key ranges again in a restored store, and returns the key maps to
-// store before the next grant is sent. It calls startEpoch while no order can be created,
-// since the orders of one epoch must not have fences of another.
-func (s *scheduler) grantAgain(startEpoch func()) map[topology.Service]keymap.Map {
+// keyMapsToGrantAgain returns the key maps to store in a restored store before grantAgain.
+func (s *scheduler) keyMapsToGrantAgain() map[topology.Service]keymap.Map {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	startEpoch()
-	now := s.clk.Now()
 	out := make(map[topology.Service]keymap.Map)
 	for _, svc := range s.services {
-		if svc.grants == nil {
-			continue
+		if svc.grants != nil {
+			out[svc.name] = svc.grants.KeyMapToGrantAgain()
 		}
-		svc.grants.GrantAgain()
-		out[svc.name] = svc.grants.KeyMap()
-		svc.updateOwners(now)
 	}
 	return out
 }
 
+// grantAgain grants all key ranges again after keyMapsToGrantAgain were stored. It calls
+// startEpoch while no order can be created, since the orders of one epoch must not have
+// fences of another.
+func (s *scheduler) grantAgain(startEpoch func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	startEpoch()
+	now := s.clk.Now()
+	for _, svc := range s.services {
+		if svc.grants != nil {
+			svc.grants.GrantAgain()
+			svc.updateOwners(now)
+		}
+	}
+}
+
 // recordNotStored records that an append of key maps failed. It is in doubt if the store
 // may have carried it out.
 func (s *scheduler) recordNotStored(keyMaps map[topology.Service]keymap.Map, inDoubt bool) {
--- a/internal/leaderlease/lease.go
+++ b/internal/leaderlease/lease.go
@@ -17,7 +17,9 @@
 // A store that was restored from a copy may have lost the claims of later leaders.
 // Such an unlisted leader is not known by name. It has ended once processes of
 // all known hosts follow this leader, because it is one of them. With one host
-// missing it acts for BaseDuration at most: the missing host has no followers.
+// missing it acts for BaseDuration at most: a leader acts for longer only if its
+// followers outnumber the other hosts that its record names, and records name the
+// hosts of the records before them.
 //
 // The package performs no I/O and reads no clock; times are durations since an
 // arbitrary origin of this host.
@@ -71,8 +73,9 @@
 	claimedAt   time.Duration
 	confirmedAt time.Duration
 	// storedFollowers holds the followers that the stored record of this leader
-	// lists.
+	// lists, storedAbsent the number of other hosts that it names.
 	storedFollowers []uint64
+	storedAbsent    int
 	earlier         []*earlierState
 	followers       map[uint64]follower // by incarnation
 	// incarnations holds the incarnation that was last heard from each address.
@@ -122,14 +125,17 @@
 func (l *Lease) Reclaimed(at time.Duration, unlisted EarlierLeader) {
 	l.earlier = append(l.earlier, &earlierState{EarlierLeader: unlisted, replacedAt: at})
 	l.incarnations = map[string]uint64{l.address: l.self}
+	l.updateUnlisted(at)
 }
 
 // Confirm records that the store named this leader at the given time.
 func (l *Lease) Confirm(at time.Duration) { l.confirmedAt = max(l.confirmedAt, at) }
 
 // SetStoredFollowers sets the followers that the stored record of this leader
-// lists.
-func (l *Lease) SetStoredFollowers(hosts []uint64) { l.storedFollowers = hosts }
+// lists, and the number of other hosts that it names.
+func (l *Lease) SetStoredFollowers(hosts []uint64, absent int) {
+	l.storedFollowers, l.storedAbsent = hosts, absent
+}
 
 // RecordFollower records a message of a host that follows this leader.
 func (l *Lease) RecordFollower(host uint64, address string, now time.Duration) {
@@ -154,7 +160,7 @@
 // updateUnlisted records whether unlisted leaders have ended.
 func (l *Lease) updateUnlisted(now time.Duration) {
 	for _, e := range l.earlier {
-		if !e.Unlisted || e.processGone {
+		if !e.Unlisted || e.processGone || len(e.FollowerAddresses) == 0 {
 			continue
 		}
 		missing := l.countMissing(e.FollowerAddresses)
@@ -217,7 +223,7 @@
 	if age <= l.settings.BaseDuration {
 		return true
 	}
-	return age <= l.settings.ExtendedDuration && len(l.storedFollowers) > 0 && l.countFollowers(l.storedFollowers, now) > len(l.storedFollowers)/2
+	return age <= l.settings.ExtendedDuration && len(l.storedFollowers) > l.storedAbsent && l.countFollowers(l.storedFollowers, now) > len(l.storedFollowers)/2
 }
 
 // EarlierLeadersUntil returns the time after which no grant of any earlier leader
--- a/internal/leaderlease/lease_test.go
+++ b/internal/leaderlease/lease_test.go
@@ -24,7 +24,7 @@
 	l := leaderlease.New(settings, 1, "x", 0, nil)
 	g.Expect(l.Valid(2500 * ms)).To(BeTrue())
 	g.Expect(l.Valid(2501*ms)).To(BeFalse(), "the stored record lists no followers")
-	l.SetStoredFollowers([]uint64{1, 2, 3})
+	l.SetStoredFollowers([]uint64{1, 2, 3}, 0)
 	g.Expect(l.Valid(2501*ms)).To(BeFalse(), "no other host follows")
 	l.RecordFollower(2, "b", 2500*ms)
 	g.Expect(l.Valid(4000 * ms)).To(BeTrue())
@@ -175,7 +175,7 @@
 			case 2:
 				if !last.disconnected && last.incarnation == m.incarnation(last.self) {
 					followers := last.lease.Followers(m.now)
-					last.lease.SetStoredFollowers(followers)
+					last.lease.SetStoredFollowers(followers, 0)
 					m.record = append(last.lease.EarlierLeaders(m.now), leaderlease.EarlierLeader{
 						Address: address(last.self), Incarnation: last.incarnation, Followers: followers, FollowerAddresses: last.lease.Addresses(followers),
 					})
--- a/internal/ownership/lost_connection_test.go
+++ b/internal/ownership/lost_connection_test.go
@@ -24,8 +24,7 @@
 	var lostAt, confirmedAt time.Duration
 	granted := make(map[int]bool) // first keys of the ranges granted to c after the loss
 	for now := time.Duration(0); now < 2400*ms; now += step {
-		switch {
-		case now == 100*ms, now == 2*time.Second:
+		if now == 100*ms || now == 2*time.Second {
 			confirmedAt = now
 		}
 		for _, o := range m.Step(now, confirmedAt) {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -293,11 +293,14 @@
 	return keyMap, changed
 }
 
-// KeyMap returns the key map without new owners.
-func (m *Manager) KeyMap() keymap.Map {
+// KeyMapToGrantAgain returns the key map to store before GrantAgain.
+func (m *Manager) KeyMapToGrantAgain() keymap.Map {
 	keyMap := make(keymap.Map, len(m.ranges))
 	for i, r := range m.ranges {
 		keyMap[i] = r.stored()
+		if r.phase == free && r.appendInDoubt {
+			keyMap[i].Server, keyMap[i].OwnerUnknown = r.next, true
+		}
 	}
 	return keyMap
 }
@@ -363,7 +366,8 @@
 // store was restored from a copy and may have lost the claim of another leader. Such a
 // leader granted keys to the servers of the last key map only. It may have read that
 // from an append of this leader which is in doubt, so the owners of those ranges are
-// unknown. No append may be in progress.
+// unknown. The result of KeyMapToGrantAgain must have been stored, with no other append
+// since.
 func (m *Manager) GrantAgain() {
 	for _, r := range m.ranges {
 		switch {
--- a/internal/ownership/property_test.go
+++ b/internal/ownership/property_test.go
@@ -145,8 +145,8 @@
 	h := candidates[i]
 	h.cutOff, h.contact, h.epoch, h.era, h.fence = false, m.now, m.epoch, m.era, m.epoch<<32
 	h.manager.SetEarlierLeadersUntil(m.now + autonomy + callTimeout)
+	m.keyMap = h.manager.KeyMapToGrantAgain()
 	h.manager.GrantAgain()
-	m.keyMap = h.manager.KeyMap()
 }
 
 func (m *model) registered() map[topology.ServerID]ownership.Server {
