Believe the end of a server only at the address of its grants

A restored store shows the earlier registration of a server that has started again at another address, and another server may respond at the earlier one (421). Its keys then counted as free at once, while the living server held them: two owners.

The response now ends only grants that were accepted at the same address.

--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -154,6 +154,8 @@
 	raisesFence bool
 	failures    int  // failed calls since the last success
 	appending   bool // a key map that names next as the owner is being stored
+	// grantedAt is the address at which the server accepted the last grant.
+	grantedAt string
 	// appendInDoubt is true if an append of such a key map got no response.
 	appendInDoubt bool
 	// ownerUnknown is true if any server may own the keys by a grant of an earlier
@@ -329,7 +331,7 @@
 		r.sentAt = -time.Hour
 		r.latestExpiry = now
 		r.earlierGrants = false
-		r.unansweredGrant, r.failures, r.renewedAt = false, 0, -time.Hour
+		r.unansweredGrant, r.failures, r.renewedAt, r.grantedAt = false, 0, -time.Hour, ""
 		m.version++
 	}
 }
--- a/internal/ownership/result.go
+++ b/internal/ownership/result.go
@@ -30,7 +30,7 @@
 		return
 	}
 	if outcome == ServerGone {
-		m.handleServerGone(r, now)
+		m.handleServerGone(r, o, now)
 		return
 	}
 	if o.Kind == Release {
@@ -52,8 +52,10 @@
 
 // handleServerGone records that the process that owned the range no longer exists. An
 // earlier leader may still grant the keys to a new incarnation of the server.
-func (m *Manager) handleServerGone(r *keyRange, now time.Duration) {
-	r.latestExpiry, r.unansweredGrant = now, false
+func (m *Manager) handleServerGone(r *keyRange, o Order, now time.Duration) {
+	if o.Address == r.grantedAt {
+		r.latestExpiry, r.unansweredGrant = now, false
+	}
 	r.failures = max(r.failures, unreachableAfter)
 	m.version++
 }
@@ -77,6 +79,7 @@
 func (m *Manager) handleGrant(r *keyRange, o Order, outcome Outcome, now time.Duration) {
 	switch outcome {
 	case Done:
+		r.grantedAt = o.Address
 		r.latestExpiry = now + m.maxGrantDuration()
 		r.earlierGrants = false
 		switch r.phase {
