Return no keys to their server while an append is in doubt

If an append that names the next owner of released keys got no response, and a later one was refused, the keys could go back to their server although the store may still carry the first append out, and the next leader would believe it: two owners.

The caller took care of this within one loop; the Manager now does.

--- a/internal/ownership/lives_test.go
+++ b/internal/ownership/lives_test.go
@@ -82,6 +82,26 @@
 }
 
 // Guards against keys that go back to their last server although an append that gives them
+// to another one may still take effect.
+func TestNoRevertWhileAnAppendIsInDoubt(t *testing.T) {
+	g := NewWithT(t)
+	o := newOwnerTest(1)
+	orders, _ := o.step()
+	o.HandleResult(orders[0], ownership.Done, "", o.now)
+	o.Move(0, keymap.KeyCount-1, "s-1")
+	orders, _ = o.step()
+	o.HandleResult(orders[0], ownership.Done, "h", o.now)
+	keyMap, changed := o.NextKeyMap()
+	g.Expect(changed).To(BeTrue())
+	g.Expect(keyMap[0].Server).To(Equal(topology.ServerID("s-1")))
+	o.KeyMapNotStored(true) // no response: the store may take it later
+	o.NextKeyMap()
+	o.KeyMapNotStored(false) // refused
+	o.RevertMoves(o.now)
+	orders, _ = o.step()
+	g.Expect(orders).To(BeEmpty(), "the stored key map may name s-1")
+}
+
 // Guards against the address of an earlier life, which a restored store shows until the
 // server registers again: that another server responds there says nothing about the
 // present life, which holds its keys at its own address.
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -341,7 +341,7 @@
 // the next servers, and no append of one may be in progress.
 func (m *Manager) RevertMoves(now time.Duration) {
 	for _, r := range m.ranges {
-		if _, ok := m.servers[r.server]; r.phase != free || r.appending || r.server == "" || !ok {
+		if _, ok := m.servers[r.server]; r.phase != free || r.appending || r.appendInDoubt || r.server == "" || !ok {
 			continue
 		}
 		r.next = ""
