Keep what is known of servers when a restored store shows less

A store that comes back from a copy names servers that have left as ready, draining ones as ready and earlier starts of a server; servers that registered after the copy are missing until they write again, and the usual outage is too short for the grace that expired registrations have.

Now the first list of a new era does not replace newer registrations (by the start of the server and the sequence of its registrations), servers that it lacks have 1.8 s to register again, and a server that has left is used again only with a newer registration.

TestRegistrationsOfRestoredStore shows it; what it calls (Restored, the sequence) is new, so it was not seen failing.

--- a/internal/fleet/directory_test.go
+++ b/internal/fleet/directory_test.go
@@ -60,3 +60,37 @@
 	d.Remove("a", second)
 	g.Expect(serverIDs(d, second)).To(BeEmpty())
 }
+
+// Guards against servers that are used again after they have left, and against healthy
+// ones that are dropped, because a restored store shows older registrations.
+func TestRegistrationsOfRestoredStore(t *testing.T) {
+	g := NewWithT(t)
+	d := fleet.NewDirectory()
+	d.ReadSucceeded(0)
+	d.Set(fleet.Server{ID: "left", Incarnation: 1, Sequence: 9})
+	d.Set(fleet.Server{ID: "drains", Incarnation: 1, Sequence: 9, Draining: true})
+	d.Set(fleet.Server{ID: "restarted", Incarnation: 2, Sequence: 1})
+	d.Set(fleet.Server{ID: "new", Incarnation: 1, Sequence: 1})
+	d.Remove("left", second)
+	g.Expect(serverIDs(d, second)).NotTo(ContainElement(topology.ServerID("left")))
+
+	d.ReadSucceeded(2 * second)
+	d.Restored(2 * second)
+	d.Replace([]fleet.Server{
+		{ID: "left", Incarnation: 1, Sequence: 8},
+		{ID: "drains", Incarnation: 1, Sequence: 8},
+		{ID: "restarted", Incarnation: 1, Sequence: 50},
+	}, 2*second)
+	g.Expect(serverIDs(d, 2*second)).To(ConsistOf(topology.ServerID("drains"), topology.ServerID("restarted"), topology.ServerID("new")))
+	drains, _ := d.Get("drains", 2*second)
+	g.Expect(drains.Draining).To(BeTrue())
+	restarted, _ := d.Get("restarted", 2*second)
+	g.Expect(restarted.Incarnation).To(Equal(int64(2)))
+
+	g.Expect(serverIDs(d, 4*second)).NotTo(ContainElement(topology.ServerID("new")), "it has not registered again in time")
+	d.Set(fleet.Server{ID: "left", Incarnation: 1, Sequence: 8})
+	g.Expect(serverIDs(d, 4*second)).NotTo(ContainElement(topology.ServerID("left")))
+	d.Set(fleet.Server{ID: "left", Incarnation: 2, Sequence: 1})
+	d.Set(fleet.Server{ID: "new", Incarnation: 1, Sequence: 2})
+	g.Expect(serverIDs(d, 4*second)).To(ContainElements(topology.ServerID("left"), topology.ServerID("new")))
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,12 +21,23 @@
 	// Incarnation identifies one start of the process. A server that restarts with
 	// the same ID has a higher incarnation and holds no keys.
 	Incarnation int64
+	// Sequence rises with each registration of one incarnation; zero if it is unknown.
+	Sequence int64
 	// Draining is true once the server has announced its shutdown.
 	Draining bool
 	// WarmupLeft is how much longer the server responds slowly after its start.
 	WarmupLeft time.Duration
 }
 
+// outdates reports whether s was registered after other, another registration of the same
+// server. A registration without a sequence counts as the later one.
+func (s Server) outdates(other Server) bool {
+	if s.Incarnation != other.Incarnation {
+		return s.Incarnation > other.Incarnation
+	}
+	return s.Sequence == 0 || other.Sequence == 0 || s.Sequence > other.Sequence
+}
+
 // WeightedService is one of the services among which a route splits its requests.
 type WeightedService struct {
 	Service topology.Service
--- a/internal/gateway/storewatcher.go
+++ b/internal/gateway/storewatcher.go
@@ -245,6 +245,10 @@
 		return err
 	}
 	w.directory.ReadSucceeded(sent)
+	if w.next.Era != 0 && c.Next.Era != w.next.Era {
+		w.log.With("era", c.Next.Era).Warn("the registrations were read from a store that was restored from a copy")
+		w.directory.Restored(now)
+	}
 	w.lastReadAt = now
 	w.next = c.Next
 	if c.Full {
