Do not wait longer for a leader that has lost its majority

A sign that the process of an earlier leader has ended replaced the time at which it had lost its majority.

Both signs now bound the wait, and the earlier end counts.

--- a/internal/leaderlease/lease.go
+++ b/internal/leaderlease/lease.go
@@ -94,12 +94,13 @@
 	// replacedAt is the time at which this host claimed the leadership, or
 	// claimed it again in a restored store.
 	replacedAt time.Duration
-	// endedAt is the time at which this host learned that the process of the
-	// leader has ended or that the leader has lost its majority; zero if neither
-	// is known. For an unlisted leader it is the time at which at most one known
-	// host did not follow this leader.
-	endedAt     time.Duration
-	processGone bool // the process has ended or follows this leader
+	// endedAt is the time at which this host learned that the leader has lost
+	// its majority; zero if it is not known. For an unlisted leader it is the
+	// time at which at most one known host did not follow this leader.
+	endedAt time.Duration
+	// goneAt is the time at which this host learned that the process has ended
+	// or follows this leader; zero if it is not known.
+	goneAt time.Duration
 }
 
 // New returns the lease of a leader that claimed the leadership at the given
@@ -143,14 +144,14 @@
 	l.incarnations[address] = host
 	l.updateUnlisted(now)
 	for _, e := range l.earlier {
-		if e.processGone || e.Unlisted {
+		if e.goneAt != 0 || e.Unlisted {
 			continue
 		}
 		switch {
 		case e.Incarnation == host, e.Address == address:
 			// The earlier leader follows this one, or another process now has its
 			// address.
-			e.endedAt, e.processGone = now, true
+			e.goneAt = now
 		case e.endedAt == 0 && len(e.Followers) > 0 && l.countLost(e.EarlierLeader, now) > len(e.Followers)/2:
 			e.endedAt = now
 		}
@@ -160,12 +161,14 @@
 // updateUnlisted records whether unlisted leaders have ended.
 func (l *Lease) updateUnlisted(now time.Duration) {
 	for _, e := range l.earlier {
-		if !e.Unlisted || e.processGone || len(e.FollowerAddresses) == 0 {
+		if !e.Unlisted || e.goneAt != 0 || len(e.FollowerAddresses) == 0 {
 			continue
 		}
-		missing := l.countMissing(e.FollowerAddresses)
-		if missing == 0 || (missing == 1 && e.endedAt == 0) {
-			e.endedAt, e.processGone = now, missing == 0
+		switch missing := l.countMissing(e.FollowerAddresses); {
+		case missing == 0:
+			e.goneAt = now
+		case missing == 1 && e.endedAt == 0:
+			e.endedAt = now
 		}
 	}
 }
@@ -258,18 +261,18 @@
 // grantsUntil returns the time after which no grant of the given earlier
 // leader arrives at a server.
 func (l *Lease) grantsUntil(e *earlierState) time.Duration {
-	latest := e.replacedAt + l.settings.ExtendedDuration + l.settings.CallTimeout
+	until := e.replacedAt + l.settings.ExtendedDuration
 	base := e.replacedAt + l.settings.BaseDuration
 	switch {
-	case e.processGone:
-		return min(latest, e.endedAt+l.settings.CallTimeout)
 	case e.endedAt != 0:
-		return min(latest, max(base, e.endedAt+l.settings.FollowerTimeout)+l.settings.CallTimeout)
+		until = min(until, max(base, e.endedAt+l.settings.FollowerTimeout))
 	case len(e.Followers) == 0 && !e.Unlisted:
-		return base + l.settings.CallTimeout
-	default:
-		return latest
+		until = base
+	}
+	if e.goneAt != 0 {
+		until = min(until, e.goneAt)
 	}
+	return until + l.settings.CallTimeout
 }
 
 // EarlierLeaders returns the earlier leaders whose grants may still arrive,
--- a/internal/leaderlease/lease_test.go
+++ b/internal/leaderlease/lease_test.go
@@ -119,6 +119,23 @@
 	NewWithT(t).Expect(l.EarlierLeadersUntil()).To(Equal(650 * ms))
 }
 
+// Guards against a wait for earlier leaders that becomes longer when another sign of
+// their end arrives.
+func TestLateSignOfEndDoesNotProlongWait(t *testing.T) {
+	for _, earlier := range []leaderlease.EarlierLeader{
+		{Address: "a", Incarnation: 1, Followers: []uint64{1, 3, 4}, FollowerAddresses: []string{"a", "c", "d"}},
+		{Unlisted: true, FollowerAddresses: []string{"a", "c", "d"}},
+	} {
+		g := NewWithT(t)
+		l := leaderlease.New(settings, 2, "b", 0, []leaderlease.EarlierLeader{earlier})
+		l.RecordFollower(3, "c", 100*ms)
+		l.RecordFollower(4, "d", 100*ms)
+		g.Expect(l.EarlierLeadersUntil()).To(Equal(2850 * ms))
+		l.RecordFollower(1, "a", 5000*ms)
+		g.Expect(l.EarlierLeadersUntil()).To(Equal(2850 * ms))
+	}
+}
+
 // model simulates leaders that may be disconnected from the store, and hosts
 // that each follow one leader.
 type model struct {
