Compare only the first list of a restored store with what is known

What stays: a draining server does not become ready, and a later start of a server is not replaced by an earlier one, by the first list of a restored store (TestRegistrationsOfRestoredStore).

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"maps"
 	"time"
 
 	"github.com/lycheerudder/lycheerudder/internal/topology"
@@ -17,10 +16,6 @@
 // second, and a registration expires after three missed renewals.
 const minOutage = 1500 * time.Millisecond
 
-// departedTime is how long the last registration of a server that has left is remembered.
-// It exceeds the age of a copy from which the store may be restored.
-const departedTime = time.Minute
-
 // Directory is the host's view of the registered servers. Times are durations
 // since an arbitrary origin. A Directory is not safe for concurrent use.
 type Directory struct {
@@ -34,8 +29,6 @@
 	failing      bool
 	// graceUntil is the time until which removed registrations still count.
 	graceUntil time.Duration
-	// departed holds the last registrations of servers that have left.
-	departed map[topology.ServerID]*entry
 	// restored is true if the next full list may be older than the known
 	// registrations.
 	restored bool
@@ -49,7 +42,7 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{servers: make(map[topology.ServerID]*entry), departed: make(map[topology.ServerID]*entry)}
+	return &Directory{servers: make(map[topology.ServerID]*entry)}
 }
 
 // ReadSucceeded records a successful read that was sent at the given time. It must
@@ -71,13 +64,9 @@
 	}
 }
 
-// Restored records that the store was restored from a copy before the present read, whose
-// full list is applied next. Registrations newer than those of the copy stay, and servers
-// that the copy lacks have the same time to register again as after an outage.
-func (d *Directory) Restored(now time.Duration) {
-	d.restored = true
-	d.graceUntil = max(d.graceUntil, now+removalGrace)
-}
+// Restored records that the store was restored from a copy. Of the next full list, only
+// registrations apply that are newer than the known ones: servers register again soon.
+func (d *Directory) Restored() { d.restored = true }
 
 // Loaded reports whether the registrations were read at least once.
 func (d *Directory) Loaded() bool { return d.loaded }
@@ -85,17 +74,8 @@
 // Age returns the time since the last successful read was sent.
 func (d *Directory) Age(now time.Duration) time.Duration { return now - d.lastRead }
 
-// Set adds or updates a registration. It ignores a registration of a server that has
-// left since: a restored store shows it until it expires.
-func (d *Directory) Set(s Server) {
-	if e, ok := d.departed[s.ID]; ok {
-		if !s.outdates(e.server) {
-			return
-		}
-		delete(d.departed, s.ID)
-	}
-	d.servers[s.ID] = &entry{server: s}
-}
+// Set adds or updates a registration.
+func (d *Directory) Set(s Server) { d.servers[s.ID] = &entry{server: s} }
 
 // Remove marks a registration as removed.
 func (d *Directory) Remove(id topology.ServerID, now time.Duration) {
@@ -104,20 +84,13 @@
 	}
 }
 
-// depart remembers a removed registration.
-func (d *Directory) depart(e *entry, now time.Duration) {
-	delete(d.servers, e.server.ID)
-	d.departed[e.server.ID] = e
-	maps.DeleteFunc(d.departed, func(_ topology.ServerID, e *entry) bool { return now-e.removedAt > departedTime })
-}
-
 // Replace applies a complete list of registrations. It marks those that are not in
 // list as removed.
 func (d *Directory) Replace(list []Server, now time.Duration) {
 	seen := make(map[topology.ServerID]bool, len(list))
 	for _, s := range list {
 		seen[s.ID] = true
-		if e, ok := d.servers[s.ID]; d.restored && ok && !s.outdates(e.server) {
+		if e, ok := d.servers[s.ID]; d.restored && ok && !e.removed && !s.outdates(e.server) {
 			continue
 		}
 		d.Set(s)
@@ -133,9 +106,9 @@
 // Servers calls f for each server that counts as registered, and deletes the
 // entries of the others.
 func (d *Directory) Servers(now time.Duration, f func(Server)) {
-	for _, e := range d.servers {
+	for id, e := range d.servers {
 		if e.removed && now >= d.graceUntil {
-			d.depart(e, now)
+			delete(d.servers, id)
 			continue
 		}
 		f(e.server)
--- a/internal/gateway/storewatcher.go
+++ b/internal/gateway/storewatcher.go
@@ -247,7 +247,7 @@
 	w.directory.ReadSucceeded(sent)
 	if w.next.Era != 0 && c.Next.Era != w.next.Era {
 		w.log.With("era", c.Next.Era).Warn("the registrations were read from a store that was restored from a copy")
-		w.directory.Restored(now)
+		w.directory.Restored()
 	}
 	w.lastReadAt = now
 	w.next = c.Next
