--- /dev/null
+++ b/review/standin/cases.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+)
+
+// quiet drops what net/http logs of aborted handlers.
+var quiet = log.New(io.Discard, "", 0)
+
+var cases = map[string]func(*world, string) ([]violation, error){
+	"leaving": playLeaving,
+}
+
+// playLeaving plays a server that leaves while the store is down.
+func playLeaving(w *world, program string) ([]violation, error) {
+	w.services["settlement"] = false
+	cashUp := &route{name: "cash-up", service: "settlement", method: "PUT", deadline: 1500 * time.Millisecond}
+	w.routes = []*route{cashUp}
+	var down atomic.Bool
+	for i := range 4 {
+		s := &server{id: fmt.Sprintf("i-%08x", 0x5e000000+i), service: "settlement", slots: 2, work: fixedWork(84 * time.Millisecond), log: w.log}
+		if err := w.addServer(s, ""); err != nil {
+			return nil, err
+		}
+		go w.beat(s, down.Load)
+	}
+	w.publish(1)
+	if err := w.startHosts(3, program); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+	defer cancel()
+	if err := w.waitReady(ctx); err != nil {
+		return nil, err
+	}
+	load, stop := context.WithCancel(ctx)
+	defer stop()
+	go w.clients.run(load, cashUp, 50, func() (*host, int) { return w.hosts[rand.IntN(len(w.hosts))], 0 })
+	time.Sleep(4 * time.Second)
+
+	leaving := w.servers[0]
+	leaving.mu.Lock()
+	leaving.leaving, leaving.draining = true, true
+	leaving.mu.Unlock()
+	w.log.note(leaving.id + " begins to leave: it reports draining, and says so in all its answers")
+	w.store.put(topicServers, leaving.id, leaving.registration())
+	if w.trouble {
+		down.Store(true)
+		w.store.setMode(busy, w.names()...)
+		w.log.note("the store is down for 8 s: it answers 503")
+	}
+	time.Sleep(drain + 1500*time.Millisecond)
+	w.log.note(leaving.id + " ends")
+	leaving.end()
+	time.Sleep(4500 * time.Millisecond)
+	if w.trouble {
+		down.Store(false)
+		w.store.setMode(serving, w.names()...)
+		w.log.note("the store is back")
+	}
+	w.store.put(topicServers, leaving.id, nil)
+	time.Sleep(3 * time.Second)
+	stop()
+	w.clients.wg.Wait()
+	noteLost(w, leaving.id)
+	return checkLeaving(w.log.all(), w.clients.list(), drain), nil
+}
+
+// noteLost prints the requests that a server had begun to run and that have no answer of
+// a server, because it ended. They show what the rule guards against and decide nothing.
+func noteLost(w *world, server string) {
+	began := make(map[string]bool)
+	for _, e := range w.log.all() {
+		if e.Kind == "runs" && e.Server == server {
+			began[e.ID] = true
+		}
+	}
+	for _, q := range w.clients.list() {
+		if began[q.id] && !q.signed {
+			text := fmt.Sprintf("%s ran at %s as it ended; the client got %d and does not learn of it", q.id, server, q.status)
+			fmt.Println("lost:", text)
+			w.log.note(text)
+		}
+	}
+}
