--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -7,6 +7,7 @@
 	"log"
 	"math/rand/v2"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -14,7 +15,8 @@
 var quiet = log.New(io.Discard, "", 0)
 
 var cases = map[string]func(*world, string) ([]violation, error){
-	"leaving": playLeaving,
+	"leaving":  playLeaving,
+	"stopping": playStopping,
 }
 
 // playLeaving plays a server that leaves while the store is down.
@@ -89,3 +91,69 @@
 		}
 	}
 }
+
+// playStopping stops the hosts one after the other while clients send further requests
+// before the first has been answered.
+func playStopping(w *world, program string) ([]violation, error) {
+	w.services["rounds"] = false
+	lookup := &route{name: "stop-lookup", service: "rounds", method: "GET", idempotent: true, deadline: 2500 * time.Millisecond}
+	booking := &route{name: "restock-booking", service: "rounds", method: "POST", deadline: 3 * time.Second}
+	w.routes = []*route{booking, lookup}
+	for i := range 23 {
+		s := &server{id: fmt.Sprintf("i-%08x", 0x5e000000+i), service: "rounds", slots: 2, work: fixedWork(120 * time.Millisecond), answerBytes: 9000, log: w.log}
+		if err := w.addServer(s, ""); err != nil {
+			return nil, err
+		}
+		go w.beat(s, func() bool { return false })
+	}
+	w.publish(1)
+	if err := w.startHosts(3, program); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 90*time.Second)
+	defer cancel()
+	if err := w.waitReady(ctx); err != nil {
+		return nil, err
+	}
+	balancer := newBalancer(w.hosts)
+	var over atomic.Bool
+	for range 90 {
+		p := &pipeline{c: w.clients, first: []*route{booking, lookup}, further: lookup, perSecond: 2.5}
+		w.clients.wg.Go(func() { p.run(over.Load, balancer.pick) })
+	}
+	go balancer.run(ctx, over.Load)
+	time.Sleep(4 * time.Second)
+	var stops []stop
+	for range 2 {
+		for _, h := range w.hosts {
+			if w.trouble {
+				s, err := w.stopAndStart(h)
+				if err != nil {
+					return nil, err
+				}
+				stops = append(stops, s)
+			}
+			time.Sleep(5 * time.Second)
+		}
+	}
+	over.Store(true)
+	w.clients.wg.Wait()
+	return checkStopping(w.log.all(), w.clients.list(), stops), nil
+}
+
+// stop is a SIGTERM of a host.
+type stop struct {
+	host *host
+	at   time.Time
+}
+
+// stopAndStart stops a host as the platform does, and starts it again.
+func (w *world) stopAndStart(h *host) (stop, error) {
+	s := stop{h, time.Now()}
+	w.log.note(h.name + " gets SIGTERM")
+	h.signal(syscall.SIGTERM)
+	h.wait(grace)
+	w.log.note(h.name + " has ended and starts again")
+	time.Sleep(500 * time.Millisecond)
+	return s, h.start()
+}
--- a/review/standin/check.go
+++ b/review/standin/check.go
@@ -41,3 +41,31 @@
 	}
 	return out
 }
+
+// checkStopping checks LOST of RULES.md around planned work: from a SIGTERM of its host
+// until 1 s after grace_s, a request that was passed on to a server ends without a complete
+// answer. Not counted are those whose deadline was reached or at which the server was still
+// at work in the last sixth of grace_s.
+func checkStopping(events []event, requests []*request, stops []stop) []violation {
+	ran := make(map[string]time.Time) // end of the server's work by request
+	for _, e := range events {
+		if e.Kind == "ran" {
+			ran[e.ID] = e.at
+		}
+	}
+	var out []violation
+	for _, q := range requests {
+		end, ok := ran[q.id]
+		if q.complete || !ok || !q.ended.Before(q.sent.Add(q.route.deadline)) {
+			continue
+		}
+		for _, s := range stops {
+			if s.host != q.host || q.ended.Before(s.at) || q.ended.After(s.at.Add(grace+time.Second)) || end.After(s.at.Add(grace*5/6)) {
+				continue
+			}
+			out = append(out, violation{"LOST", fmt.Sprintf("%s (%s) was sent to %s %d ms after its SIGTERM, a server had answered it %d ms later, and the connection ended without the whole answer %d ms after that",
+				q.id, q.route.name, q.host.name, q.sent.Sub(s.at).Milliseconds(), end.Sub(q.sent).Milliseconds(), q.ended.Sub(end).Milliseconds())})
+		}
+	}
+	return out
+}
--- a/review/standin/hosts.go
+++ b/review/standin/hosts.go
@@ -145,6 +145,18 @@
 	}
 }
 
+// wait waits for the process to end and kills it after the given time.
+func (h *host) wait(most time.Duration) {
+	h.mu.Lock()
+	ended := h.ended
+	h.mu.Unlock()
+	select {
+	case <-ended:
+	case <-time.After(most):
+		h.kill()
+	}
+}
+
 var probe = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
 // ready reports whether the host says that it is ready.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,6 +24,7 @@
 	siteHost     = "ficu95.example"
 	heartbeat    = 870 * time.Millisecond
 	drain        = 2 * time.Second // drain_ms
+	grace        = 6 * time.Second // grace_s
 )
 
 // world is a small deployment.
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -17,6 +18,7 @@
 	keyed       bool
 	slots       int
 	work        func(r *http.Request) time.Duration
+	answerBytes int // least length of its answers
 	log         *recorder
 	address     string
 	born        int64
@@ -260,13 +262,14 @@
 		return
 	}
 	answer := fmt.Sprintf("%s %s %s %s %x", s.id, id, r.Method, r.URL.RequestURI(), body)
+	answer += strings.Repeat(".", max(0, s.answerBytes-len(answer)))
 	s.head(w, r)
 	w.Header().Set("Lycheerudder-Server-Signature", "3e1b."+id)
 	status := http.StatusOK
 	if work > timeLeft {
 		status = http.StatusGatewayTimeout
 	}
-	s.log.write(event{Kind: "ran", ID: id, Server: s.id, Status: status, Body: answer})
+	s.log.write(event{Kind: "ran", ID: id, Server: s.id, Status: status, Body: answer[:min(len(answer), 80)]})
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	w.WriteHeader(status)
 	_, _ = io.WriteString(w, answer)
