--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -6,6 +6,7 @@
 	"io"
 	"log"
 	"math/rand/v2"
+	"net/http"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -15,8 +16,9 @@
 var quiet = log.New(io.Discard, "", 0)
 
 var cases = map[string]func(*world, string) ([]violation, error){
-	"leaving":  playLeaving,
-	"stopping": playStopping,
+	"leaving":       playLeaving,
+	"stopping":      playStopping,
+	"stopping-long": playStoppingLong,
 }
 
 // playLeaving plays a server that leaves while the store is down.
@@ -99,26 +101,60 @@
 	lookup := &route{name: "stop-lookup", service: "rounds", method: "GET", idempotent: true, deadline: 2500 * time.Millisecond}
 	booking := &route{name: "restock-booking", service: "rounds", method: "POST", deadline: 3 * time.Second}
 	w.routes = []*route{booking, lookup}
-	for i := range 23 {
-		s := &server{id: fmt.Sprintf("i-%08x", 0x5e000000+i), service: "rounds", slots: 2, work: fixedWork(120 * time.Millisecond), answerBytes: 9000, log: w.log}
+	err := w.addServers(23, &server{service: "rounds", slots: 2, work: fixedWork(120 * time.Millisecond), answerBytes: 9000})
+	if err != nil {
+		return nil, err
+	}
+	return w.playStops(program, 90, &pipeline{first: w.routes, further: lookup, perSecond: 2.5, window: 4 << 10})
+}
+
+// playStoppingLong is playStopping with a few long requests, and without small windows.
+func playStoppingLong(w *world, program string) ([]violation, error) {
+	w.services["settlement"] = false
+	history := &route{name: "round-history", service: "settlement", method: "GET", idempotent: true, deadline: 4 * time.Second}
+	w.routes = []*route{history}
+	work := func(*http.Request) time.Duration {
+		if rand.IntN(12) == 0 {
+			return 3600 * time.Millisecond
+		}
+		return 480 * time.Millisecond
+	}
+	if err := w.addServers(30, &server{service: "settlement", slots: 2, work: work, answerBytes: 5000}); err != nil {
+		return nil, err
+	}
+	return w.playStops(program, 80, &pipeline{first: w.routes, further: history, perSecond: 0.7, window: 256 << 10})
+}
+
+// addServers adds n servers like s.
+func (w *world) addServers(n int, like *server) error {
+	for i := range n {
+		s := &server{
+			id: fmt.Sprintf("i-%08x", 0x5e000000+i), service: like.service, slots: like.slots, work: like.work, answerBytes: like.answerBytes, log: w.log,
+		}
 		if err := w.addServer(s, ""); err != nil {
-			return nil, err
+			return err
 		}
 		go w.beat(s, func() bool { return false })
 	}
+	return nil
+}
+
+// playStops starts three hosts, and stops and starts each of them twice while clients
+// send requests.
+func (w *world) playStops(program string, clientCount int, like *pipeline) ([]violation, error) {
 	w.publish(1)
 	if err := w.startHosts(3, program); err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 90*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Second)
 	defer cancel()
 	if err := w.waitReady(ctx); err != nil {
 		return nil, err
 	}
 	balancer := newBalancer(w.hosts)
 	var over atomic.Bool
-	for range 90 {
-		p := &pipeline{c: w.clients, first: []*route{booking, lookup}, further: lookup, perSecond: 2.5}
+	for range clientCount {
+		p := &pipeline{c: w.clients, first: like.first, further: like.further, perSecond: like.perSecond, window: like.window}
 		w.clients.wg.Go(func() { p.run(over.Load, balancer.pick) })
 	}
 	go balancer.run(ctx, over.Load)
--- a/review/standin/pipeline.go
+++ b/review/standin/pipeline.go
@@ -16,9 +16,6 @@
 const (
 	// linkDelay is the time one way between clients and zones (sejk-gateway).
 	linkDelay = 8 * time.Millisecond
-	// linkWindow is the number of bytes that a host can send before the client has
-	// acknowledged them.
-	linkWindow = 4 << 10
 	// maxOutstanding is the number of requests that a client sends before the first of
 	// them has been answered.
 	maxOutstanding = 4
@@ -27,7 +24,10 @@
 // link is the connection of a client to a host over a link with a delay and a small
 // window.
 type link struct {
-	nc       net.Conn
+	nc net.Conn
+	// window is the number of bytes that the host can send before the client has
+	// acknowledged them.
+	window   int
 	sending  chan delayed
 	received *io.PipeReader
 }
@@ -39,11 +39,11 @@
 
 // openLink connects to a host. The receive buffer is small, so that what the window does
 // not hold stays at the host.
-func openLink(address string) (*link, error) {
+func openLink(address string, window int) (*link, error) {
 	d := net.Dialer{Timeout: time.Second, Control: func(_, _ string, c syscall.RawConn) error {
 		var err error
 		if e := c.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, linkWindow)
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, window)
 		}); e != nil {
 			return e
 		}
@@ -54,7 +54,7 @@
 		return nil, err
 	}
 	r, w := io.Pipe()
-	l := &link{nc: nc, sending: make(chan delayed, 2*maxOutstanding), received: r}
+	l := &link{nc: nc, window: window, sending: make(chan delayed, 2*maxOutstanding), received: r}
 	arriving := make(chan delayed, 64)
 	go func() {
 		for d := range l.sending {
@@ -80,7 +80,7 @@
 func (l *link) receive(arriving chan<- delayed) {
 	defer close(arriving)
 	var inWindow []delayed // due when they are acknowledged
-	free := linkWindow
+	free := l.window
 	for {
 		for len(inWindow) > 0 && (free == 0 || !time.Now().Before(inWindow[0].due)) {
 			time.Sleep(time.Until(inWindow[0].due))
@@ -117,8 +117,9 @@
 	// the requests behind them.
 	first   []*route
 	further *route
-	// perSecond is the mean rate of its requests.
+	// perSecond is the mean rate of its requests, window that of its links.
 	perSecond float64
+	window    int
 
 	mu     sync.Mutex
 	open   []*request // sent and not answered, in order
@@ -134,7 +135,7 @@
 			time.Sleep(50 * time.Millisecond)
 			continue
 		}
-		l, err := openLink(fmt.Sprintf("%s:%d", h.ip, frontPort))
+		l, err := openLink(fmt.Sprintf("%s:%d", h.ip, frontPort), p.window)
 		if err != nil {
 			time.Sleep(50 * time.Millisecond)
 			continue
@@ -212,6 +213,7 @@
 			p.mu.Unlock()
 		}
 		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
 		if err != nil {
 			p.end(len(body))
 			return
