--- a/review/standin/pipeline.go
+++ b/review/standin/pipeline.go
@@ -219,6 +219,10 @@
 			return
 		}
 		p.mu.Lock()
+		if len(p.open) == 0 { // an answer that nobody asked for
+			p.mu.Unlock()
+			return
+		}
 		q := p.open[0]
 		p.open = p.open[1:]
 		p.mu.Unlock()
