Give the listeners of a test host distinct ports

What was seen: platform TestStateQueries and TestHostShutdown each failed once; every response of one host was "404 page not found". Where the metrics had the port for callers, they responded with 404.

Now all listeners are held until the last port is chosen. The soak took its ports in the same way and uses the same function.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -169,24 +169,22 @@
 }
 
 func (r *run) startHosts() error {
-	port, err := standin.FreePort("127.0.0.2", "udp")
+	peerPorts, err := standin.FreePorts("127.0.0.2", "udp")
 	if err != nil {
 		return err
 	}
 	for i := range r.opts.Hosts {
 		ip := fmt.Sprintf("127.0.0.%d", i+2)
-		p := &hostProcess{HostConfig: standin.HostConfig{Name: fmt.Sprintf("host-%d", i), IP: ip, PeerPort: port}}
+		p := &hostProcess{HostConfig: standin.HostConfig{Name: fmt.Sprintf("host-%d", i), IP: ip, PeerPort: peerPorts[0]}}
 		if p.proxy, err = newProxy(r.deployment.Address); err != nil {
 			return err
 		}
 		p.StoreAddress = p.proxy.address
-		for _, address := range []*string{&p.CallerAddress, &p.ReadyAddress} {
-			n, err := standin.FreePort(ip, "tcp")
-			if err != nil {
-				return err
-			}
-			*address = fmt.Sprintf("%s:%d", ip, n)
+		ports, err := standin.FreePorts(ip, "tcp", "tcp")
+		if err != nil {
+			return err
 		}
+		p.CallerAddress, p.ReadyAddress = fmt.Sprintf("%s:%d", ip, ports[0]), fmt.Sprintf("%s:%d", ip, ports[1])
 		p.settings = filepath.Join(r.opts.LogDir, p.Name+".conf")
 		if err := os.WriteFile(p.settings, p.Settings(), 0o600); err != nil {
 			return err
