Send nothing to a server that announces its shutdown in a response

Cause: no code read the header. Hosts knew draining servers from the store's list only, and go on with the last list while the store is down. Class: a statement of a server about itself that the router receives and does not use.

Now an announcement in any response counts in the directory of the host that received it, and in that of the leader, which is told; each new leader is told again. All choices of servers and the placement of keys ask the directory. Only the registration of a later incarnation ends the state: a registration may be older than the response, and a response without the header may have been sent before it. The leader's scheduler also gets a changed list at once instead of at its next tick.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -32,6 +32,8 @@
 	// restored is true if the next full list may be older than the known
 	// registrations.
 	restored bool
+	// leaving holds the servers that announced their shutdown in a response.
+	leaving map[topology.ServerID]*announcement
 }
 
 type entry struct {
@@ -42,7 +44,7 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{servers: make(map[topology.ServerID]*entry)}
+	return &Directory{servers: make(map[topology.ServerID]*entry), leaving: make(map[topology.ServerID]*announcement)}
 }
 
 // ReadSucceeded records a successful read that was sent at the given time. It must
@@ -111,7 +113,7 @@
 			delete(d.servers, id)
 			continue
 		}
-		f(e.server)
+		f(d.withAnnouncement(e.server))
 	}
 }
 
@@ -121,5 +123,5 @@
 	if !ok || (e.removed && now >= d.graceUntil) {
 		return Server{}, false
 	}
-	return e.server, true
+	return d.withAnnouncement(e.server), true
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,7 +23,8 @@
 	Incarnation int64
 	// Sequence rises with each registration of one incarnation; zero if it is unknown.
 	Sequence int64
-	// Draining is true once the server has announced its shutdown.
+	// Draining is true once the server has announced its shutdown, in its registration or
+	// in a response.
 	Draining bool
 	// WarmupLeft is how much longer the server responds slowly after its start.
 	WarmupLeft time.Duration
--- a/internal/gateway/elector_test.go
+++ b/internal/gateway/elector_test.go
@@ -38,7 +38,8 @@
 	denials atomic.Int64
 }
 
-func (l *lateLeader) HandleServerLimits(*hostlink.ServerLimits) {}
+func (l *lateLeader) HandleServerLimits(*hostlink.ServerLimits)   {}
+func (*lateLeader) HandleLeavingServers(*hostlink.LeavingServers) {}
 func (l *lateLeader) HandleToLeader(from netip.AddrPort, _ *hostlink.ToLeader) {
 	leads := l.leads.Load()
 	if !leads {
@@ -53,6 +54,7 @@
 
 func (h *clientHandler) HandleToLeader(netip.AddrPort, *hostlink.ToLeader) {}
 func (h *clientHandler) HandleServerLimits(*hostlink.ServerLimits)         {}
+func (*clientHandler) HandleLeavingServers(*hostlink.LeavingServers)       {}
 func (h *clientHandler) HandleFromLeader(from netip.AddrPort, m *hostlink.FromLeader) {
 	h.client.handle(from, m)
 }
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -19,6 +19,7 @@
 type bothRoles struct {
 	followers *followers
 	client    *leaderClient
+	watcher   *storeWatcher
 }
 
 func (b bothRoles) HandleToLeader(from netip.AddrPort, m *hostlink.ToLeader) {
@@ -31,6 +32,10 @@
 
 func (b bothRoles) HandleServerLimits(m *hostlink.ServerLimits) { b.followers.handleLimits(m) }
 
+func (b bothRoles) HandleLeavingServers(m *hostlink.LeavingServers) {
+	b.watcher.recordLeavingServers(m)
+}
+
 // Passes arbitrary datagrams to a leader and to a host with a waiting request, and
 // then uses the decision. Guards against a malformed message, or one of another
 // release, that ends the process.
@@ -64,6 +69,13 @@
 		}
 		f.Add(data)
 	}
+	for _, server := range []hostlink.LeavingServer{{Server: "s", AgeMS: 1 << 31}, {Server: "s", Incarnation: math.MinInt64}, {Server: "other", Incarnation: math.MaxInt64}} {
+		data, err := cbor.Marshal([]any{nil, nil, nil, hostlink.LeavingServers{Servers: []hostlink.LeavingServer{server}}})
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
 	link, err := hostlink.Listen("127.0.0.1:0")
 	if err != nil {
 		f.Fatal(err)
@@ -83,9 +95,13 @@
 		s.addServices(&fleet.Config{Services: map[topology.Service]fleet.Service{"svc": {}, "keyed": {Keyed: true}}}, nil, nil)
 		s.updateServers([]fleet.Server{{ID: "s", Service: "svc", Slots: 1}})
 		fs.setScheduler(s, 1, func(uint64, string) {})
-		if hostlink.Dispatch(datagram, leader, bothRoles{followers: fs, client: client}) != nil {
+		w := newStoreWatcher(clk, nil, client.active, nil, func() {})
+		w.directory.Set(fleet.Server{ID: "s", Service: "svc", Incarnation: 5})
+		if hostlink.Dispatch(datagram, leader, bothRoles{followers: fs, client: client, watcher: w}) != nil {
 			return
 		}
+		s.updateServers(w.servers())
+		client.passLeaving(w.leavingServers())
 		client.tick()
 		s.add(hash32("svc"), &schedule.Job{ID: schedule.JobID{HostIncarnation: 7, Number: 2}, Key: schedule.NoKey, Deadline: clk.Now() + time.Hour})
 		s.dispatch()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,6 +82,9 @@
 // HandleServerLimits implements hostlink.Handler.
 func (g *gateway) HandleServerLimits(m *hostlink.ServerLimits) { g.followers.handleLimits(m) }
 
+// HandleLeavingServers implements hostlink.Handler.
+func (g *gateway) HandleLeavingServers(m *hostlink.LeavingServers) { g.watcher.recordLeavingServers(m) }
+
 // Run serves until the context ends, and then stops gracefully. It accepts
 // changed settings while it runs: the bounds apply at once, the rest after the
 // next start.
@@ -159,7 +162,7 @@
 	metrics.RegisterFunc("response_memory_bytes", func() float64 { return float64(responses.Used()) })
 	g.upstream = upstream.New(upstream.Headers{
 		RequestID: names.RequestID, TimeLeft: names.TimeLeft, Target: names.Target,
-		Signature: names.Signature, NotExecuted: names.NotExecuted, ServerLoad: names.ServerLoad, ServerLimit: names.ServerLimit,
+		Signature: names.Signature, NotExecuted: names.NotExecuted, ServerLoad: names.ServerLoad, ServerLimit: names.ServerLimit, Leaving: names.Leaving,
 	}, responses)
 	g.watcher = newStoreWatcher(clk, store, g.active, g.readPolicy, g.storeChanged)
 	g.leaderClient = newLeaderClient(clk, link, incarnation, settings.DataCentre, func() { g.elector.checkNow() }, g.watcher.listUsable)
@@ -169,7 +172,7 @@
 		log: logging.For(logging.Lead), memberID: string(settings.Host) + memberSeparator + strconv.FormatUint(incarnation, 36),
 		metrics: metrics, active: g.active, self: address, claimWeight: 1 / max(settings.CPUShare, minCPUShare), wake: make(chan struct{}, 1),
 	}
-	g.leaderClient.active = g.active
+	g.leaderClient.active, g.leaderClient.leavingServers = g.active, g.watcher.leavingServers
 	g.leaderClient.cpuPercent = uint16(min(settings.CPUShare*100, 60000))
 	g.watcher.readOwners = func(ctx context.Context) {
 		if _, _, err := g.elector.readOwners(ctx); err != nil && ctx.Err() == nil {
@@ -198,6 +201,7 @@
 		metrics.RegisterFunc(name, func() float64 { return g.elector.sumServices(pick) })
 	}
 	metrics.RegisterFunc("limited_servers", func() float64 { return float64(g.leaderClient.limits.count()) })
+	metrics.RegisterFunc("leaving_servers", func() float64 { return float64(len(g.watcher.leavingServers())) })
 	metrics.RegisterFunc("hosts", func() float64 { return float64(g.leaderClient.state().hosts) })
 	return g, nil
 }
@@ -239,8 +243,8 @@
 	}
 }
 
-// storeChanged passes a new configuration or list of servers to the fallback
-// scheduler.
+// storeChanged passes a new configuration or list of servers to the schedulers of this
+// host.
 func (g *gateway) storeChanged() {
 	cfg := g.watcher.config.Load()
 	if cfg == nil {
@@ -253,6 +257,9 @@
 	g.followers.announceConfig(cfg.Version)
 	g.leaderClient.fallback.addServices(cfg, keyMaps, nil)
 	g.leaderClient.fallback.updateServers(servers)
+	if own := g.elector.scheduler.Load(); own != nil {
+		own.updateServers(servers)
+	}
 }
 
 // messageHeader returns the fields that all messages to hosts share.
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -177,7 +177,10 @@
 		id := schedule.JobID{HostIncarnation: in.leaderClient.incarnation, Number: number}
 		if in.serverDraining(decision.Server) {
 			// The leader reads the same list and will learn soon that the
-			// server is draining.
+			// server is draining. What the server said to this host it learns
+			// from this host alone.
+			in.leaderClient.passLeaving(in.watcher.leavingServer(decision.Server))
+			in.metrics.inc("held-from-draining")
 			in.leaderClient.report(schedule.Report{ID: id, Result: schedule.CallerDisconnected})
 			clock.Sleep(ctx, drainingRetryDelay)
 			continue
@@ -185,6 +188,10 @@
 		in.endRetryWait(c)
 		outcome := in.upstream.Do(ctx, decision.Server, decision.Address, c.deadline, &c.request)
 		in.recordLimit(c, decision, outcome)
+		if outcome.Leaving {
+			in.watcher.recordLeaving(decision.Server)
+			in.leaderClient.passLeaving(in.watcher.leavingServer(decision.Server))
+		}
 		outcome.Report.ID = id
 		in.leaderClient.report(outcome.Report)
 		c.sends++
--- a/internal/gateway/leaderclient.go
+++ b/internal/gateway/leaderclient.go
@@ -95,6 +95,8 @@
 	endLeadership func()        // ends the leadership of this host
 	limits        *serverLimits // that servers named to this host
 	limitPhase    float64       // of the fallback scheduler, see schedule.LimitShare
+	// leavingServers returns the servers to tell a new leader of.
+	leavingServers func() []hostlink.LeavingServer
 	// refusing is set by refuseWaiting.
 	refusing bool
 }
@@ -106,6 +108,7 @@
 	}
 	c.fallback = newScheduler(clk, c.deliver, listUsable)
 	c.limits = newServerLimits(clk, logging.For(logging.Frontend))
+	c.leavingServers = func() []hostlink.LeavingServer { return nil }
 	return c
 }
 
@@ -122,6 +125,7 @@
 	c.mu.Unlock()
 	logging.For(logging.Lead).With("leader", addr.String()).With("epoch", epoch).Info("this host follows a leader")
 	c.passLimits(c.limits.list())
+	c.passLeaving(c.leavingServers())
 	c.resubmitAll()
 }
 
@@ -363,6 +367,21 @@
 	}
 }
 
+// passLeaving tells the leader of servers that announced their shutdown. A host that
+// leads learns of them from its own list of servers.
+func (c *leaderClient) passLeaving(servers []hostlink.LeavingServer) {
+	c.mu.Lock()
+	own, leader := c.ownScheduler, c.leader
+	c.mu.Unlock()
+	if own != nil || !leader.IsValid() {
+		return
+	}
+	for part := range slices.Chunk(servers, maxDatagramItems) {
+		// The leader is told again when it next chooses the server.
+		_ = c.link.SendLeavingServers(leader, &hostlink.LeavingServers{Servers: part})
+	}
+}
+
 // deliver passes decisions of a scheduler or the leader to the waiting requests
 // of this host.
 func (c *leaderClient) deliver(decisions []schedule.Decision) {
--- a/internal/gateway/leaderclient_test.go
+++ b/internal/gateway/leaderclient_test.go
@@ -22,6 +22,7 @@
 	// disconnected receives the numbers of requests that are reported as given up.
 	disconnected chan uint32
 	limits       chan hostlink.ServerLimit
+	leaving      chan hostlink.LeavingServer
 }
 
 func (l *silentLeader) HandleToLeader(_ netip.AddrPort, m *hostlink.ToLeader) {
@@ -39,8 +40,16 @@
 	}
 }
 
+func (l *silentLeader) HandleLeavingServers(m *hostlink.LeavingServers) {
+	for _, s := range m.Servers {
+		l.leaving <- s
+	}
+}
+
 func newSilentLeader() *silentLeader {
-	return &silentLeader{disconnected: make(chan uint32, 16), limits: make(chan hostlink.ServerLimit, 16)}
+	return &silentLeader{
+		disconnected: make(chan uint32, 16), limits: make(chan hostlink.ServerLimit, 16), leaving: make(chan hostlink.LeavingServer, 16),
+	}
 }
 
 // clientWithLeader returns a client that follows a silent leader.
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -21,6 +21,7 @@
 	NotExecuted string
 	ServerLoad  string
 	ServerLimit string
+	Leaving     string
 	Key         string
 	ReadyPath   string
 }
--- a/internal/gateway/storewatcher.go
+++ b/internal/gateway/storewatcher.go
@@ -251,6 +251,7 @@
 	}
 	w.lastReadAt = now
 	w.next = c.Next
+	defer w.forgetLeaving(now)
 	if c.Full {
 		var list []fleet.Server
 		for _, ch := range c.Changes {
--- a/internal/hostlink/hostlink.go
+++ b/internal/hostlink/hostlink.go
@@ -78,6 +78,22 @@
 	Limits []ServerLimit
 }
 
+// LeavingServer is a server that announced its shutdown in a response.
+type LeavingServer struct {
+	_           struct{} `cbor:",toarray"`
+	Server      string
+	Incarnation int64 // that the request was sent to; zero if the host does not know it
+	// AgeMS is the time since the first announcement in milliseconds.
+	AgeMS uint32
+}
+
+// LeavingServers is a message from a host to the leader with the servers that announced
+// their shutdown in responses to the host.
+type LeavingServers struct {
+	_       struct{} `cbor:",toarray"`
+	Servers []LeavingServer
+}
+
 // Decision is the leader's response to a routing request: a server, a refusal,
 // or the notice that the request is queued.
 type Decision struct {
@@ -145,9 +161,22 @@
 	ServerLimits *ServerLimits
 }
 
-// limitsMessageHead is the first byte of an encoded limitsMessage: an array of three
-// elements.
-const limitsMessageHead = 0x83
+// leavingMessage is the encoded form of LeavingServers. Its array is longer than those of
+// the other messages, so earlier releases reject it and nothing else.
+type leavingMessage struct {
+	_              struct{} `cbor:",toarray"`
+	ToLeader       *struct{}
+	FromLeader     *struct{}
+	ServerLimits   *struct{}
+	LeavingServers *LeavingServers
+}
+
+// limitsMessageHead and leavingMessageHead are the first bytes of an encoded
+// limitsMessage and leavingMessage: arrays of three and of four elements.
+const (
+	limitsMessageHead  = 0x83
+	leavingMessageHead = 0x84
+)
 
 // Link sends and receives messages on one UDP socket. It is safe for concurrent
 // use.
@@ -189,6 +218,11 @@
 	return l.send(to, limitsMessage{ServerLimits: m})
 }
 
+// SendLeavingServers sends a message to the leader.
+func (l *Link) SendLeavingServers(to netip.AddrPort, m *LeavingServers) error {
+	return l.send(to, leavingMessage{LeavingServers: m})
+}
+
 func (l *Link) send(to netip.AddrPort, m any) error {
 	data, err := cbor.Marshal(m)
 	if err != nil {
@@ -203,6 +237,7 @@
 	HandleToLeader(from netip.AddrPort, m *ToLeader)
 	HandleFromLeader(from netip.AddrPort, m *FromLeader)
 	HandleServerLimits(m *ServerLimits)
+	HandleLeavingServers(m *LeavingServers)
 }
 
 // Receive passes messages to h until the link is closed or reading fails.
@@ -222,7 +257,12 @@
 
 // Dispatch decodes one datagram and passes its message to h.
 func Dispatch(datagram []byte, from netip.AddrPort, h Handler) error {
-	if len(datagram) > 0 && datagram[0] == limitsMessageHead {
+	head := byte(0)
+	if len(datagram) > 0 {
+		head = datagram[0]
+	}
+	switch head {
+	case limitsMessageHead:
 		var m limitsMessage
 		if err := cbor.Unmarshal(datagram, &m); err != nil {
 			return err
@@ -231,6 +271,15 @@
 			h.HandleServerLimits(m.ServerLimits)
 		}
 		return nil
+	case leavingMessageHead:
+		var m leavingMessage
+		if err := cbor.Unmarshal(datagram, &m); err != nil {
+			return err
+		}
+		if m.LeavingServers != nil {
+			h.HandleLeavingServers(m.LeavingServers)
+		}
+		return nil
 	}
 	var m message
 	if err := cbor.Unmarshal(datagram, &m); err != nil {
--- a/internal/hostlink/hostlink_test.go
+++ b/internal/hostlink/hostlink_test.go
@@ -16,13 +16,17 @@
 type collector struct {
 	toLeader chan *hostlink.ToLeader
 	limits   chan *hostlink.ServerLimits
+	leaving  chan *hostlink.LeavingServers
 }
 
 func (c collector) HandleToLeader(_ netip.AddrPort, m *hostlink.ToLeader) { c.toLeader <- m }
 func (c collector) HandleFromLeader(netip.AddrPort, *hostlink.FromLeader) {}
 func (c collector) HandleServerLimits(m *hostlink.ServerLimits)           { c.limits <- m }
+func (c collector) HandleLeavingServers(m *hostlink.LeavingServers)       { c.leaving <- m }
 func newCollector() collector {
-	return collector{toLeader: make(chan *hostlink.ToLeader, 1), limits: make(chan *hostlink.ServerLimits, 1)}
+	return collector{
+		toLeader: make(chan *hostlink.ToLeader, 1), limits: make(chan *hostlink.ServerLimits, 1), leaving: make(chan *hostlink.LeavingServers, 1),
+	}
 }
 
 // Guards against limits that arrive changed, or that are taken for another message.
@@ -63,3 +67,29 @@
 	}
 	g.Expect(cbor.Unmarshal(data, &earlier)).NotTo(Succeed())
 }
+
+// Guards against announcements of shutdowns that arrive changed, or that an earlier
+// release takes for another message.
+func TestLeavingServersArrive(t *testing.T) {
+	g := NewWithT(t)
+	c := newCollector()
+	receiver, err := hostlink.Listen("127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = receiver.Close() }()
+	go func() { _ = receiver.Receive(c, func(err error) { t.Error(err) }) }()
+	sender, err := hostlink.Listen("127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = sender.Close() }()
+	sent := &hostlink.LeavingServers{Servers: []hostlink.LeavingServer{{Server: "s-1", Incarnation: 1796493600000, AgeMS: 40}, {Server: "s-2"}}}
+	g.Expect(sender.SendLeavingServers(receiver.Address(), sent)).To(Succeed())
+	g.Eventually(c.leaving, time.Second).Should(Receive(Equal(sent)))
+
+	data, err := cbor.Marshal([]any{nil, nil, nil, sent})
+	g.Expect(err).NotTo(HaveOccurred())
+	var earlier struct {
+		_          struct{} `cbor:",toarray"`
+		ToLeader   *hostlink.ToLeader
+		FromLeader *hostlink.FromLeader
+	}
+	g.Expect(cbor.Unmarshal(data, &earlier)).NotTo(Succeed())
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -38,6 +38,7 @@
 	NotExecuted string
 	ServerLoad  string // running, waiting and slots, separated by commas
 	ServerLimit string // requests a second that the server accepts from all hosts
+	Leaving     string // set in all responses of a server that shuts down
 }
 
 // Request is a complete request of a caller.
@@ -78,7 +79,9 @@
 	// response states it in a way that cannot be read, LimitError is set.
 	Limit      schedule.Limit
 	LimitError error
-	Cause      error
+	// Leaving is true if the response announces the shutdown of the server.
+	Leaving bool
+	Cause   error
 }
 
 const (
@@ -443,7 +446,9 @@
 
 // classify determines the outcome of a request from its complete response.
 func (c *Client) classify(resp *http.Response) Outcome {
-	outcome := Outcome{Result: schedule.Succeeded}
+	// The header counts in a 421 too: if another server has the address, the intended one
+	// has ended.
+	outcome := Outcome{Result: schedule.Succeeded, Leaving: announcesLeaving(resp.Header.Get(c.headers.Leaving))}
 	if resp.StatusCode != http.StatusMisdirectedRequest { // another server may have the address
 		outcome.Limit, outcome.LimitError = parseLimit(resp.Header.Get(c.headers.ServerLimit))
 	}
@@ -514,6 +519,12 @@
 	return schedule.Limit{Stated: true, PerSecond: perSecond}, nil
 }
 
+// announcesLeaving reports whether the value of the header Leaving announces a shutdown.
+func announcesLeaving(value string) bool {
+	value = strings.TrimSpace(value)
+	return value != "" && value != "0"
+}
+
 // parseLoad parses the numbers of running and waiting requests from the header
 // ServerLoad.
 func parseLoad(value string) (running, waiting int, ok bool) {
