Read the servers again once the store responds to a host

Cause: a host uses an old list of servers while its reads fail, since the store may be down for all. It went on with that although the store had just taken its claim to the leadership: the last read had failed before, and the pause after it was not over. Class: "the store fails for me" taken for "the store is down".

Now a response of the store to another call of the host (the search for a leader, the claim, a read of the key maps) ends the failure: the list is read again at once, and until then it counts as old. A read that gets no response is cancelled once; a slow one after that is left alone.

Ruled out as the only cause: the grace for lapsed registrations (22.01 s is before the first read, which starts it).

Evidence: TestListIsReadAgainOnceStoreResponds fails with the earlier rule.

--- a/internal/gateway/elector.go
+++ b/internal/gateway/elector.go
@@ -160,6 +160,7 @@
 	if err != nil {
 		return leaderRecord{}, Position{}, err
 	}
+	e.watcher.storeResponded()
 	e.mu.Lock()
 	leader, keyMaps := e.decodeOwners(records, end.Era)
 	e.keyMaps = keyMaps
--- a/internal/gateway/leadershipstore_test.go
+++ b/internal/gateway/leadershipstore_test.go
@@ -29,7 +29,7 @@
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() { _ = link.Close() })
 	clk, active := clock.NewMonotonic(), newActiveBounds(typicalBounds())
-	e := &elector{clk: clk, store: store, log: logging.For(logging.Lead), memberID: "edge-1#y", self: link.Address(), active: active}
+	e := &elector{clk: clk, store: store, watcher: newStoreWatcher(clk, store, active, nil, func() {}), log: logging.For(logging.Lead), memberID: "edge-1#y", self: link.Address(), active: active}
 	e.leaderClient = newLeaderClient(clk, link, 7, "dc", func() {}, func() bool { return true })
 	e.leaderClient.active, e.leaderClient.endLeadership = active, func() {}
 	e.followers = &followers{clk: clk, link: link, incarnation: 7, currentLeader: e.leaderClient.currentLeader}
--- a/internal/gateway/storewatcher.go
+++ b/internal/gateway/storewatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,6 +49,8 @@
 
 	config atomic.Pointer[fleet.Config]
 	wake   chan struct{}
+	// retry ends the pause after a failed read of the registrations.
+	retry chan struct{}
 
 	openReadMu         sync.Mutex
 	openRead           configRead
@@ -61,6 +64,8 @@
 	failedAt      time.Duration // time of the last failed read
 	failed        bool
 	readStartedAt time.Duration // send time of the read in progress; zero if there is none
+	// cancelRead cancels the read in progress; nil if there is none.
+	cancelRead context.CancelCauseFunc
 }
 
 // readPolicy is how a host reads from the store in its present role.
@@ -88,7 +93,7 @@
 func newStoreWatcher(clk clock.Clock, store Store, active *activeBounds, policy func() readPolicy, onChange func()) *storeWatcher {
 	return &storeWatcher{
 		clk: clk, store: store, log: logging.For(logging.Platform), active: active, policy: policy, onChange: onChange,
-		directory: fleet.NewDirectory(), wake: make(chan struct{}, 1),
+		directory: fleet.NewDirectory(), wake: make(chan struct{}, 1), retry: make(chan struct{}, 1),
 	}
 }
 
@@ -185,6 +190,9 @@
 	var pause backoff
 	for ctx.Err() == nil {
 		err := w.readServers(ctx)
+		if errors.Is(err, errReadAgain) {
+			continue
+		}
 		if (err != nil) != failing && ctx.Err() == nil {
 			failing = err != nil
 			if failing {
@@ -198,7 +206,11 @@
 		if err != nil {
 			// A host without a leader requests reads all the time, which must
 			// not cut the pause short.
-			clock.Sleep(ctx, pause.next(policy.maxRetryPause))
+			select {
+			case <-ctx.Done():
+			case <-w.retry:
+			case <-time.After(pause.next(policy.maxRetryPause)):
+			}
 			continue
 		}
 		pause.reset()
@@ -221,7 +233,31 @@
 	}
 }
 
+// errReadAgain is the cause of the end of a read that storeResponded has cancelled.
+var errReadAgain = errors.New("the store responds again")
+
+// storeResponded records that the store has responded to another call of this host. A
+// read of the registrations that failed before is then no sign of an outage, so they are
+// read again before requests are sent by the list.
+func (w *storeWatcher) storeResponded() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.failed {
+		return
+	}
+	w.failed = false
+	if w.cancelRead != nil {
+		w.cancelRead(errReadAgain)
+	}
+	select {
+	case w.retry <- struct{}{}:
+	default:
+	}
+}
+
 func (w *storeWatcher) readServers(ctx context.Context) error {
+	readCtx, cancelRead := context.WithCancelCause(ctx)
+	defer cancelRead(nil)
 	w.mu.Lock()
 	from := w.next
 	sent := w.clk.Now()
@@ -229,15 +265,18 @@
 	if from == (Position{}) || sent-w.lastReadAt > w.active.timing().fullReadAge {
 		from, limit = Position{}, fullReadTimeout
 	}
-	w.readStartedAt = sent
+	w.readStartedAt, w.cancelRead = sent, cancelRead
 	w.mu.Unlock()
-	callCtx, cancel := context.WithTimeout(ctx, limit)
+	callCtx, cancel := context.WithTimeout(readCtx, limit)
 	defer cancel()
 	c, err := w.store.ServerChanges(callCtx, from)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.clk.Now()
-	w.readStartedAt = 0
+	w.readStartedAt, w.cancelRead = 0, nil
+	if err != nil && errors.Is(context.Cause(readCtx), errReadAgain) {
+		return errReadAgain
+	}
 	w.failed = err != nil
 	if err != nil {
 		w.failedAt = now
@@ -297,8 +336,8 @@
 
 // listUsable reports whether requests may be sent to the servers of the list:
 // it is fresh, or reading it failed or takes too long. A host that has just
-// become responsible for the list reads it first, because servers may have
-// announced their shutdown since.
+// become responsible for the list, or reaches the store again, reads it first,
+// because servers may have announced their shutdown since.
 func (w *storeWatcher) listUsable() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/gateway/storewatcher_test.go
+++ b/internal/gateway/storewatcher_test.go
@@ -19,6 +19,7 @@
 	Store
 	mu          sync.Mutex
 	down        bool
+	silent      bool // reads of the registrations get no response
 	version     int64
 	changed     chan struct{} // closed when the configuration changes
 	latency     time.Duration
@@ -38,6 +39,12 @@
 	s.down = down
 }
 
+func (s *countingStore) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
 func (s *countingStore) configure(version int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -85,11 +92,15 @@
 func (s *countingStore) ServerChanges(ctx context.Context, from Position) (ServerChanges, error) {
 	s.mu.Lock()
 	s.serverReads++
-	down, full := s.down, s.fullReadTime
+	down, silent, full := s.down, s.silent, s.fullReadTime
 	s.mu.Unlock()
 	if down {
 		return ServerChanges{}, ErrRefused
 	}
+	if silent {
+		<-ctx.Done()
+		return ServerChanges{}, ctx.Err()
+	}
 	if from == (Position{}) {
 		select {
 		case <-time.After(full):
@@ -222,3 +233,39 @@
 		g.Expect(w.storeReachable()).To(BeTrue())
 	})
 }
+
+// Guards against a host that was turned away by the store and sends requests by its old
+// list when it becomes the leader: its last read of the registrations has failed, but the
+// store has responded to its other calls since.
+func TestListIsReadAgainOnceStoreResponds(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		silent  bool          // reads get no response
+		awaited time.Duration // for the list
+	}{
+		{"reads are refused", false, 20 * time.Millisecond},
+		{"a read without a response is in progress", true, 20 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				store := newCountingStore(3)
+				w := startWatcher(t, store, func() readPolicy {
+					return readPolicy{pollInterval: 500 * time.Millisecond, configWait: time.Second, maxRetryPause: maxHostRetryPause}
+				})
+				time.Sleep(time.Second)
+				store.setDown(!test.silent)
+				store.setSilent(test.silent)
+				time.Sleep(4500 * time.Millisecond)
+				g.Expect(w.listUsable()).To(BeTrue(), "the store may be down for all hosts")
+				store.setDown(false)
+				store.setSilent(false)
+				w.storeResponded()
+				g.Expect(w.listUsable()).To(BeFalse())
+				time.Sleep(test.awaited)
+				g.Expect(w.listUsable()).To(BeTrue())
+				g.Expect(w.listAge()).To(BeNumerically("<", 30*time.Millisecond))
+			})
+		})
+	}
+}
--- a/internal/gateway/unreadable_test.go
+++ b/internal/gateway/unreadable_test.go
@@ -26,7 +26,7 @@
 func newRecordElector(records ...Record) (*elector, *recordStore) {
 	store := &recordStore{records: records}
 	client := newLeaderClient(clock.NewMonotonic(), nil, 7, "dc", func() {}, func() bool { return true })
-	return &elector{clk: clock.NewMonotonic(), store: store, log: logging.For(logging.Lead), leaderClient: client}, store
+	return &elector{clk: clock.NewMonotonic(), store: store, watcher: newStoreWatcher(clock.NewMonotonic(), store, newActiveBounds(typicalBounds()), nil, func() {}), log: logging.For(logging.Lead), leaderClient: client}, store
 }
 
 var unreadableValues = map[string]string{
