Keep removed servers only if most registrations expired

Cause: after reads that failed for more than 1.5 s a host took every removed registration for one that lapsed in an outage of the store, and kept it for 1.8 s. The store had turned only this host away; the servers had left. Where that host leads next, it sends requests of all hosts to them. Class: "the store fails for me" taken for "the store is down for all".

An outage for all silences all servers for the same time. So the grace now needs that most servers that were registered when the reads began to fail have lost their registration since, or may have: one that was written again meanwhile counts. A new line in the log has the counts. Registrations carry the offset of their record, so that a full list shows which of them outlasted the failure.

Ruled out: telling the cases apart by renewals in the topic (they are no records), by the age of the leader's list (the leader is lost in the case), or by sequence numbers (not defined for refused renewals).

Evidence: TestRemovalWhileStoreTurnedHostAway fails on the earlier rule.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -8,7 +8,8 @@
 
 // removalGrace is how long registrations that expired during a store outage still
 // count as registered after its end. Live servers register again within about two
-// seconds.
+// seconds. An outage for all hosts silences all servers for the same time, so it is told
+// from one of this host alone by the registrations that expired: most of them.
 const removalGrace = 1800 * time.Millisecond
 
 // minOutage is how long reads must have failed before removed registrations are
@@ -27,8 +28,13 @@
 	// one. It is valid only if failing is true.
 	failingSince time.Duration
 	failing      bool
-	// graceUntil is the time until which removed registrations still count.
+	// graceUntil is the time until which removed registrations still count if most
+	// of the registered servers are in expired. These are the servers whose
+	// registration ended, or may have ended before the server registered again,
+	// since the reads began to fail; there were registered of them at that time.
 	graceUntil time.Duration
+	expired    map[topology.ServerID]bool
+	registered int
 	// restored is true if the next full list may be older than the known
 	// registrations.
 	restored bool
@@ -37,9 +43,8 @@
 }
 
 type entry struct {
-	server    Server
-	removedAt time.Duration
-	removed   bool
+	server  Server
+	removed bool
 }
 
 // NewDirectory returns an empty directory.
@@ -51,13 +56,50 @@
 // be called before the changes of that read are applied.
 func (d *Directory) ReadSucceeded(sent time.Duration) {
 	if d.loaded && d.failing && sent-d.failingSince > minOutage {
-		d.graceUntil = sent + removalGrace
+		d.startGrace(sent)
 	}
 	d.failing = false
 	d.loaded = true
 	d.lastRead = max(d.lastRead, sent)
 }
 
+// startGrace begins to collect the registrations that expired during a possible outage
+// of the store.
+func (d *Directory) startGrace(sent time.Duration) {
+	expired := make(map[topology.ServerID]bool)
+	registered := 0
+	for id, e := range d.servers {
+		switch {
+		case !e.removed:
+			registered++
+		case d.graceApplies(d.failingSince): // expired in an outage shortly before
+			registered++
+			expired[id] = true
+		}
+	}
+	d.graceUntil, d.expired, d.registered = sent+removalGrace, expired, registered
+}
+
+// graceApplies reports whether removed registrations count at the given time.
+func (d *Directory) graceApplies(now time.Duration) bool {
+	return now < d.graceUntil && 2*len(d.expired) > d.registered
+}
+
+// Outage describes the registrations that ended since the reads began to fail.
+type Outage struct {
+	// Expired of Registered servers have no registration any more, or may have had none
+	// before they registered again.
+	Expired, Registered int
+	// Kept is true if the removed registrations count for now.
+	Kept bool
+}
+
+// Outage returns what is known of the failure of reads that has ended last. It returns
+// false once removed registrations count no longer.
+func (d *Directory) Outage(now time.Duration) (Outage, bool) {
+	return Outage{Expired: len(d.expired), Registered: d.registered, Kept: d.graceApplies(now)}, now < d.graceUntil
+}
+
 // ReadFailed records that a read failed at the given time. Without failed reads,
 // removed registrations are never attributed to a store outage.
 func (d *Directory) ReadFailed(now time.Duration) {
@@ -82,7 +124,16 @@
 // Remove marks a registration as removed.
 func (d *Directory) Remove(id topology.ServerID, now time.Duration) {
 	if e, ok := d.servers[id]; ok && !e.removed {
-		e.removed, e.removedAt = true, now
+		e.removed = true
+		d.MayHaveExpired(id, now)
+	}
+}
+
+// MayHaveExpired records that the registration of a server was written again since the
+// last read, and may have expired before. It must be called before the read is applied.
+func (d *Directory) MayHaveExpired(id topology.ServerID, now time.Duration) {
+	if _, ok := d.servers[id]; ok && now < d.graceUntil {
+		d.expired[id] = true
 	}
 }
 
@@ -108,11 +159,15 @@
 // Servers calls f for each server that counts as registered, and deletes the
 // entries of the others.
 func (d *Directory) Servers(now time.Duration, f func(Server)) {
+	graceApplies := d.graceApplies(now)
 	for id, e := range d.servers {
 		if e.removed && now >= d.graceUntil {
 			delete(d.servers, id)
 			continue
 		}
+		if e.removed && !graceApplies {
+			continue
+		}
 		f(d.withAnnouncement(e.server))
 	}
 }
@@ -120,7 +175,7 @@
 // Get returns the server with the given ID if it counts as registered.
 func (d *Directory) Get(id topology.ServerID, now time.Duration) (Server, bool) {
 	e, ok := d.servers[id]
-	if !ok || (e.removed && now >= d.graceUntil) {
+	if !ok || (e.removed && !d.graceApplies(now)) {
 		return Server{}, false
 	}
 	return d.withAnnouncement(e.server), true
--- a/internal/fleet/directory_test.go
+++ b/internal/fleet/directory_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -49,6 +50,82 @@
 	g.Expect(serverIDs(d, 7*second)).To(ConsistOf(topology.ServerID("b")), "a server that has not registered again is removed")
 }
 
+// Guards against requests to servers that left while the store turned only this host away
+// for some seconds: most registrations outlast that, and none outlasts an outage for all.
+func TestRemovalWhileStoreTurnedHostAway(t *testing.T) {
+	ids := []topology.ServerID{"a", "b", "c", "d", "e"}
+	list := func(ids ...topology.ServerID) []fleet.Server {
+		var servers []fleet.Server
+		for _, id := range ids {
+			servers = append(servers, fleet.Server{ID: id})
+		}
+		return servers
+	}
+	for _, test := range []struct {
+		name string
+		read func(d *fleet.Directory, now time.Duration)
+		used []topology.ServerID
+	}{
+		{"changes, one server left", func(d *fleet.Directory, now time.Duration) { d.Remove("a", now) }, ids[1:]},
+		{"full list, one server left", func(d *fleet.Directory, now time.Duration) { d.Replace(list(ids[1:]...), now) }, ids[1:]},
+		{"changes, all expired and four are back", func(d *fleet.Directory, now time.Duration) {
+			for _, id := range ids {
+				d.Remove(id, now)
+			}
+			for _, s := range list(ids[1:]...) {
+				d.Set(s)
+			}
+		}, ids},
+		{"full list, all expired and four are back", func(d *fleet.Directory, now time.Duration) {
+			for _, id := range ids[1:] {
+				d.MayHaveExpired(id, now)
+			}
+			d.Replace(list(ids[1:]...), now)
+		}, ids},
+		{"one after the other expires", func(d *fleet.Directory, now time.Duration) {
+			for i, id := range ids[:4] {
+				d.ReadSucceeded(now + time.Duration(i)*10*time.Millisecond)
+				d.Remove(id, now+time.Duration(i)*10*time.Millisecond)
+				d.Servers(now+time.Duration(i)*10*time.Millisecond, func(fleet.Server) {})
+			}
+		}, ids},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			d := fleet.NewDirectory()
+			d.ReadSucceeded(0)
+			d.Replace(list(ids...), 0)
+			d.ReadFailed(1 * second)
+			d.ReadFailed(5 * second)
+			d.ReadSucceeded(6 * second)
+			test.read(d, 6*second)
+			now := 6*second + 100*time.Millisecond
+			g.Expect(serverIDs(d, now)).To(ConsistOf(test.used))
+			for _, id := range ids {
+				_, ok := d.Get(id, now)
+				g.Expect(ok).To(Equal(slices.Contains(test.used, id)), string(id))
+			}
+		})
+	}
+}
+
+// Guards against the loss of all servers when reads fail once more directly after an
+// outage during which the registrations expired.
+func TestExpiryInTwoOutages(t *testing.T) {
+	g := NewWithT(t)
+	d := fleet.NewDirectory()
+	d.ReadSucceeded(0)
+	d.Set(fleet.Server{ID: "a"})
+	d.ReadFailed(1 * second)
+	d.ReadSucceeded(5 * second)
+	d.Replace(nil, 5*second)
+	d.ReadFailed(5*second + 200*time.Millisecond)
+	d.ReadSucceeded(7 * second)
+	d.Replace(nil, 7*second)
+	g.Expect(serverIDs(d, 7*second)).To(ConsistOf(topology.ServerID("a")))
+	g.Expect(serverIDs(d, 9*second)).To(BeEmpty())
+}
+
 // Guards against a removed server that stays in use because of a short read failure.
 func TestRemovalAfterShortFailure(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -66,6 +66,8 @@
 type ServerChange struct {
 	ID     topology.ServerID
 	Server *fleet.Server
+	// Offset is the place of the record in the topic of the registrations.
+	Offset int64
 }
 
 // ServerChanges is the result of one read of the registrations.
--- a/internal/gateway/storewatcher.go
+++ b/internal/gateway/storewatcher.go
@@ -65,7 +65,8 @@
 	failed        bool
 	readStartedAt time.Duration // send time of the read in progress; zero if there is none
 	// cancelRead cancels the read in progress; nil if there is none.
-	cancelRead context.CancelCauseFunc
+	cancelRead   context.CancelCauseFunc
+	loggedOutage fleet.Outage
 }
 
 // readPolicy is how a host reads from the store in its present role.
@@ -289,13 +290,19 @@
 		w.directory.Restored()
 	}
 	w.lastReadAt = now
+	previous := w.next
 	w.next = c.Next
+	defer w.logOutage(now)
 	defer w.forgetLeaving(now)
 	if c.Full {
 		var list []fleet.Server
 		for _, ch := range c.Changes {
-			if ch.Server != nil {
-				list = append(list, *ch.Server)
+			if ch.Server == nil {
+				continue
+			}
+			list = append(list, *ch.Server)
+			if c.Next.Era != previous.Era || ch.Offset >= previous.Offset {
+				w.directory.MayHaveExpired(ch.ID, now)
 			}
 		}
 		w.directory.Replace(list, now)
@@ -311,6 +318,17 @@
 	return nil
 }
 
+// logOutage logs how the end of registrations during failed reads is explained. The
+// caller holds the lock.
+func (w *storeWatcher) logOutage(now time.Duration) {
+	outage, ok := w.directory.Outage(now)
+	if !ok || outage == w.loggedOutage {
+		return
+	}
+	w.loggedOutage = outage
+	w.log.With("expired", outage.Expired).With("registered", outage.Registered).With("kept", outage.Kept).Info("registrations were read after a failure; kept is true if most expired")
+}
+
 // servers returns the registered servers.
 func (w *storeWatcher) servers() []fleet.Server {
 	w.mu.Lock()
