Deliver responses that wait for a long request before a stopping host ends

Cause: nothing bounded the wait of a ready response for an earlier request, and a stopping server went on to read requests behind an unanswered one. At the end of the stop the process ended with all of them.

Now requests whose servers have not responded get their final response 0.25 s before the end of the stop: 504, or 503 if they were sent to no server. The responses behind them go out. While the server stops, nothing is read behind a request without a response; its caller sends a request that was not read to another host.

Ruled out: reading less alone. A long request that is sent before the shutdown begins, or before the SIGTERM, has requests behind it that were read by then.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,11 +47,18 @@
 	// stopReserve is the end of the grace period that is kept for the exit of
 	// the process.
 	stopReserve = 400 * time.Millisecond
+	// finalResponseTime is the time before the end of the stop at which requests whose
+	// servers have not responded get their final response. Responses that wait for
+	// theirs on the same connections are written in it.
+	finalResponseTime = 250 * time.Millisecond
 	// stopWaitShare is the share of the grace period after which a stopping host
 	// lets no request wait for a server. The rest is left for running requests.
 	stopWaitShare = 2.0 / 3
 )
 
+// errHostStops is the cause of the end of requests that a stopping host gives up.
+var errHostStops = errors.New("the host stops")
+
 // gateway is the state of one process.
 type gateway struct {
 	settings     Settings
@@ -302,8 +309,10 @@
 	if _, err := listen.Start(network, g.settings.ReadyAddress, ready.Serve, failed); err != nil {
 		return err
 	}
+	callersCtx, endRequests := context.WithCancelCause(workCtx)
+	defer endRequests(nil)
 	serve := func(l net.Listener) error {
-		if err := callers.Serve(workCtx, l); !errors.Is(err, net.ErrClosed) {
+		if err := callers.Serve(callersCtx, l); !errors.Is(err, net.ErrClosed) {
 			return err
 		}
 		return nil
@@ -316,21 +325,24 @@
 		return err
 	case <-ctx.Done():
 	}
-	g.stop(context.WithoutCancel(ctx), callers, stopLead)
+	g.stop(context.WithoutCancel(ctx), callers, stopLead, endRequests)
 	return nil
 }
 
 // stop reports the host as not ready, so that the balancer sends requests
 // elsewhere, ends the leadership, and returns once all requests have a response
 // or the grace period is over. Requests that wait for a server for too long are
-// refused before that.
-func (g *gateway) stop(parent context.Context, callers *httpserver.Server, stopLead func()) {
+// refused before that, and those whose servers do not respond in time are given up by
+// endRequests.
+func (g *gateway) stop(parent context.Context, callers *httpserver.Server, stopLead func(), endRequests context.CancelCauseFunc) {
 	g.log.Info("host stops")
 	g.stopping.Store(true)
 	startedAt := time.Now()
 	stopLead()
 	refuse := time.AfterFunc(time.Duration(stopWaitShare*float64(g.active.bounds.Load().StopGrace)), g.leaderClient.refuseWaiting)
 	defer refuse.Stop()
+	giveUp := time.AfterFunc(g.active.bounds.Load().StopGrace-stopReserve-finalResponseTime, func() { endRequests(errHostStops) })
+	defer giveUp.Stop()
 	time.Sleep(g.active.timing().notReadyTime)
 	ctx, cancel := context.WithDeadline(parent, startedAt.Add(g.active.bounds.Load().StopGrace-stopReserve))
 	defer cancel()
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -276,6 +276,10 @@
 // that is not retried.
 func (in *ingress) failedResponse(ctx context.Context, c *callerRequest, server topology.ServerID, outcome upstream.Outcome) *httpserver.Response {
 	switch {
+	case !c.mayHaveRun && hostStops(ctx):
+		return in.refuse(c, schedule.HostStops.String(), minRetryAfter)
+	case hostStops(ctx):
+		return in.fail(c, http.StatusGatewayTimeout, "the host stops before server "+string(server)+" responds")
 	case outcome.Result == schedule.CallerDisconnected:
 		in.metrics.inc("left")
 		in.log.event(c, "the caller has disconnected", string(server), outcome.Result.String(), nil)
@@ -289,11 +293,16 @@
 	}
 }
 
+// hostStops reports whether the request ends because its host stops.
+func hostStops(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errHostStops) }
+
 // undecidedResponse returns the response to a request for which no decision
 // arrived in time.
 func (in *ingress) undecidedResponse(ctx context.Context, c *callerRequest) *httpserver.Response {
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case !c.mayHaveRun && hostStops(ctx):
+		return in.refuse(c, schedule.HostStops.String(), minRetryAfter)
+	case errors.Is(ctx.Err(), context.Canceled) && !hostStops(ctx):
 		in.metrics.inc("left")
 		return nil
 	case c.mayHaveRun:
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -46,7 +46,7 @@
 }
 
 // Handler returns the response to a request. If it returns nil, the connection is
-// closed. The context ends when the caller disconnects.
+// closed. The context ends when the caller disconnects or the context of Serve ends.
 type Handler func(ctx context.Context, r *Request) *Response
 
 const (
@@ -148,7 +148,8 @@
 const acceptRetryDelay = 20 * time.Millisecond
 
 // Shutdown stops the server without ending a request that was read. From now on
-// each connection is closed after its next response. Connections are accepted and
+// each connection is closed after its next response, or after the responses to the
+// requests that were read, if there are several. Connections are accepted and
 // idle ones kept open for shutdownLinger. Shutdown returns when all are closed, or
 // the context's error if that ends first. It must be called once.
 func (s *Server) Shutdown(ctx context.Context) error {
@@ -234,10 +235,15 @@
 }
 
 // beginRequest counts a request that is about to be read. It returns false if the
-// connection is closed.
+// connection is closed, or the server stops and an earlier request has no response yet.
+// The response to a further one could be ready in time and still wait for the earlier one
+// when the process ends; its caller sends a request that is not read to another host.
 func (c *conn) beginRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.server.closing.Load() && c.unanswered.Load() > 0 {
+		c.closed = true
+	}
 	if c.closed {
 		return false
 	}
@@ -298,6 +304,7 @@
 			return
 		}
 		if !c.beginRequest() {
+			c.drain(ctx)
 			return
 		}
 		arrived := time.Now()
--- a/internal/httpserver/shutdown_test.go
+++ b/internal/httpserver/shutdown_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -180,3 +181,41 @@
 	wg.Wait()
 	g.Expect(lost).To(BeEmpty())
 }
+
+// Guards against responses that are ready and are lost when the process ends, because
+// they wait for the one to a long request: while the server stops, nothing is read
+// behind a request without a response.
+func TestShutdownReadsNothingBehindUnansweredRequest(t *testing.T) {
+	g := NewWithT(t)
+	var begun atomic.Int32
+	s := httpserver.New(func(_ context.Context, r *httpserver.Request) *httpserver.Response {
+		begun.Add(1)
+		if r.URL.Path == "/long" {
+			time.Sleep(time.Second)
+		}
+		return &httpserver.Response{Status: http.StatusOK, Body: []byte(r.URL.Path)}
+	}, func() httpserver.Limits { return limits })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	go func() { _ = s.Serve(context.Background(), l) }()
+	c, br := dial(t, l.Addr().String())
+	_, err = io.WriteString(c, "GET /long HTTP/1.1\r\nHost: h\r\n\r\nGET /before HTTP/1.1\r\nHost: h\r\n\r\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(begun.Load, time.Second).Should(Equal(int32(2)))
+	done := make(chan error, 1)
+	go func() { done <- s.Shutdown(context.Background()) }()
+	time.Sleep(100 * time.Millisecond)
+	_, err = io.WriteString(c, "GET /after HTTP/1.1\r\nHost: h\r\n\r\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, want := range []struct {
+		path   string
+		closes bool
+	}{{"/long", false}, {"/before", true}} {
+		status, text, closes := readResponse(br)
+		g.Expect([]any{status, text, closes}).To(Equal([]any{http.StatusOK, want.path, want.closes}))
+	}
+	_, err = br.ReadByte()
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(begun.Load()).To(Equal(int32(2)), "requests that were begun")
+	g.Eventually(done, 5*time.Second).Should(Receive(BeNil()))
+}
