Keep the requests of a connection running until all have their responses

The writer took "no further request is read" for "no further response is written" after the first response, and ended the reader goroutine, which cancels what still runs. Now only the end of the responses does.

TestShutdownReadsNothingBehindUnansweredRequest now has a second long request and fails on the code before with an unexpected EOF.

--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -432,14 +432,14 @@
 }
 
 // answered counts a request that was answered, and ends the reader goroutine if no
-// further request is to be read. The connection is closed after that.
+// further response is to be written. The connection is closed after that.
 func (c *conn) answered(ended bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = c.closed || ended
 	idle := c.unanswered.Add(-1) == 0
 	switch {
-	case c.closed, idle && c.server.lingered.Load():
+	case ended, idle && c.closed, idle && c.server.lingered.Load():
 		_ = c.SetReadDeadline(past)
 	case idle:
 		_ = c.SetReadDeadline(time.Now().Add(c.server.limits().IdleTimeout))
--- a/internal/httpserver/shutdown_test.go
+++ b/internal/httpserver/shutdown_test.go
@@ -188,10 +188,13 @@
 func TestShutdownReadsNothingBehindUnansweredRequest(t *testing.T) {
 	g := NewWithT(t)
 	var begun atomic.Int32
-	s := httpserver.New(func(_ context.Context, r *httpserver.Request) *httpserver.Response {
+	s := httpserver.New(func(ctx context.Context, r *httpserver.Request) *httpserver.Response {
 		begun.Add(1)
-		if r.URL.Path == "/long" {
-			time.Sleep(time.Second)
+		work := map[string]time.Duration{"/long": time.Second, "/longer": 1200 * time.Millisecond}[r.URL.Path]
+		select {
+		case <-time.After(work):
+		case <-ctx.Done():
+			return nil
 		}
 		return &httpserver.Response{Status: http.StatusOK, Body: []byte(r.URL.Path)}
 	}, func() httpserver.Limits { return limits })
@@ -199,9 +202,9 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	go func() { _ = s.Serve(context.Background(), l) }()
 	c, br := dial(t, l.Addr().String())
-	_, err = io.WriteString(c, "GET /long HTTP/1.1\r\nHost: h\r\n\r\nGET /before HTTP/1.1\r\nHost: h\r\n\r\n")
+	_, err = io.WriteString(c, "GET /long HTTP/1.1\r\nHost: h\r\n\r\nGET /longer HTTP/1.1\r\nHost: h\r\n\r\nGET /short HTTP/1.1\r\nHost: h\r\n\r\n")
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Eventually(begun.Load, time.Second).Should(Equal(int32(2)))
+	g.Eventually(begun.Load, time.Second).Should(Equal(int32(3)))
 	done := make(chan error, 1)
 	go func() { done <- s.Shutdown(context.Background()) }()
 	time.Sleep(100 * time.Millisecond)
@@ -210,12 +213,12 @@
 	for _, want := range []struct {
 		path   string
 		closes bool
-	}{{"/long", false}, {"/before", true}} {
+	}{{"/long", false}, {"/longer", false}, {"/short", true}} {
 		status, text, closes := readResponse(br)
 		g.Expect([]any{status, text, closes}).To(Equal([]any{http.StatusOK, want.path, want.closes}))
 	}
 	_, err = br.ReadByte()
 	g.Expect(err).To(HaveOccurred())
-	g.Expect(begun.Load()).To(Equal(int32(2)), "requests that were begun")
+	g.Expect(begun.Load()).To(Equal(int32(3)), "requests that were begun")
 	g.Eventually(done, 5*time.Second).Should(Receive(BeNil()))
 }
