Close connections of callers for writing first, and read until callers close them

Cause: the server closed the socket for both directions after the last response. A request that arrives then is answered with a reset, and both kernels drop what has not been sent or read. Class: a close that does not wait for the other side.

Now the connection is closed for writing, and what arrives is discarded until the caller closes it or 0.8 s after the last response. This holds for every close that the server decides: in a stop, after a rejected request, after Connection: close.

Ruled out: the end of the process (the closes come 2.8 s and more before it), and incomplete responses of servers.

--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -64,6 +64,10 @@
 	// finalReadTimeout is the time in which the bytes are read that arrived on an
 	// idle connection before it is closed.
 	finalReadTimeout = 50 * time.Millisecond
+	// closeLinger is the time after the last response in which a caller has to read it
+	// and close a connection that the server has closed for writing: on a link with a
+	// small window a long response takes tens of round trips.
+	closeLinger = 800 * time.Millisecond
 )
 
 // past is a deadline that ends a read at once.
@@ -200,7 +204,11 @@
 	unanswered atomic.Int32
 	mu         sync.Mutex // held while the connection becomes idle, busy or closed
 	closed     bool       // no further request is read
-	finalRead  bool       // set by requestArrived: its deadline is kept
+	finalRead  bool       // set by requestArrived and finish: their deadline is kept
+	// callerClosed is set by the reader goroutine when the caller has closed the
+	// connection.
+	callerClosed bool
+	lastWrite    time.Time // of a response; set by the writer goroutine
 }
 
 func (c *conn) serve(parent context.Context) {
@@ -214,10 +222,28 @@
 	cancel()
 	close(c.responses)
 	<-written
-	_ = c.Close()
+	c.finish()
 	c.server.removeConn(c)
 }
 
+// finish closes the connection. Unless the caller has closed it or had time to read the
+// last response, the connection is first closed for writing, and what still arrives is
+// discarded: a request that is on its way would meet a closed socket, whose reset makes
+// the caller lose the responses that it has not read yet.
+func (c *conn) finish() {
+	defer func() { _ = c.Close() }()
+	deadline := c.lastWrite.Add(closeLinger)
+	w, ok := c.Conn.(interface{ CloseWrite() error })
+	if c.callerClosed || time.Now().After(deadline) || !ok || w.CloseWrite() != nil {
+		return
+	}
+	c.mu.Lock()
+	c.finalRead = true
+	_ = c.SetReadDeadline(deadline)
+	c.mu.Unlock()
+	_, _ = io.Copy(io.Discard, c.Conn) // ends when the caller closes, or with the deadline
+}
+
 // wake makes the reader goroutine of an idle connection check whether the
 // connection is to be closed.
 func (c *conn) wake() {
@@ -274,6 +300,7 @@
 			return false
 		}
 		if _, err := c.br.Peek(1); err == nil || !isTimeout(err) {
+			c.callerClosed = err != nil
 			return err == nil // after an error, the requests of the caller are cancelled
 		}
 		if c.unanswered.Load() == 0 && !c.server.lingered.Load() {
@@ -336,6 +363,7 @@
 			if isTimeout(err) {
 				return
 			}
+			c.callerClosed = true
 			if c.unanswered.Load() > 0 {
 				return
 			}
@@ -410,6 +438,7 @@
 			_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
 			_, err := c.Write(encode(r, last, p.isHead))
 			ended = err != nil
+			c.lastWrite = time.Now()
 		}
 		if r != nil && r.Done != nil {
 			r.Done()
--- a/internal/httpserver/shutdown_test.go
+++ b/internal/httpserver/shutdown_test.go
@@ -1,6 +1,7 @@
 package httpserver_test
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -222,3 +223,55 @@
 	g.Expect(begun.Load()).To(Equal(int32(3)), "requests that were begun")
 	g.Eventually(done, 5*time.Second).Should(Receive(BeNil()))
 }
+
+// Guards against a response that is cut off because a further request was on its way when
+// the server closed the connection: the closed socket answered it with a reset. The caller
+// reads slowly, so the response is still in the buffers of the connection.
+func TestCloseWhileRequestIsOnItsWay(t *testing.T) {
+	body := bytes.Repeat([]byte("x"), 256<<10)
+	for _, test := range []struct {
+		name     string
+		request  string
+		shutdown bool
+		status   int
+	}{
+		{"planned stop", getRequest, true, http.StatusOK},
+		{"caller asks for the close", "GET /0 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", false, http.StatusOK},
+		{"rejected request", "GET /0 HTTP/1.1\r\n\r\n", false, http.StatusBadRequest},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := httpserver.New(func(context.Context, *httpserver.Request) *httpserver.Response {
+				time.Sleep(100 * time.Millisecond)
+				return &httpserver.Response{Status: http.StatusOK, Body: body}
+			}, func() httpserver.Limits { return limits })
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			g.Expect(err).NotTo(HaveOccurred())
+			t.Cleanup(func() { _ = l.Close() })
+			go func() { _ = s.Serve(context.Background(), l) }()
+			c, br := dial(t, l.Addr().String())
+			_, err = io.WriteString(c, test.request)
+			g.Expect(err).NotTo(HaveOccurred())
+			done := make(chan error, 1)
+			if test.shutdown {
+				go func() { done <- s.Shutdown(context.Background()) }()
+			}
+			time.Sleep(300 * time.Millisecond) // the response is written
+			for range 3 {
+				_, err = io.WriteString(c, getRequest)
+				g.Expect(err).NotTo(HaveOccurred())
+				time.Sleep(20 * time.Millisecond)
+			}
+			status, text, closes := readResponse(br)
+			g.Expect(status).To(Equal(test.status), text)
+			g.Expect(closes).To(BeTrue())
+			if status == http.StatusOK {
+				g.Expect(text).To(HaveLen(len(body)))
+			}
+			if test.shutdown {
+				_ = c.Close()
+				g.Eventually(done, 2*time.Second).Should(Receive(BeNil()))
+			}
+		})
+	}
+}
