Count both buffers of a response body while it grows

Cause: a body that grows is copied to a buffer of twice its size. Only the difference was taken from the memory that all responses share, so during the copy half as much again existed as was counted.

Now the new buffer is counted as a whole before it is made, and the old one is returned after the copy.

The bound is unchanged.

--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -49,6 +49,15 @@
 	return true
 }
 
+// Shrink returns n of the bytes of the holder to the budget.
+func (h *Holder) Shrink(n int64) {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	n = min(n, h.held)
+	h.budget.used -= n
+	h.held -= n
+}
+
 // Release returns all bytes of the holder to the budget.
 func (h *Holder) Release() {
 	h.budget.mu.Lock()
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -36,9 +36,12 @@
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			h := holders[rapid.IntRange(0, len(holders)-1).Draw(t, "holder")]
-			if rapid.IntRange(0, 4).Draw(t, "release") == 0 {
+			switch rapid.IntRange(0, 5).Draw(t, "action") {
+			case 0:
 				h.Release()
-			} else {
+			case 1:
+				h.Shrink(rapid.Int64Range(1, 700).Draw(t, "bytes"))
+			default:
 				h.Grow(rapid.Int64Range(1, 700).Draw(t, "bytes"))
 			}
 			if used := b.Used(); used < 0 || used > 1000 {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -431,15 +431,17 @@
 		case int64(len(body)) == resp.ContentLength:
 			return body, nil
 		}
-		size = int64(cap(body))
+		size = 2 * int64(cap(body))
 		if resp.ContentLength > 0 {
-			size = min(size, resp.ContentLength-int64(len(body)))
+			size = min(size, resp.ContentLength)
 		}
+		// Both buffers exist while the body is copied.
 		if !memory.Grow(size) {
 			return nil, errNoMemory
 		}
-		grown := make([]byte, len(body), int64(len(body))+size)
+		grown := make([]byte, len(body), size)
 		copy(grown, body)
+		memory.Shrink(int64(cap(body)))
 		body = grown
 	}
 }
