Pass on no request that outlasts a planned stop

What operators of a similar system saw: requests that came late in the grace period of a planned stop were passed on, and cut off at its end without an answer, among them requests that may not be repeated. Here this could happen to a request whose body arrives slowly, that waits for a server, or that a server refused: up to 4 s of 6 s.

Cause: a stopping host refused requests by the time since SIGTERM alone, whether or not they end within the stop.

Now, from 2.8 s after SIGTERM, a request whose deadline is after the end of the stop is refused at once with 503: it has not run, and another host serves it.

TestStoppingHostRefusesRequestsThatOutlastIt covers requests that wait, and that one ending in time is still passed on.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,6 +51,10 @@
 	// servers have not responded get their final response. Responses that wait for
 	// theirs on the same connections are written in it.
 	finalResponseTime = 250 * time.Millisecond
+	// lateRequestTime is the time after notReadyTime in which a stopping host still passes
+	// on requests that may last longer than it: they were sent before their callers could
+	// know of the stop.
+	lateRequestTime = 500 * time.Millisecond
 	// stopWaitShare is the share of the grace period after which a stopping host
 	// lets no request wait for a server. The rest is left for running requests.
 	stopWaitShare = 2.0 / 3
@@ -331,20 +335,30 @@
 
 // stop reports the host as not ready, so that the balancer sends requests
 // elsewhere, ends the leadership, and returns once all requests have a response
-// or the grace period is over. Requests that wait for a server for too long are
-// refused before that, and those whose servers do not respond in time are given up by
-// endRequests.
+// or the grace period is over. Before that, requests that may outlast the stop or wait
+// for a server for too long are refused, and those whose servers do not respond in time
+// are given up by endRequests.
 func (g *gateway) stop(parent context.Context, callers *httpserver.Server, stopLead func(), endRequests context.CancelCauseFunc) {
 	g.log.Info("host stops")
 	g.stopping.Store(true)
 	startedAt := time.Now()
 	stopLead()
-	refuse := time.AfterFunc(time.Duration(stopWaitShare*float64(g.active.bounds.Load().StopGrace)), g.leaderClient.refuseWaiting)
-	defer refuse.Stop()
-	giveUp := time.AfterFunc(g.active.bounds.Load().StopGrace-stopReserve-finalResponseTime, func() { endRequests(errHostStops) })
-	defer giveUp.Stop()
-	time.Sleep(g.active.timing().notReadyTime)
-	ctx, cancel := context.WithDeadline(parent, startedAt.Add(g.active.bounds.Load().StopGrace-stopReserve))
+	grace, notReadyTime := g.active.bounds.Load().StopGrace, g.active.timing().notReadyTime
+	giveUpAfter := grace - stopReserve - finalResponseTime
+	end := g.clk.Now() + giveUpAfter
+	for _, step := range []struct {
+		after time.Duration
+		run   func()
+	}{
+		{notReadyTime + lateRequestTime, func() { g.leaderClient.refuseDeadlinesAfter(end) }},
+		{time.Duration(stopWaitShare * float64(grace)), func() { g.leaderClient.refuseDeadlinesAfter(0) }},
+		{giveUpAfter, func() { endRequests(errHostStops) }},
+	} {
+		timer := time.AfterFunc(step.after, step.run)
+		defer timer.Stop()
+	}
+	time.Sleep(notReadyTime)
+	ctx, cancel := context.WithDeadline(parent, startedAt.Add(grace-stopReserve))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		g.log.Error("requests are still open at the end of the grace period", err)
--- a/internal/gateway/leaderclient.go
+++ b/internal/gateway/leaderclient.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -97,14 +98,15 @@
 	limitPhase    float64       // of the fallback scheduler, see schedule.LimitShare
 	// leavingServers returns the servers to tell a new leader of.
 	leavingServers func() []hostlink.LeavingServer
-	// refusing is set by refuseWaiting.
-	refusing bool
+	// refuseAfter is the latest deadline of requests that may still be sent to a server;
+	// see refuseDeadlinesAfter.
+	refuseAfter time.Duration
 }
 
 func newLeaderClient(clk clock.Clock, link *hostlink.Link, incarnation uint64, dc topology.DataCentre, suspectLeader func(), listUsable func() bool) *leaderClient {
 	c := &leaderClient{
 		clk: clk, link: link, incarnation: incarnation, dataCentre: dc, suspectLeader: suspectLeader,
-		pending: make(map[uint32]*routingRequest), firstReport: 1, limitPhase: rand.Float64(),
+		pending: make(map[uint32]*routingRequest), firstReport: 1, limitPhase: rand.Float64(), refuseAfter: math.MaxInt64,
 	}
 	c.fallback = newScheduler(clk, c.deliver, listUsable)
 	c.limits = newServerLimits(clk, logging.For(logging.Frontend))
@@ -186,7 +188,7 @@
 	job.DataCentre = c.dataCentre
 	now := c.clk.Now()
 	r := &routingRequest{serviceHash: serviceHash, job: job, decision: make(chan schedule.Decision, 1), lastSent: now, firstSent: now}
-	if c.refusing {
+	if job.Deadline > c.refuseAfter {
 		c.mu.Unlock()
 		return hostStopsDecision(&r.job), job.ID.Number, nil
 	}
@@ -205,16 +207,23 @@
 	}
 }
 
-// refuseWaiting refuses the requests that wait for a server, and from now on all
-// others. A stopping host calls it while there is time for the requests that run: a
-// request that still waited at the end would be cut off without a response.
-func (c *leaderClient) refuseWaiting() {
+// refuseDeadlinesAfter refuses the requests that wait for a server and whose deadline is
+// after latest, and from now on all others of that kind. A stopping host calls it with
+// the time at which it gives up requests, so that it passes on only what ends before, and
+// with zero while there is time for the requests that run: a request that still waited at
+// the end would be cut off without a response.
+func (c *leaderClient) refuseDeadlinesAfter(latest time.Duration) {
 	c.mu.Lock()
-	c.refusing = true
-	waiting := c.pending
-	c.pending = make(map[uint32]*routingRequest)
+	c.refuseAfter = min(c.refuseAfter, latest)
+	var refused []*routingRequest
+	for number, r := range c.pending {
+		if r.job.Deadline > latest {
+			refused = append(refused, r)
+			delete(c.pending, number)
+		}
+	}
 	c.mu.Unlock()
-	for _, r := range waiting {
+	for _, r := range refused {
 		r.decision <- hostStopsDecision(&r.job)
 		c.report(schedule.Report{ID: r.job.ID, Result: schedule.CallerDisconnected})
 	}
--- a/internal/gateway/leaderclient_test.go
+++ b/internal/gateway/leaderclient_test.go
@@ -105,7 +105,7 @@
 	}
 	go ask()
 	g.Eventually(func() bool { return c.hasPending() }, time.Second).Should(BeTrue())
-	c.refuseWaiting()
+	c.refuseDeadlinesAfter(0)
 	var d schedule.Decision
 	g.Eventually(refusals, time.Second).Should(Receive(&d))
 	g.Expect([]any{d.Refused, d.Reason}).To(Equal([]any{true, schedule.HostStops}))
@@ -157,3 +157,38 @@
 	g.Eventually(leader.limits, time.Second).Should(Receive(&got))
 	g.Expect(math.IsInf(got.PerSecond, 1)).To(BeTrue())
 }
+
+// Guards against requests that a stopping host passes on although they can outlast it, and
+// cuts off at its end: those that wait and those that come later. A request that ends in
+// time is passed on.
+func TestStoppingHostRefusesRequestsThatOutlastIt(t *testing.T) {
+	g := NewWithT(t)
+	c, _ := clientWithLeader(t)
+	end := c.clk.Now() + 2*time.Second
+	ask := func(timeLeft time.Duration) chan schedule.Decision {
+		refusal := make(chan schedule.Decision, 1)
+		go func() {
+			d, _, err := c.requestServer(t.Context(), 1, schedule.Job{Key: schedule.NoKey, Deadline: end + timeLeft})
+			if err == nil {
+				refusal <- d
+			}
+		}()
+		return refusal
+	}
+	long, short := ask(time.Second), ask(-time.Millisecond)
+	g.Eventually(func() int {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return len(c.pending)
+	}, time.Second).Should(Equal(2))
+	c.refuseDeadlinesAfter(end)
+	hostStops := And(HaveField("Refused", true), HaveField("Reason", schedule.HostStops))
+	g.Eventually(long, time.Second).Should(Receive(hostStops))
+	g.Eventually(ask(time.Second), time.Second).Should(Receive(hostStops))
+	later := ask(-time.Millisecond)
+	g.Consistently(short, 100*time.Millisecond).ShouldNot(Receive())
+	g.Consistently(later, 100*time.Millisecond).ShouldNot(Receive())
+	c.refuseDeadlinesAfter(0)
+	g.Eventually(short, time.Second).Should(Receive(hostStops))
+	g.Eventually(later, time.Second).Should(Receive(hostStops))
+}
