--- a/internal/fleet/leaving_test.go
+++ b/internal/fleet/leaving_test.go
@@ -43,14 +43,14 @@
 			"time passes": func(t *rapid.T) {
 				now += time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond
 			},
-			"registers": func(t *rapid.T) {
+			"registers": func(*rapid.T) {
 				if registered == 0 {
 					registered = 1
 				}
 				d.ReadSucceeded(now)
 				d.Set(fleet.Server{ID: "s", Incarnation: registered})
 			},
-			"starts again": func(t *rapid.T) {
+			"starts again": func(*rapid.T) {
 				registered++
 				d.ReadSucceeded(now)
 				d.Set(fleet.Server{ID: "s", Incarnation: registered})
@@ -70,7 +70,7 @@
 				d.Replace([]fleet.Server{{ID: "s", Incarnation: registered}}, now)
 				d.ForgetLeaving(now)
 			},
-			"announces": func(t *rapid.T) {
+			"announces": func(*rapid.T) {
 				if registered == 0 {
 					return
 				}
