Do not count a cancelled read of the registrations as overdue

Cause: storeResponded cancels a read that gets no response. Until the goroutine of that read has noticed, its start time still made the list usable as "the read takes too long". Callers could be sent to servers that left, for as long as the goroutine waits for the processor. Now the start time is cleared with the cancellation.

The test itself depended on chance, too: in most runs no read was in progress, and a read without latency could end before the check. It now waits until one is in progress, checks that, and its store takes 5 ms.

--- a/internal/gateway/storewatcher.go
+++ b/internal/gateway/storewatcher.go
@@ -249,6 +249,7 @@
 	w.failed = false
 	if w.cancelRead != nil {
 		w.cancelRead(errReadAgain)
+		w.readStartedAt = 0 // its goroutine may be slow to notice; the read must not count as overdue
 	}
 	select {
 	case w.retry <- struct{}{}:
--- a/internal/gateway/storewatcher_test.go
+++ b/internal/gateway/storewatcher_test.go
@@ -239,30 +239,34 @@
 // store has responded to its other calls since.
 func TestListIsReadAgainOnceStoreResponds(t *testing.T) {
 	for _, test := range []struct {
-		name    string
-		silent  bool          // reads get no response
-		awaited time.Duration // for the list
+		name   string
+		silent bool // reads get no response
+		outage time.Duration
 	}{
-		{"reads are refused", false, 20 * time.Millisecond},
-		{"a read without a response is in progress", true, 20 * time.Millisecond},
+		{"reads are refused", false, 4500 * time.Millisecond},
+		{"a read without a response is in progress", true, 3500 * time.Millisecond},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
 				store := newCountingStore(3)
+				store.fullReadTime = 5 * time.Millisecond
 				w := startWatcher(t, store, func() readPolicy {
 					return readPolicy{pollInterval: 500 * time.Millisecond, configWait: time.Second, maxRetryPause: maxHostRetryPause}
 				})
 				time.Sleep(time.Second)
 				store.setDown(!test.silent)
 				store.setSilent(test.silent)
-				time.Sleep(4500 * time.Millisecond)
+				time.Sleep(test.outage)
 				g.Expect(w.listUsable()).To(BeTrue(), "the store may be down for all hosts")
+				w.mu.Lock()
+				g.Expect(w.readStartedAt != 0).To(Equal(test.silent), "a read is in progress")
+				w.mu.Unlock()
 				store.setDown(false)
 				store.setSilent(false)
 				w.storeResponded()
 				g.Expect(w.listUsable()).To(BeFalse())
-				time.Sleep(test.awaited)
+				time.Sleep(20 * time.Millisecond)
 				g.Expect(w.listUsable()).To(BeTrue())
 				g.Expect(w.listAge()).To(BeNumerically("<", 30*time.Millisecond))
 			})
