Log why keys change their owner, and fence orders that fail

A leader logged neither why keys became free nor failed fence orders, so the hypotheses of docs/incidents/fences-that-cannot-be-sent.md looked alike in the logs.

Now each change of an owner has a line with its inputs (released, expired with the ages of what was waited for, assigned, returned), at most 1,024 for each service and tick, and each 25th failed attempt of a fence order one with its address and error.

No decision changes.

--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -338,6 +338,29 @@
 	return orders
 }
 
+// ownerChanges holds the changes of the owners of a service's keys, and the number of
+// further ones.
+type ownerChanges struct {
+	changes []ownership.Change
+	omitted int
+}
+
+// takeOwnerChanges returns the changes of owners since the last call.
+func (s *scheduler) takeOwnerChanges() map[topology.Service]ownerChanges {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[topology.Service]ownerChanges)
+	for _, svc := range s.services {
+		if svc.grants == nil {
+			continue
+		}
+		if changes, omitted := svc.grants.TakeChanges(); len(changes) > 0 {
+			out[svc.name] = ownerChanges{changes, omitted}
+		}
+	}
+	return out
+}
+
 // summary holds the counts of a service.
 type summary struct {
 	service                    topology.Service
--- a/internal/ownership/fencing.go
+++ b/internal/ownership/fencing.go
@@ -21,6 +21,7 @@
 	// until it ends.
 	since, sentAt time.Duration
 	inFlight      bool
+	attempts      int
 	// reached is true once the server has responded to another order.
 	reached bool
 }
@@ -92,9 +93,10 @@
 			f.since = now
 		}
 		f.sentAt, f.inFlight = now, true
+		f.attempts++
 		orders = append(orders, Order{
 			Kind: Fence, Service: m.service, Server: f.owner.Server, Address: f.owner.Address,
-			From: f.from, To: f.to, Fence: m.nextFence(), id: f.id,
+			From: f.from, To: f.to, Fence: m.nextFence(), Attempt: f.attempts, id: f.id,
 		})
 	}
 	return orders
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -72,7 +72,9 @@
 	From, To int
 	Fence    int64
 	Handover string // for a grant: what the previous owner returned for its release
-	id       int
+	// Attempt is the number of calls for a Fence order, this one included.
+	Attempt int
+	id      int
 }
 
 // Outcome is the result of a call that carries an order.
@@ -197,6 +199,10 @@
 	// suspectsLaterLeader is true after a server has refused a fence directly after
 	// another failed call, until the store confirms the leadership.
 	suspectsLaterLeader bool
+	// changes holds the changes of owners for TakeChanges, omittedChanges counts those
+	// that it has no room for.
+	changes        []Change
+	omittedChanges int
 }
 
 // New returns a Manager that starts from the key map in the store. Grants of earlier
@@ -348,6 +354,7 @@
 		r.earlierGrants = false
 		r.unansweredGrant, r.failures, r.renewedAt, r.grantedAt = false, 0, -time.Hour, ""
 		m.version++
+		m.recordChange(Assigned, r)
 	}
 }
 
@@ -368,6 +375,7 @@
 		r.earlierGrants = true
 		r.unansweredGrant, r.failures, r.renewedAt = false, 0, -time.Hour
 		m.version++
+		m.recordChange(Returned, r)
 	}
 }
 
@@ -464,7 +472,7 @@
 		}
 		switch {
 		case now >= m.freeAt(r):
-			m.markFree(r)
+			m.markFree(r, Expired)
 		case r.phase == granted && r.failures == 0 && !r.unansweredGrant:
 			if !m.movesAllowed {
 				return
@@ -479,7 +487,7 @@
 		}
 	case releasing, expiring:
 		if !r.inFlight && now >= m.freeAt(r) {
-			m.markFree(r)
+			m.markFree(r, Expired)
 		}
 	}
 }
@@ -488,8 +496,9 @@
 // unreachable. A single call may have failed on a stale connection.
 const unreachableAfter = 2
 
-// markFree records that no server owns the keys.
-func (m *Manager) markFree(r *keyRange) {
+// markFree records that no server owns the keys, and for which reason.
+func (m *Manager) markFree(r *keyRange, reason ChangeKind) {
+	m.recordChange(reason, r)
 	if r.server != "" && (r.earlierGrants || r.grantedAt == "") {
 		m.addFormerOwner(keymap.FormerOwner{Server: r.server, Address: r.address, Incarnation: r.incarnation}, r.from, r.to)
 	}
--- a/internal/ownership/result.go
+++ b/internal/ownership/result.go
@@ -77,7 +77,7 @@
 		return
 	}
 	r.handover = handover
-	m.markFree(r)
+	m.markFree(r, Released)
 }
 
 func (m *Manager) handleGrant(r *keyRange, o Order, outcome Outcome, now time.Duration) {
