Tell former owners a higher fence once their address is known

Cause: a leader knows the address of an owner from its registration. If that was away when the leader started and when the keys became free, the order to tell the server a higher fence had an empty address. It was repeated every 0.2 s for a minute, failed each time without a connection, and nobody filled the address in when the server registered again. Class: a value of a registration that is taken once.

TestFormerOwnerThatRegistersLate and TestFormerOwnerWithNewAddress fail before.

Now a registration of the same start of the server, or of one that is not known, sets the address; an order without an address is not sent, and is forgotten after the same minute.

--- a/internal/ownership/fencing.go
+++ b/internal/ownership/fencing.go
@@ -17,8 +17,8 @@
 	id       int // of the orders
 	owner    keymap.FormerOwner
 	from, to int
-	// since is the time of the first call, sentAt that of the last one; inFlight is true
-	// until it ends.
+	// since is the time from which on calls are due, sentAt that of the last one; inFlight is
+	// true until it ends.
 	since, sentAt time.Duration
 	inFlight      bool
 	attempts      int
@@ -61,12 +61,22 @@
 	m.formerOwners = rest
 }
 
-// updateFormerOwners forgets former owners that have started again: the new process has
-// no connection of an earlier leader.
+// updateFormerOwners takes the addresses of former owners from their registrations. It
+// forgets those that have started again: the new process has no connection of an earlier
+// leader.
 func (m *Manager) updateFormerOwners() {
 	m.formerOwners = slices.DeleteFunc(m.formerOwners, func(f *formerOwner) bool {
 		srv, ok := m.servers[f.owner.Server]
-		return ok && f.owner.Incarnation != 0 && srv.Incarnation > f.owner.Incarnation
+		if !ok {
+			return false
+		}
+		if f.owner.Incarnation != 0 && srv.Incarnation > f.owner.Incarnation {
+			return true
+		}
+		if f.owner.Incarnation == 0 || srv.Incarnation == f.owner.Incarnation {
+			f.owner.Address, f.owner.Incarnation = srv.Address, srv.Incarnation
+		}
+		return false
 	})
 }
 
@@ -78,6 +88,9 @@
 	})
 	busy := make(map[topology.ServerID]bool)
 	for _, f := range m.formerOwners {
+		if f.since == 0 {
+			f.since = now
+		}
 		if !f.reached && (f.inFlight || now-f.sentAt < m.settings.RetryInterval) {
 			busy[f.owner.Server] = true
 		}
@@ -85,13 +98,10 @@
 	var orders []Order
 	for _, f := range m.formerOwners {
 		switch {
-		case f.inFlight, now-f.sentAt < m.settings.RetryInterval, !f.reached && busy[f.owner.Server]:
+		case f.owner.Address == "", f.inFlight, now-f.sentAt < m.settings.RetryInterval, !f.reached && busy[f.owner.Server]:
 			continue
 		}
 		busy[f.owner.Server] = true
-		if f.since == 0 {
-			f.since = now
-		}
 		f.sentAt, f.inFlight = now, true
 		f.attempts++
 		orders = append(orders, Order{
--- a/internal/ownership/fencing_test.go
+++ b/internal/ownership/fencing_test.go
@@ -19,11 +19,14 @@
 	servers map[topology.ServerID]ownership.Server
 }
 
-func newFencingLeader(keyMap keymap.Map, fence int64) *fencingLeader {
+func newFencingLeader(keyMap keymap.Map, fence int64, unregistered ...topology.ServerID) *fencingLeader {
 	l := &fencingLeader{
 		Manager: ownership.New("booking", settings, keyMap, func() int64 { fence++; return fence }, 0),
 		servers: map[topology.ServerID]ownership.Server{"cut": {Address: "cut:1", Incarnation: 5}, "up": {Address: "up:1", Incarnation: 5}},
 	}
+	for _, id := range unregistered {
+		delete(l.servers, id)
+	}
 	l.SetServers(l.servers)
 	return l
 }
@@ -92,6 +95,35 @@
 	g.Expect(fences[0].Fence).To(BeNumerically(">", 500))
 }
 
+// Guards against a former owner that is never told a higher fence, because it was not
+// registered while the leader waited for the end of its grants: it is told once it is
+// registered again.
+func TestFormerOwnerThatRegistersLate(t *testing.T) {
+	g := NewWithT(t)
+	l := newFencingLeader(keymap.Map{{From: 0, To: keymap.KeyCount - 1, Server: "cut"}}, 100, "cut")
+	l.Move(0, keymap.KeyCount-1, "up")
+	fences, stored := l.run(4*time.Second, "up", "cut")
+	g.Expect(stored).NotTo(BeNil(), "the keys have moved")
+	g.Expect(fences).To(BeEmpty(), "no address is known")
+	l.servers["cut"] = ownership.Server{Address: "cut:1", Incarnation: 5}
+	l.SetServers(l.servers)
+	fences, _ = l.run(settings.RetryInterval+step, "up", "cut")
+	g.Expect(fences).To(HaveLen(1))
+	g.Expect(fences[0]).To(And(HaveField("Server", topology.ServerID("cut")), HaveField("Address", "cut:1"), HaveField("From", 0), HaveField("To", keymap.KeyCount-1)))
+}
+
+// Guards against a fence for a former owner that goes to an address at which the server is
+// no longer registered.
+func TestFormerOwnerWithNewAddress(t *testing.T) {
+	g := NewWithT(t)
+	l, _ := moveOff()
+	l.servers["cut"] = ownership.Server{Address: "cut:2", Incarnation: 5}
+	l.SetServers(l.servers)
+	fences, _ := l.run(settings.RetryInterval+step, "up", "cut")
+	g.Expect(fences).To(HaveLen(1))
+	g.Expect(fences[0].Address).To(Equal("cut:2"))
+}
+
 // Guards against a fence for a former owner that ends its present grants: of a server that
 // owns keys again, or has started again.
 func TestFenceForFormerOwnerEnds(t *testing.T) {
@@ -104,6 +136,14 @@
 			l.servers["cut"] = ownership.Server{Address: "cut:1", Incarnation: 6}
 			l.SetServers(l.servers)
 		},
+		"is not registered for a minute": func(l *fencingLeader) {
+			*l = *newFencingLeader(keymap.Map{{From: 0, To: keymap.KeyCount - 1, Server: "cut"}}, 100, "cut")
+			l.Move(0, keymap.KeyCount-1, "up")
+			l.run(4*time.Second, "up")
+			l.run(time.Minute, "up")
+			l.servers["cut"] = ownership.Server{Address: "cut:1", Incarnation: 5}
+			l.SetServers(l.servers)
+		},
 		"cannot be reached for a minute": func(l *fencingLeader) { l.run(time.Minute, "up") },
 	} {
 		t.Run(name, func(t *testing.T) {
