State the address of each owner in the key map

Cause: a new leader whose list of servers lacks an owner knew neither its address nor its start. Its registration may stay away while the server can be reached (a cut between the server and the store), and until it came back nobody told the server a higher fence: a grant of an ended leader that arrives was taken.

TestFormerOwnerThatIsNeverRegistered fails before (no order). TestFormerOwnerIsFenced now expects the address and the start of the owner in the stored key map as well.

An incarnation no longer goes back when a list is older than the key map.

--- a/internal/keymap/keymap.go
+++ b/internal/keymap/keymap.go
@@ -19,6 +19,10 @@
 	From   int               `json:"f"`
 	To     int               `json:"t"`
 	Server topology.ServerID `json:"s,omitempty"`
+	// Address and Incarnation are those of Server as last registered, for a leader whose list
+	// of servers lacks it; empty and zero if they are not known.
+	Address     string `json:"a,omitempty"`
+	Incarnation int64  `json:"i,omitempty"`
 	// OwnerUnknown is true if any server may own the keys, by a grant of an earlier
 	// leader. Server is then the one that they were last known to be assigned to.
 	OwnerUnknown bool `json:"u,omitempty"`
--- a/internal/ownership/fencing_test.go
+++ b/internal/ownership/fencing_test.go
@@ -67,7 +67,7 @@
 func TestFormerOwnerIsFenced(t *testing.T) {
 	g := NewWithT(t)
 	l, stored := moveOff()
-	g.Expect(stored).To(Equal(keymap.Map{{From: 0, To: keymap.KeyCount - 1, Server: "up", FormerOwners: []keymap.FormerOwner{{Server: "cut", Address: "cut:1", Incarnation: 5}}}}))
+	g.Expect(stored).To(Equal(keymap.Map{{From: 0, To: keymap.KeyCount - 1, Server: "up", Address: "up:1", Incarnation: 5, FormerOwners: []keymap.FormerOwner{{Server: "cut", Address: "cut:1", Incarnation: 5}}}}))
 	unanswered, _ := l.run(2*time.Second, "up")
 	g.Expect(len(unanswered)).To(BeNumerically("~", 10, 1), "calls in 2 s")
 	fences, _ := l.run(settings.RetryInterval+step, "up", "cut")
@@ -112,6 +112,25 @@
 	g.Expect(fences[0]).To(And(HaveField("Server", topology.ServerID("cut")), HaveField("Address", "cut:1"), HaveField("From", 0), HaveField("To", keymap.KeyCount-1)))
 }
 
+// Guards against a former owner that no later leader can tell a higher fence, because its
+// registration stays away: the key map states the address of each owner.
+func TestFormerOwnerThatIsNeverRegistered(t *testing.T) {
+	g := NewWithT(t)
+	first := newFencingLeader(keymap.Empty(), 100)
+	first.Move(0, keymap.KeyCount-1, "cut")
+	_, stored := first.run(time.Second, "up", "cut")
+	data, err := stored.Encode(1)
+	g.Expect(err).NotTo(HaveOccurred())
+	decoded, _, err := keymap.Decode(data)
+	g.Expect(err).NotTo(HaveOccurred())
+	l := newFencingLeader(decoded, 500, "cut")
+	l.Move(0, keymap.KeyCount-1, "up")
+	l.run(4*time.Second, "up")
+	fences, _ := l.run(settings.RetryInterval+step, "up", "cut")
+	g.Expect(fences).To(HaveLen(1))
+	g.Expect(fences[0]).To(And(HaveField("Address", "cut:1"), HaveField("Fence", BeNumerically(">", 500))))
+}
+
 // Guards against a fence for a former owner that goes to an address at which the server is
 // no longer registered.
 func TestFormerOwnerWithNewAddress(t *testing.T) {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -214,7 +214,7 @@
 		failedAt: make(map[topology.ServerID]time.Duration), grantsInFlight: make(map[topology.ServerID]bool),
 	}
 	for _, e := range keyMap {
-		r := &keyRange{from: e.From, to: e.To, server: e.Server, fence: nextFence(), earlierGrants: true, sentAt: -time.Hour, latestExpiry: -time.Hour}
+		r := &keyRange{from: e.From, to: e.To, server: e.Server, address: e.Address, incarnation: e.Incarnation, fence: nextFence(), earlierGrants: true, sentAt: -time.Hour, latestExpiry: -time.Hour}
 		switch {
 		case e.OwnerUnknown:
 			r.setOwnerUnknown(e.Server)
@@ -294,7 +294,8 @@
 			r.phase = granting
 			m.version++
 		}
-		r.incarnation = srv.Incarnation
+		// A list that is older than the key map may show an earlier start.
+		r.incarnation = max(r.incarnation, srv.Incarnation)
 	}
 }
 
@@ -305,7 +306,8 @@
 	for _, r := range m.ranges {
 		stored := m.stored(r)
 		if r.phase == free && r.next != "" && m.movesAllowed {
-			stored.Server = r.next
+			srv := m.servers[r.next]
+			stored.Server, stored.Address, stored.Incarnation = r.next, srv.Address, srv.Incarnation
 			r.appending = true
 			changed = true
 		}
@@ -321,6 +323,7 @@
 		keyMap[i] = m.stored(r)
 		if r.phase == free && r.appendInDoubt {
 			keyMap[i].Server, keyMap[i].OwnerUnknown = r.next, true
+			keyMap[i].Address, keyMap[i].Incarnation = "", 0
 		}
 	}
 	return keyMap
@@ -328,7 +331,7 @@
 
 // stored returns the present entry of a range in the key map.
 func (m *Manager) stored(r *keyRange) keymap.Range {
-	stored := keymap.Range{From: r.from, To: r.to, Server: r.server, FormerOwners: m.formerOwnersOf(r.from, r.to)}
+	stored := keymap.Range{From: r.from, To: r.to, Server: r.server, Address: r.address, Incarnation: r.incarnation, FormerOwners: m.formerOwnersOf(r.from, r.to)}
 	if r.ownerUnknown {
 		stored.Server, stored.OwnerUnknown = r.next, true
 	}
