Tell owners a higher fence while their keys are waited for

What callers may see: two servers own a key and both serve it, after a leader was killed while the path to a server was cut.

Cause: a new leader sends an owner that it cannot reach no grant once grants of earlier leaders can no longer arrive, since a grant would prolong the wait, and sent it nothing else for the 2.3 s until the keys were free. A path that healed in that time and failed again delivered the grant of the killed leader, but nothing of the new one. An owner without a registration got nothing at all until then. Class: a safety measure that begins with the move that it has to protect.

TestOwnerIsFencedBeforeItsKeysAreFree fails before.

Now the fence orders begin as soon as no more grants are sent to the owner, so a server that can be reached has taken the fence before its keys move; only one that cannot be reached is overtaken. The wait itself stays as it was: a response to such an order frees nothing.

--- a/internal/ownership/fencing_test.go
+++ b/internal/ownership/fencing_test.go
@@ -131,6 +131,30 @@
 	g.Expect(fences[0]).To(And(HaveField("Address", "cut:1"), HaveField("Fence", BeNumerically(">", 500))))
 }
 
+// Guards against a grant of a killed leader that an owner takes while this leader only waits
+// for the end of such grants: the owner is told a higher fence as soon as it can be reached.
+func TestOwnerIsFencedBeforeItsKeysAreFree(t *testing.T) {
+	for name, registered := range map[string]bool{"registered": true, "not registered": false} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			l := newFencingLeader(keymap.Map{{From: 0, To: keymap.KeyCount - 1, Server: "cut", Address: "cut:1", Incarnation: 5}}, 100)
+			if !registered {
+				delete(l.servers, "cut")
+				l.SetServers(l.servers)
+			}
+			l.Move(0, keymap.KeyCount-1, "up")
+			l.run(time.Second, "up")
+			fences, stored := l.run(settings.RetryInterval+step, "up", "cut")
+			g.Expect(stored).To(BeNil(), "the keys have not moved yet")
+			g.Expect(fences).To(HaveLen(1))
+			g.Expect(fences[0]).To(HaveField("Server", topology.ServerID("cut")))
+			fences, stored = l.run(4*time.Second, "up", "cut")
+			g.Expect(fences).To(BeEmpty(), "after a response")
+			g.Expect(stored).NotTo(BeNil())
+		})
+	}
+}
+
 // Guards against a fence for a former owner that goes to an address at which the server is
 // no longer registered.
 func TestFormerOwnerWithNewAddress(t *testing.T) {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -162,6 +162,9 @@
 	raisesFence bool
 	failures    int  // failed calls since the last success
 	appending   bool // a key map that names next as the owner is being stored
+	// fencing is true if the server is being told a higher fence, or was told one, because
+	// the keys are about to leave it.
+	fencing bool
 	// grantedAt is the address at which the server accepted the last grant.
 	grantedAt string
 	// appendInDoubt is true if an append of such a key map got no response.
@@ -283,7 +286,7 @@
 		if r.incarnation != 0 && srv.Incarnation > r.incarnation {
 			// latestExpiry stays: the last grants may have reached the new incarnation.
 			r.earlierGrants = true // the new incarnation has seen no fence yet
-			r.unansweredGrant = false
+			r.unansweredGrant, r.fencing = false, false
 			r.failures = 0
 			r.handover = ""
 			r.fence = m.nextFence()
@@ -356,6 +359,7 @@
 		r.latestExpiry = now
 		r.earlierGrants = false
 		r.unansweredGrant, r.failures, r.renewedAt, r.grantedAt = false, 0, -time.Hour, ""
+		r.fencing = false
 		m.version++
 		m.recordChange(Assigned, r)
 	}
@@ -377,6 +381,7 @@
 		r.latestExpiry = now
 		r.earlierGrants = true
 		r.unansweredGrant, r.failures, r.renewedAt = false, 0, -time.Hour
+		r.fencing = false
 		m.version++
 		m.recordChange(Returned, r)
 	}
@@ -407,7 +412,7 @@
 		default:
 			m.regainedKeys(r.server, r.from, r.to)
 			r.phase = granting
-			r.earlierGrants = true
+			r.earlierGrants, r.fencing = true, false
 			r.fence = m.nextFence()
 		}
 		r.sentAt = -time.Hour
@@ -491,10 +496,22 @@
 	case releasing, expiring:
 		if !r.inFlight && now >= m.freeAt(r) {
 			m.markFree(r, Expired)
+			return
+		}
+		if r.phase == expiring && r.earlierGrants && !r.inFlight && !m.mayRegain(r, now) {
+			m.fenceOwner(r)
 		}
 	}
 }
 
+// mayRegain reports whether a server whose keys are about to leave it still gets grants of
+// them. It may own the keys by a grant of an earlier leader, and a grant of this leader
+// ends that; it is sent only while it does not prolong the wait.
+func (m *Manager) mayRegain(r *keyRange, now time.Duration) bool {
+	_, registered := m.servers[r.server]
+	return registered && !r.fencing && now+m.settings.CallTimeout <= m.earlierUntil
+}
+
 // unreachableAfter is the number of failed calls in a row after which a server is
 // unreachable. A single call may have failed on a stale connection.
 const unreachableAfter = 2
@@ -502,14 +519,23 @@
 // markFree records that no server owns the keys, and for which reason.
 func (m *Manager) markFree(r *keyRange, reason ChangeKind) {
 	m.recordChange(reason, r)
-	if r.server != "" && (r.earlierGrants || r.grantedAt == "") {
-		m.addFormerOwner(keymap.FormerOwner{Server: r.server, Address: r.address, Incarnation: r.incarnation}, r.from, r.to)
+	if r.earlierGrants || r.grantedAt == "" {
+		m.fenceOwner(r)
 	}
 	r.phase, r.ownerUnknown = free, false
 	r.unansweredGrant, r.failures = false, 0
 	m.version++
 }
 
+// fenceOwner makes the leader tell the server of a range a higher fence.
+func (m *Manager) fenceOwner(r *keyRange) {
+	if r.server == "" || r.fencing {
+		return
+	}
+	r.fencing = true
+	m.addFormerOwner(keymap.FormerOwner{Server: r.server, Address: r.address, Incarnation: r.incarnation}, r.from, r.to)
+}
+
 // dueOrder returns the order for a range, and whether it has to be sent now.
 func (m *Manager) dueOrder(r *keyRange, now time.Duration) (Order, bool) {
 	if r.inFlight {
@@ -531,9 +557,9 @@
 	case expiring:
 		// If the server can be reached again, it releases the keys early. If it may
 		// own them by a grant of an earlier leader, it first needs a grant of this
-		// leader; that is sent only while it does not prolong the wait.
+		// leader.
 		if r.earlierGrants {
-			return m.grantOrder(r), registered && now+m.settings.CallTimeout <= m.earlierUntil && m.mayGrant(r)
+			return m.grantOrder(r), m.mayRegain(r, now) && m.mayGrant(r)
 		}
 		return Order{Kind: Release, Address: r.address}, r.address != ""
 	default:
