Let no fence order hold back the others for its server

Cause: as long as a server had not responded, only the first order for it was sent, every 0.2 s. One that cannot succeed (the response is an error, or waits longer than the call for work that runs on these keys) held back the orders for all other keys of the server until it was forgotten after a minute.

Now the orders for a server take turns until one gets a response. TestFailingFenceHoldsBackNoOther fails before.

--- a/internal/ownership/fencing.go
+++ b/internal/ownership/fencing.go
@@ -8,8 +8,8 @@
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
 
-// formerOwner is a server that lost keys while it could not be reached, without having
-// taken a fence of a leader that came after its last grants. A network that held up a
+// formerOwner is a server that loses keys while it cannot be reached, without having taken
+// a fence of a leader that came after its last grants. A network that held up a
 // grant of a leader whose process has ended may still deliver it, and the server would
 // take it: no process is left that could reset the connection. So the server is told a
 // higher fence as soon as it can be reached.
@@ -81,27 +81,33 @@
 }
 
 // fenceOrders returns the orders that are due for former owners: one for each server at a
-// time until the server responds, then all others.
+// time, in turn, until the server responds, then all others.
 func (m *Manager) fenceOrders(now time.Duration) []Order {
 	m.formerOwners = slices.DeleteFunc(m.formerOwners, func(f *formerOwner) bool {
 		return f.since != 0 && now-f.since > formerOwnerMemory
 	})
 	busy := make(map[topology.ServerID]bool)
+	next := make(map[topology.ServerID]*formerOwner) // sent the longest time ago
 	for _, f := range m.formerOwners {
 		if f.since == 0 {
 			f.since = now
 		}
-		if !f.reached && (f.inFlight || now-f.sentAt < m.settings.RetryInterval) {
+		recent := f.inFlight || now-f.sentAt < m.settings.RetryInterval
+		if !f.reached && recent {
 			busy[f.owner.Server] = true
 		}
+		if other := next[f.owner.Server]; !recent && (other == nil || f.sentAt < other.sentAt) {
+			next[f.owner.Server] = f
+		}
 	}
 	var orders []Order
 	for _, f := range m.formerOwners {
 		switch {
-		case f.owner.Address == "", f.inFlight, now-f.sentAt < m.settings.RetryInterval, !f.reached && busy[f.owner.Server]:
+		case f.owner.Address == "", f.inFlight, now-f.sentAt < m.settings.RetryInterval:
+			continue
+		case !f.reached && (busy[f.owner.Server] || next[f.owner.Server] != f):
 			continue
 		}
-		busy[f.owner.Server] = true
 		f.sentAt, f.inFlight = now, true
 		f.attempts++
 		orders = append(orders, Order{
--- a/internal/ownership/fencing_test.go
+++ b/internal/ownership/fencing_test.go
@@ -155,6 +155,30 @@
 	}
 }
 
+// Guards against a fence order that holds back the others for the same server because it
+// never succeeds.
+func TestFailingFenceHoldsBackNoOther(t *testing.T) {
+	g := NewWithT(t)
+	l := newFencingLeader(keymap.Map{
+		{From: 0, To: 9, Server: "cut", Address: "cut:1"}, {From: 10, To: 19, Server: "up"}, {From: 20, To: keymap.KeyCount - 1, Server: "cut", Address: "cut:1"},
+	}, 100)
+	l.Move(0, 9, "up")
+	l.Move(20, keymap.KeyCount-1, "up")
+	l.run(4*time.Second, "up")
+	told := make(map[int]bool)
+	for end := l.now + time.Second; l.now < end; l.now += step {
+		for _, o := range l.Step(l.now, l.now) {
+			outcome := ownership.Done
+			if o.Kind == ownership.Fence && o.From == 0 {
+				outcome = ownership.Unknown
+			}
+			told[o.From] = told[o.From] || o.Kind == ownership.Fence && outcome == ownership.Done
+			l.HandleResult(o, outcome, "", l.now)
+		}
+	}
+	g.Expect(told[20]).To(BeTrue())
+}
+
 // Guards against a fence for a former owner that goes to an address at which the server is
 // no longer registered.
 func TestFormerOwnerWithNewAddress(t *testing.T) {
