Tell all servers a higher fence for keys of unknown owners

After a store was restored from a copy and no leader lived on, any server may own any key by a grant of an earlier leader. The keys were given out again after all such grants must have ended, but no server was told a fence, so a held-up grant of an ended leader that arrived later was taken.

Adjacent keys share an order, so this is one call a server. TestUnknownOwnersAreFenced and TestNewOwnerOfUnknownKeysIsNotFenced fail before (no order).

--- a/internal/ownership/fencing.go
+++ b/internal/ownership/fencing.go
@@ -61,6 +61,57 @@
 	m.formerOwners = rest
 }
 
+// unknownOwners holds keys that any server may have owned. Each server that is registered
+// within formerOwnerMemory is told a higher fence for those of them that it does not own now.
+type unknownOwners struct {
+	from, to int
+	since    time.Duration
+	told     map[topology.ServerID]bool
+}
+
+// fenceUnknownOwners makes the leader tell all servers a higher fence for the keys of a
+// range whose owner is not known.
+func (m *Manager) fenceUnknownOwners(r *keyRange, now time.Duration) {
+	r.fencing = true
+	if n := len(m.unknownOwners); n > 0 && m.unknownOwners[n-1].since == now && m.unknownOwners[n-1].to+1 == r.from {
+		m.unknownOwners[n-1].to = r.to
+		return
+	}
+	m.unknownOwners = append(m.unknownOwners, &unknownOwners{from: r.from, to: r.to, since: now, told: make(map[topology.ServerID]bool)})
+}
+
+// updateUnknownOwners adds the servers that have not been told a fence yet.
+func (m *Manager) updateUnknownOwners(now time.Duration) {
+	m.unknownOwners = slices.DeleteFunc(m.unknownOwners, func(u *unknownOwners) bool { return now-u.since > formerOwnerMemory })
+	for _, u := range m.unknownOwners {
+		for id, srv := range m.servers {
+			if u.told[id] {
+				continue
+			}
+			u.told[id] = true
+			m.notOwnedBy(id, u.from, u.to, func(from, to int) {
+				m.addFormerOwner(keymap.FormerOwner{Server: id, Address: srv.Address, Incarnation: srv.Incarnation}, from, to)
+			})
+		}
+	}
+}
+
+// notOwnedBy calls f for each part of the keys from from to to that the server does not own.
+func (m *Manager) notOwnedBy(server topology.ServerID, from, to int, f func(from, to int)) {
+	for _, r := range m.ranges {
+		if r.server != server || r.phase == free || r.to < from || r.from > to {
+			continue
+		}
+		if from < r.from {
+			f(from, r.from-1)
+		}
+		from = r.to + 1
+	}
+	if from <= to {
+		f(from, to)
+	}
+}
+
 // updateFormerOwners takes the addresses of former owners from their registrations. It
 // forgets those that have started again: the new process has no connection of an earlier
 // leader.
@@ -83,6 +134,7 @@
 // fenceOrders returns the orders that are due for former owners: one for each server at a
 // time, in turn, until the server responds, then all others.
 func (m *Manager) fenceOrders(now time.Duration) []Order {
+	m.updateUnknownOwners(now)
 	m.formerOwners = slices.DeleteFunc(m.formerOwners, func(f *formerOwner) bool {
 		return f.since != 0 && now-f.since > formerOwnerMemory
 	})
--- a/internal/ownership/fencing_test.go
+++ b/internal/ownership/fencing_test.go
@@ -222,3 +222,46 @@
 		})
 	}
 }
+
+// Guards against a server that takes a grant of a killed leader after the store was restored
+// from a copy: nobody knows which server owned the keys, so all are told a higher fence
+// before the keys get an owner, and those that register later as well.
+func TestUnknownOwnersAreFenced(t *testing.T) {
+	const last = keymap.KeyCount - 1
+	g := NewWithT(t)
+	keyMap := keymap.Map{{From: 0, To: 9, Server: "up"}, {From: 10, To: last, Server: "cut"}}
+	l := newFencingLeader(keyMap.WithUnknownOwners(), 100, "cut")
+	fences, stored := l.run(time.Second, "up", "cut")
+	g.Expect(stored).To(BeNil(), "the keys have no owner yet")
+	g.Expect(fences).To(HaveLen(1))
+	g.Expect(fences[0]).To(And(HaveField("Server", topology.ServerID("up")), HaveField("From", 0), HaveField("To", last)))
+	l.Move(0, last, "up")
+	_, stored = l.run(4*time.Second, "up", "cut")
+	g.Expect(stored).NotTo(BeNil())
+	l.servers["cut"] = ownership.Server{Address: "cut:1", Incarnation: 5}
+	l.servers["late"] = ownership.Server{Address: "late:1", Incarnation: 5}
+	l.SetServers(l.servers)
+	fences, _ = l.run(time.Second, "up", "cut", "late")
+	g.Expect(fences).To(HaveLen(2))
+	for _, o := range fences {
+		g.Expect(o).To(And(HaveField("Server", Not(Equal(topology.ServerID("up")))), HaveField("From", 0), HaveField("To", last)))
+	}
+	fences, _ = l.run(2*time.Second, "up", "cut", "late")
+	g.Expect(fences).To(BeEmpty())
+}
+
+// Guards against a fence for keys of unknown owners that ends the grant of the server that
+// got them.
+func TestNewOwnerOfUnknownKeysIsNotFenced(t *testing.T) {
+	const last = keymap.KeyCount - 1
+	g := NewWithT(t)
+	l := newFencingLeader(keymap.Empty().WithUnknownOwners(), 100)
+	l.Move(0, 99, "cut")
+	l.Move(100, last, "up")
+	l.run(4*time.Second, "up")
+	fences, _ := l.run(time.Second, "up", "cut")
+	g.Expect(fences).NotTo(BeEmpty())
+	for _, o := range fences {
+		g.Expect(o).To(And(HaveField("Server", topology.ServerID("cut")), HaveField("From", 100), HaveField("To", last)))
+	}
+}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -13,7 +13,8 @@
 // when it can be reached again: a grant of a leader that has ended may still arrive.
 //
 // A key map that the store has lost in part says nothing about present owners. Its
-// ranges are free only once all grants of earlier leaders must have expired.
+// ranges are free only once all grants of earlier leaders must have expired, and all servers
+// are told a higher fence for them.
 //
 // The package performs no I/O and reads no clock; times are durations since an
 // arbitrary origin.
@@ -190,6 +191,7 @@
 	grantsInFlight map[topology.ServerID]bool
 	ranges         []*keyRange // in the order of keys
 	formerOwners   []*formerOwner
+	unknownOwners  []*unknownOwners
 	nextID         int
 	// earlierUntil is the time until which grants of earlier leaders may arrive.
 	earlierUntil time.Duration
@@ -239,7 +241,7 @@
 func (r *keyRange) setOwnerUnknown(next topology.ServerID) {
 	r.ownerUnknown, r.phase, r.earlierGrants = true, expiring, true
 	r.server, r.address, r.incarnation, r.next = "", "", 0, next
-	r.appending, r.appendInDoubt = false, false
+	r.appending, r.appendInDoubt, r.fencing = false, false, false
 }
 
 // SetEarlierLeadersUntil replaces the time until which grants of earlier leaders may
@@ -498,7 +500,11 @@
 			m.markFree(r, Expired)
 			return
 		}
-		if r.phase == expiring && r.earlierGrants && !r.inFlight && !m.mayRegain(r, now) {
+		switch {
+		case r.phase != expiring || !r.earlierGrants || r.inFlight || r.fencing:
+		case r.ownerUnknown && now >= m.earlierUntil:
+			m.fenceUnknownOwners(r, now)
+		case !r.ownerUnknown && !m.mayRegain(r, now):
 			m.fenceOwner(r)
 		}
 	}
