Part the wait for the end of grants from the other transitions

The cases of the phases releasing and expiring are a function of their own; no decision changes. The tests of ownership pass.

--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -496,20 +496,26 @@
 			m.version++
 		}
 	case releasing, expiring:
-		if !r.inFlight && now >= m.freeAt(r) {
-			m.markFree(r, Expired)
-			return
-		}
-		switch {
-		case r.phase != expiring || !r.earlierGrants || r.inFlight || r.fencing:
-		case r.ownerUnknown && now >= m.earlierUntil:
-			m.fenceUnknownOwners(r, now)
-		case !r.ownerUnknown && !m.mayRegain(r, now):
-			m.fenceOwner(r)
+		if !r.inFlight {
+			m.awaitExpiry(r, now)
 		}
 	}
 }
 
+// awaitExpiry frees a range once its server cannot own the keys any more, and until then
+// begins to tell that server a higher fence when it gets no more grants.
+func (m *Manager) awaitExpiry(r *keyRange, now time.Duration) {
+	switch {
+	case now >= m.freeAt(r):
+		m.markFree(r, Expired)
+	case r.phase != expiring || !r.earlierGrants || r.fencing:
+	case r.ownerUnknown && now >= m.earlierUntil:
+		m.fenceUnknownOwners(r, now)
+	case !r.ownerUnknown && !m.mayRegain(r, now):
+		m.fenceOwner(r)
+	}
+}
+
 // mayRegain reports whether a server whose keys are about to leave it still gets grants of
 // them. It may own the keys by a grant of an earlier leader, and a grant of this leader
 // ends that; it is sent only while it does not prolong the wait.
