Let an owner that registers again keep its keys

Cause: a new leader whose list of servers lacks an owner told it a higher fence at once, also while an earlier leader may still renew its grants, and sent it no grant from then on. What callers may see: the keys of an owner that is not registered for a moment end at once, and wait until the end of all earlier grants (up to 10 s and the grant duration) although the owner is back within a second.

Evidence: TestOwnerThatRegistersAgainKeepsItsKeys fails before (a fence order at once; the server owns nothing two seconds later).

--- a/internal/ownership/fencing_test.go
+++ b/internal/ownership/fencing_test.go
@@ -155,6 +155,28 @@
 	}
 }
 
+// Guards against an owner that loses the keys that it serves, because it is not registered
+// for a moment while an earlier leader may still act.
+func TestOwnerThatRegistersAgainKeepsItsKeys(t *testing.T) {
+	const last = keymap.KeyCount - 1
+	g := NewWithT(t)
+	l := newFencingLeader(keymap.Map{{From: 0, To: last, Server: "cut", Address: "cut:1", Incarnation: 5}}, 100, "cut")
+	l.SetEarlierLeadersUntil(10 * time.Second)
+	l.Move(0, last, "up")
+	fences, _ := l.run(time.Second, "up", "cut")
+	g.Expect(fences).To(BeEmpty(), "while an earlier leader may still renew its grants")
+	l.servers["cut"] = ownership.Server{Address: "cut:1", Incarnation: 5}
+	l.SetServers(l.servers)
+	l.run(time.Second, "up", "cut")
+	var granted []topology.ServerID
+	l.Ranges(l.now, func(r ownership.RangeState) {
+		if r.Granted {
+			granted = append(granted, r.Server)
+		}
+	})
+	g.Expect(granted).To(ConsistOf(topology.ServerID("cut")))
+}
+
 // Guards against a fence order that holds back the others for the same server because it
 // never succeeds.
 func TestFailingFenceHoldsBackNoOther(t *testing.T) {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -511,17 +511,25 @@
 	case r.phase != expiring || !r.earlierGrants || r.fencing:
 	case r.ownerUnknown && now >= m.earlierUntil:
 		m.fenceUnknownOwners(r, now)
-	case !r.ownerUnknown && !m.mayRegain(r, now):
+	case !r.ownerUnknown && !m.regainAllowed(now):
 		m.fenceOwner(r)
 	}
 }
 
 // mayRegain reports whether a server whose keys are about to leave it still gets grants of
 // them. It may own the keys by a grant of an earlier leader, and a grant of this leader
-// ends that; it is sent only while it does not prolong the wait.
+// ends that.
 func (m *Manager) mayRegain(r *keyRange, now time.Duration) bool {
 	_, registered := m.servers[r.server]
-	return registered && !r.fencing && now+m.settings.CallTimeout <= m.earlierUntil
+	return registered && !r.fencing && m.regainAllowed(now)
+}
+
+// regainAllowed reports whether a grant to a server that may own keys by a grant of an
+// earlier leader does not prolong the wait for the end of that. Until then the server is
+// not told a higher fence either: it would lose keys that it may serve all the time, and
+// could not get them back once it is registered again.
+func (m *Manager) regainAllowed(now time.Duration) bool {
+	return now+m.settings.CallTimeout <= m.earlierUntil
 }
 
 // unreachableAfter is the number of failed calls in a row after which a server is
