Let no fence order without an address hold back the others for its server

Cause: of the orders for a server that has not responded, the one that was sent the longest time ago is next. One without an address was never sent, so it was always next, and the others were never sent as long as the server was not registered. A key map whose former owners have no address, as earlier releases wrote them, brings this about beside entries that have one. What callers may see: a grant of an ended leader is taken by the former owner.

Evidence: TestFenceWithoutAddressHoldsBackNoOther fails before (no order). Orders without an address no longer take a turn.

--- a/internal/ownership/fencing.go
+++ b/internal/ownership/fencing.go
@@ -148,7 +148,7 @@
 		if !f.reached && recent {
 			busy[f.owner.Server] = true
 		}
-		if other := next[f.owner.Server]; !recent && (other == nil || f.sentAt < other.sentAt) {
+		if other := next[f.owner.Server]; f.owner.Address != "" && !recent && (other == nil || f.sentAt < other.sentAt) {
 			next[f.owner.Server] = f
 		}
 	}
--- a/internal/ownership/fencing_test.go
+++ b/internal/ownership/fencing_test.go
@@ -201,6 +201,20 @@
 	g.Expect(told[20]).To(BeTrue())
 }
 
+// Guards against a fence order without an address that holds back the others for the same
+// server: a key map of an earlier release states no address.
+func TestFenceWithoutAddressHoldsBackNoOther(t *testing.T) {
+	g := NewWithT(t)
+	l := newFencingLeader(keymap.Map{
+		{From: 0, To: 9, Server: "up", FormerOwners: []keymap.FormerOwner{{Server: "cut"}}},
+		{From: 10, To: keymap.KeyCount - 1, Server: "up", FormerOwners: []keymap.FormerOwner{{Server: "cut", Address: "cut:1", Incarnation: 5}}},
+	}, 100, "cut")
+	l.run(time.Second, "up")
+	fences, _ := l.run(settings.RetryInterval+step, "up", "cut")
+	g.Expect(fences).To(HaveLen(1))
+	g.Expect(fences[0]).To(HaveField("From", 10))
+}
+
 // Guards against a fence for a former owner that goes to an address at which the server is
 // no longer registered.
 func TestFormerOwnerWithNewAddress(t *testing.T) {
