Store no former owners for keys of unknown owners

Cause: since each server that has not responded yet is a former owner of all keys of unknown owners, and the key map names the former owners of each range. What callers would see: after a restored store, no key of the service gets an owner for up to a minute, since the store rejects the record of the key map for its size (262,144 bytes).

Now these orders are kept in memory only. A leader that follows before the keys have an owner begins them anew, because the key map still states that the owner is unknown; one that follows later does not go on with them (docs/platform.md).

--- a/internal/ownership/fencing.go
+++ b/internal/ownership/fencing.go
@@ -24,6 +24,9 @@
 	attempts      int
 	// reached is true once the server has responded to another order.
 	reached bool
+	// ownerUnknown is true if any server may have owned the keys. Such entries are not
+	// stored: with one for each server in each range a key map exceeds the limits of the store.
+	ownerUnknown bool
 }
 
 // formerOwnerMemory is the time after which a former owner that cannot be reached is
@@ -32,14 +35,19 @@
 
 // addFormerOwner makes the leader tell a former owner of keys a higher fence.
 func (m *Manager) addFormerOwner(owner keymap.FormerOwner, from, to int) {
+	m.addFenceOrder(formerOwner{owner: owner, from: from, to: to})
+}
+
+func (m *Manager) addFenceOrder(added formerOwner) {
 	for _, f := range m.formerOwners {
-		if f.owner == owner && f.to+1 == from && !f.inFlight {
-			f.to = to
+		if f.owner == added.owner && f.ownerUnknown == added.ownerUnknown && f.to+1 == added.from && !f.inFlight {
+			f.to = added.to
 			return
 		}
 	}
 	m.nextID++
-	m.formerOwners = append(m.formerOwners, &formerOwner{id: m.nextID, owner: owner, from: from, to: to, sentAt: -time.Hour})
+	added.id, added.sentAt = m.nextID, -time.Hour
+	m.formerOwners = append(m.formerOwners, &added)
 }
 
 // regainedKeys records that a former owner owns keys again. Its next grant has a higher
@@ -54,7 +62,7 @@
 		for _, part := range [][2]int{{f.from, from - 1}, {to + 1, f.to}} {
 			if part[0] <= part[1] {
 				m.nextID++
-				rest = append(rest, &formerOwner{id: m.nextID, owner: f.owner, from: part[0], to: part[1], since: f.since, sentAt: f.sentAt})
+				rest = append(rest, &formerOwner{id: m.nextID, owner: f.owner, from: part[0], to: part[1], since: f.since, sentAt: f.sentAt, ownerUnknown: f.ownerUnknown})
 			}
 		}
 	}
@@ -90,7 +98,8 @@
 			}
 			u.told[id] = true
 			m.notOwnedBy(id, u.from, u.to, func(from, to int) {
-				m.addFormerOwner(keymap.FormerOwner{Server: id, Address: srv.Address, Incarnation: srv.Incarnation}, from, to)
+				owner := keymap.FormerOwner{Server: id, Address: srv.Address, Incarnation: srv.Incarnation}
+				m.addFenceOrder(formerOwner{owner: owner, from: from, to: to, ownerUnknown: true})
 			})
 		}
 	}
@@ -190,7 +199,7 @@
 func (m *Manager) formerOwnersOf(from, to int) []keymap.FormerOwner {
 	var owners []keymap.FormerOwner
 	for _, f := range m.formerOwners {
-		if f.from <= to && f.to >= from && !slices.Contains(owners, f.owner) {
+		if !f.ownerUnknown && f.from <= to && f.to >= from && !slices.Contains(owners, f.owner) {
 			owners = append(owners, f.owner)
 		}
 	}
--- a/internal/ownership/fencing_test.go
+++ b/internal/ownership/fencing_test.go
@@ -1,6 +1,7 @@
 package ownership_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -301,3 +302,28 @@
 		g.Expect(o).To(And(HaveField("Server", topology.ServerID("cut")), HaveField("From", 100), HaveField("To", last)))
 	}
 }
+
+// Guards against a key map that the store rejects for its size, so that no key gets an
+// owner: it names every server that cannot be reached as a former owner of every range.
+func TestKeyMapOfUnknownOwnersIsSmall(t *testing.T) {
+	const servers, ranges, maxRecordBytes = 176, 440, 262144
+	g := NewWithT(t)
+	var keyMap keymap.Map
+	all := make(map[topology.ServerID]ownership.Server)
+	for i := range ranges {
+		id := topology.ServerID(fmt.Sprintf("i-%010d", i%servers))
+		all[id] = ownership.Server{Address: fmt.Sprintf("10.200.101.%d:8080", i%servers), Incarnation: 1796500000000}
+		keyMap = append(keyMap, keymap.Range{From: i * keymap.KeyCount / ranges, To: (i+1)*keymap.KeyCount/ranges - 1, Server: id})
+	}
+	l := newFencingLeader(keyMap.WithUnknownOwners(), 100)
+	l.servers = all
+	l.SetServers(all)
+	l.run(5 * time.Second) // no server can be reached
+	for _, r := range keyMap {
+		l.Move(r.From, r.To, r.Server)
+	}
+	stored, _ := l.NextKeyMap()
+	data, err := stored.Encode(1)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(data)).To(BeNumerically("<", maxRecordBytes))
+}
