Tell owners with an unanswered grant a higher fence

Cause: a former owner was told a higher fence only if grants of earlier leaders could reach it. One that has lost its keys while a grant of this leader had no response was not told, although a server that reads a connection late takes that grant, if the path fails before the reset of the connection arrives. Grants wait for a first response since, so this concerns connections on which the server has responded before. Class: the reset of a connection taken for the end of what was sent on it.

Evidence: TestOwnerWithUnansweredGrantIsFenced fails before (no order). The keys move as before; the order frees nothing.

--- a/internal/ownership/fencing_test.go
+++ b/internal/ownership/fencing_test.go
@@ -178,6 +178,28 @@
 	g.Expect(granted).To(ConsistOf(topology.ServerID("cut")))
 }
 
+// Guards against a grant of this leader that got no response and that the server reads long
+// after its keys went to another server: no reset reached it.
+func TestOwnerWithUnansweredGrantIsFenced(t *testing.T) {
+	const last = keymap.KeyCount - 1
+	g := NewWithT(t)
+	l := newFencingLeader(keymap.Map{{From: 0, To: last, Server: "cut", Address: "cut:1", Incarnation: 5}}, 100)
+	l.run(time.Second, "up", "cut")
+	for l.now += settings.RenewInterval; ; l.now += step {
+		orders := l.Step(l.now, l.now)
+		if len(orders) > 0 {
+			l.HandleResult(orders[0], ownership.Unknown, "", l.now)
+			break
+		}
+	}
+	l.Move(0, last, "up")
+	_, stored := l.run(4*time.Second, "up")
+	g.Expect(stored).NotTo(BeNil(), "the keys have moved")
+	fences, _ := l.run(settings.RetryInterval+step, "up", "cut")
+	g.Expect(fences).To(HaveLen(1))
+	g.Expect(fences[0]).To(HaveField("Server", topology.ServerID("cut")))
+}
+
 // Guards against a fence order that holds back the others for the same server because it
 // never succeeds.
 func TestFailingFenceHoldsBackNoOther(t *testing.T) {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -539,7 +539,8 @@
 // markFree records that no server owns the keys, and for which reason.
 func (m *Manager) markFree(r *keyRange, reason ChangeKind) {
 	m.recordChange(reason, r)
-	if r.earlierGrants || r.grantedAt == "" {
+	// A grant without a response may still be taken by a server that reads it late.
+	if r.earlierGrants || r.grantedAt == "" || r.unansweredGrant {
 		m.fenceOwner(r)
 	}
 	r.phase, r.ownerUnknown = free, false
