Give no keys to servers that are not registered

Callers could see two servers own a key: a server that took a grant of a killed leader was not told a higher fence any more.

Cause: keys were assigned to a server whose registration had lapsed after the move was planned. It counted as their owner, so the order to tell it a higher fence was dropped with its address, but without a registration it got no grant. Free keys whose next server is away are planned again.

--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -307,7 +307,7 @@
 		keyRange := keyplacement.Range{From: r.From, To: r.To, Server: r.Server, Next: r.Next, Movable: r.Granted}
 		_, ok := svc.usable[r.Server]
 		_, nextOK := svc.usable[r.Next]
-		keyRange.NeedsServer = (!ok || unreachable[r.Server]) && (r.Next == "" || !nextOK || unreachable[r.Next])
+		keyRange.NeedsServer = (!ok || r.Free || unreachable[r.Server]) && (r.Next == "" || !nextOK || unreachable[r.Next])
 		ranges = append(ranges, keyRange)
 	})
 	for _, m := range keyplacement.Plan(ranges, servers, svc.meter.PrefixSums(now), placementSettings) {
--- a/internal/ownership/fencing_test.go
+++ b/internal/ownership/fencing_test.go
@@ -238,6 +238,21 @@
 	g.Expect(fences[0]).To(HaveField("From", 10))
 }
 
+// Guards against a former owner that is no longer told a higher fence because it shall own
+// the keys again, although it is not registered and gets no grant.
+func TestUnregisteredServerGetsNoKeys(t *testing.T) {
+	g := NewWithT(t)
+	l, _ := moveOff()
+	delete(l.servers, "cut")
+	l.SetServers(l.servers)
+	l.Move(0, keymap.KeyCount-1, "cut")
+	_, stored := l.run(time.Second, "up")
+	g.Expect(stored).To(BeNil())
+	l.Move(0, keymap.KeyCount-1, "up")
+	fences, _ := l.run(settings.RetryInterval+step, "up", "cut")
+	g.Expect(fences).To(ContainElement(And(HaveField("Server", topology.ServerID("cut")), HaveField("Address", "cut:1"))))
+}
+
 // Guards against a fence for a former owner that goes to an address at which the server is
 // no longer registered.
 func TestFormerOwnerWithNewAddress(t *testing.T) {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -310,8 +310,9 @@
 func (m *Manager) NextKeyMap() (keyMap keymap.Map, changed bool) {
 	for _, r := range m.ranges {
 		stored := m.stored(r)
-		if r.phase == free && r.next != "" && m.movesAllowed {
-			srv := m.servers[r.next]
+		// A server without a registration gets no grants, and is not told a higher fence
+		// as a former owner any more once it owns the keys.
+		if srv, registered := m.servers[r.next]; r.phase == free && registered && m.movesAllowed {
 			stored.Server, stored.Address, stored.Incarnation = r.next, srv.Address, srv.Incarnation
 			r.appending = true
 			changed = true
--- a/internal/ownership/ranges.go
+++ b/internal/ownership/ranges.go
@@ -19,6 +19,8 @@
 	// FreeAt is the time after which the server cannot own the keys any more unless
 	// it gets another grant.
 	FreeAt time.Duration
+	// Free is true if no server owns the keys.
+	Free bool
 	// OwnerUnknown is true if any server may own the keys until FreeAt.
 	OwnerUnknown bool
 	// Unreachable is true if the last calls to the server have failed.
@@ -30,7 +32,7 @@
 	for _, r := range m.ranges {
 		f(RangeState{
 			From: r.from, To: r.to, Server: r.server, Next: r.next,
-			Granted: r.grantInForce(now, m.settings.GrantDuration), FreeAt: m.freeAt(r), OwnerUnknown: r.ownerUnknown, Unreachable: r.failures >= unreachableAfter,
+			Granted: r.grantInForce(now, m.settings.GrantDuration), Free: r.phase == free, FreeAt: m.freeAt(r), OwnerUnknown: r.ownerUnknown, Unreachable: r.failures >= unreachableAfter,
 		})
 	}
 }
