Let no slow fence order hold back the others

Callers could see two servers own a key: a server that took a grant of a killed leader was told a higher fence for some of its keys only.

Cause: orders for one server are sent one at a time until the server responds. A response that waits for running work, or is lost, takes 1.5 s, and the path may be open by then. A call that lasts for 0.2 s has a connection, since a dial ends after 0.15 s; the others follow then.

--- a/internal/ownership/fencing.go
+++ b/internal/ownership/fencing.go
@@ -141,19 +141,23 @@
 }
 
 // fenceOrders returns the orders that are due for former owners: one for each server at a
-// time, in turn, until the server responds, then all others.
+// time, in turn, until the server responds, then all others. A call that has not ended within
+// the interval between two calls has a connection, but the response may have to wait for work.
 func (m *Manager) fenceOrders(now time.Duration) []Order {
 	m.updateUnknownOwners(now)
 	m.formerOwners = slices.DeleteFunc(m.formerOwners, func(f *formerOwner) bool {
 		return f.since != 0 && now-f.since > formerOwnerMemory
 	})
-	busy := make(map[topology.ServerID]bool)
+	busy, connected := make(map[topology.ServerID]bool), make(map[topology.ServerID]bool)
 	next := make(map[topology.ServerID]*formerOwner) // sent the longest time ago
 	for _, f := range m.formerOwners {
 		if f.since == 0 {
 			f.since = now
 		}
 		recent := f.inFlight || now-f.sentAt < m.settings.RetryInterval
+		if f.inFlight && now-f.sentAt >= m.settings.RetryInterval {
+			connected[f.owner.Server] = true
+		}
 		if !f.reached && recent {
 			busy[f.owner.Server] = true
 		}
@@ -166,7 +170,7 @@
 		switch {
 		case f.owner.Address == "", f.inFlight, now-f.sentAt < m.settings.RetryInterval:
 			continue
-		case !f.reached && (busy[f.owner.Server] || next[f.owner.Server] != f):
+		case !f.reached && !connected[f.owner.Server] && (busy[f.owner.Server] || next[f.owner.Server] != f):
 			continue
 		}
 		f.sentAt, f.inFlight = now, true
--- a/internal/ownership/fencing_test.go
+++ b/internal/ownership/fencing_test.go
@@ -224,6 +224,29 @@
 	g.Expect(told[20]).To(BeTrue())
 }
 
+// Guards against a fence order that holds back the others for the same server while the
+// server works on its keys.
+func TestSlowFenceHoldsBackNoOther(t *testing.T) {
+	g := NewWithT(t)
+	l := newFencingLeader(keymap.Map{
+		{From: 0, To: 9, Server: "cut", Address: "cut:1"}, {From: 10, To: 19, Server: "up"}, {From: 20, To: keymap.KeyCount - 1, Server: "cut", Address: "cut:1"},
+	}, 100, "cut")
+	l.Move(0, 9, "up")
+	l.Move(20, keymap.KeyCount-1, "up")
+	sent := make(map[int]time.Duration)
+	for ; l.now < time.Second; l.now += step {
+		for _, o := range l.Step(l.now, l.now) {
+			if o.Kind != ownership.Fence {
+				l.HandleResult(o, ownership.Done, "", l.now)
+			} else if _, ok := sent[o.From]; !ok {
+				sent[o.From] = l.now // no response yet
+			}
+		}
+	}
+	g.Expect(sent).To(HaveLen(2))
+	g.Expect(sent[20] - sent[0]).To(BeNumerically("<=", settings.RetryInterval))
+}
+
 // Guards against a fence order without an address that holds back the others for the same
 // server: a key map of an earlier release states no address.
 func TestFenceWithoutAddressHoldsBackNoOther(t *testing.T) {
