End no grant because another address has another server

A server starts again at another address, and its registration goes back to the earlier one for a while: the store was restored from a copy, or an older list is read. The leader then sends grants to the earlier address. If another server has taken that address, it responds so, and the leader took this as the end of the process that it had last granted keys to there, and of all grants, although the later process had been sent grants at its own address and had not responded to one in time. The keys went to another server at once.

What callers saw: nothing was traced on a deployment. A server is given keys while their holder still works on them, before its grant ends.

The test fails on the code before: the key map names s-1 at once.

The address at which a server has accepted a grant now counts only while no grant was sent to another one. Otherwise the leader waits for the end of the grants.

--- a/internal/ownership/lives_test.go
+++ b/internal/ownership/lives_test.go
@@ -122,3 +122,30 @@
 	_, next := o.step()
 	g.Expect(next).To(Equal(topology.ServerID("s-0")), "the grant to s-0 has not expired")
 }
+
+// Guards against the same while the present life has not responded to a grant yet: it may
+// hold the keys at its own address.
+func TestAddressOfAnEarlierLifeComesBackBeforeAResponse(t *testing.T) {
+	g := NewWithT(t)
+	o := newOwnerTest(1)
+	orders, _ := o.step()
+	o.HandleResult(orders[0], ownership.Done, "", o.now)
+	later := serversWithLife(2)
+	later["s-0"] = ownership.Server{Address: "later", Incarnation: 2}
+	o.SetServers(later)
+	o.now += settings.RetryInterval
+	orders, _ = o.step()
+	g.Expect(orders).To(HaveLen(1))
+	g.Expect(orders[0].Address).To(Equal("later"))
+	o.now += settings.CallTimeout
+	o.HandleResult(orders[0], ownership.Unknown, "", o.now)
+	o.SetServers(serversWithLife(1))
+	o.now += settings.RetryInterval
+	orders, _ = o.step()
+	g.Expect(orders).To(HaveLen(1))
+	o.HandleResult(orders[0], ownership.ServerGone, "", o.now)
+	o.Move(0, keymap.KeyCount-1, "s-1")
+	o.step()
+	_, next := o.step()
+	g.Expect(next).To(Equal(topology.ServerID("s-0")), "the grant to the later life has not expired")
+}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -166,7 +166,8 @@
 	// fencing is true if the server is being told a higher fence, or was told one, because
 	// the keys are about to leave it.
 	fencing bool
-	// grantedAt is the address at which the server accepted the last grant.
+	// grantedAt is the address at which the server accepted a grant, empty after a grant
+	// was sent to another address since.
 	grantedAt string
 	// appendInDoubt is true if an append of such a key map got no response.
 	appendInDoubt bool
@@ -462,6 +463,9 @@
 				// The grant duration starts when the grant arrives, which can be as
 				// late as the timeout of the call.
 				m.grantsInFlight[r.server] = true
+				if o.Address != r.grantedAt {
+					r.grantedAt = ""
+				}
 				r.priorExpiry = r.latestExpiry
 				r.latestExpiry = max(r.latestExpiry, now+m.settings.CallTimeout+m.maxGrantDuration())
 			}
