Ask all servers of a soak for their keys at the same time

Cause: the check asked one server after the other, each for 128 keys. A key that moved in between was seen at both. The soak process then reports that two servers hold the same keys in one sample. In a process that lacks CPU the time between two servers grows.

Now the check takes the locks of all servers and then looks at one time, at the same interval and for the same keys.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -77,24 +77,17 @@
 
 // watchOwners records a violation if two servers hold grants for a key at the same time.
 func (r *run) watchOwners(ctx context.Context) {
+	keys := make([]int, watchedKeys)
+	for i := range keys {
+		keys[i] = i * (keyCount / watchedKeys)
+	}
 	for ctx.Err() == nil {
 		time.Sleep(watchInterval)
-		holders := make(map[int]string)
-		r.deployment.ForEachServer(func(s *standin.Server) {
-			if !s.Keyed {
-				return
-			}
-			for i := range watchedKeys {
-				key := i * (keyCount / watchedKeys)
-				if !s.Holds(key) {
-					continue
-				}
-				if other, ok := holders[key]; ok {
-					r.recordViolation("key %d is held by %s and %s", key, other, s.ID)
-				}
-				holders[key] = s.ID
+		for i, holders := range r.deployment.Holders(keys) {
+			if len(holders) > 1 {
+				r.recordViolation("key %d is held by %s", keys[i], strings.Join(holders, " and "))
 			}
-		})
+		}
 	}
 }
 
