Tell unregistered owners a higher fence before a move is planned

Callers could see two servers own a key: a server without a registration took a grant of a killed leader after its keys had no owner any more, and before they were planned to move.

Cause: the order to tell it a higher fence began when a move was planned. By then its own grants had run out, so the keys went to another server at once, beside the order. It now begins when its grants have run out. If the server registers again, its next grant has a higher fence and ends the order.

--- a/internal/ownership/fencing_test.go
+++ b/internal/ownership/fencing_test.go
@@ -224,6 +224,22 @@
 	g.Expect(told[20]).To(BeTrue())
 }
 
+// Guards against a grant of a killed leader that an owner without a registration takes before
+// a move of its keys is planned: they would be free at once.
+func TestUnregisteredOwnerIsFencedBeforeAMoveIsPlanned(t *testing.T) {
+	g := NewWithT(t)
+	l := newFencingLeader(keymap.Map{{From: 0, To: keymap.KeyCount - 1, Server: "cut", Address: "cut:1", Incarnation: 5}}, 100, "cut")
+	fences, _ := l.run(settings.GrantDuration, "up", "cut")
+	g.Expect(fences).To(BeEmpty(), "it may own the keys")
+	fences, _ = l.run(settings.GrantDuration, "up")
+	g.Expect(len(fences)).To(BeNumerically(">=", 5))
+	l.servers["cut"] = ownership.Server{Address: "cut:1", Incarnation: 5}
+	l.SetServers(l.servers)
+	fences, _ = l.run(settings.GrantDuration, "up", "cut")
+	g.Expect(fences).To(BeEmpty(), "it gets grants again")
+	l.Ranges(l.now, func(r ownership.RangeState) { g.Expect(r.Granted).To(BeTrue()) })
+}
+
 // Guards against a fence order that holds back the others for the same server while the
 // server works on its keys.
 func TestSlowFenceHoldsBackNoOther(t *testing.T) {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -462,6 +462,10 @@
 			if o.Kind == Grant {
 				// The grant duration starts when the grant arrives, which can be as
 				// late as the timeout of the call.
+				if r.fencing { // it was not registered
+					m.regainedKeys(r.server, r.from, r.to)
+					r.fencing, r.fence = false, m.nextFence()
+				}
 				m.grantsInFlight[r.server] = true
 				if o.Address != r.grantedAt {
 					r.grantedAt = ""
@@ -482,10 +486,15 @@
 	_, registered := m.servers[r.server]
 	switch r.phase {
 	case granting, granted:
-		if r.inFlight || r.next == "" {
+		if r.inFlight {
 			return
 		}
+		if !registered && r.earlierGrants && now >= m.freeAt(r) {
+			// No grant is sent, and once a move is planned the keys are free at once.
+			m.fenceOwner(r)
+		}
 		switch {
+		case r.next == "":
 		case now >= m.freeAt(r):
 			m.markFree(r, Expired)
 		case r.phase == granted && r.failures == 0 && !r.unansweredGrant:
