--- a/internal/ownership/fencing.go
+++ b/internal/ownership/fencing.go
@@ -140,37 +140,57 @@
 	})
 }
 
+// fenceTurn is the state of the orders for one server.
+type fenceTurn struct {
+	busy      bool         // an order was sent within the interval between two calls
+	connected bool         // a call has a connection
+	next      *formerOwner // the order that is due and was sent the longest time ago
+}
+
+// due reports whether a call for the order may be sent.
+func (m *Manager) due(f *formerOwner, now time.Duration) bool {
+	return f.owner.Address != "" && !f.inFlight && now-f.sentAt >= m.settings.RetryInterval
+}
+
+// fenceTurns returns the state of the orders for each server.
+func (m *Manager) fenceTurns(now time.Duration) map[topology.ServerID]*fenceTurn {
+	turns := make(map[topology.ServerID]*fenceTurn)
+	for _, f := range m.formerOwners {
+		turn := turns[f.owner.Server]
+		if turn == nil {
+			turn = new(fenceTurn)
+			turns[f.owner.Server] = turn
+		}
+		recent := now-f.sentAt < m.settings.RetryInterval
+		// A dial ends within the interval, so a call that lasts for longer has a connection;
+		// the response may have to wait for work.
+		turn.connected = turn.connected || (f.inFlight && !recent)
+		turn.busy = turn.busy || (!f.reached && (f.inFlight || recent))
+		if m.due(f, now) && (turn.next == nil || f.sentAt < turn.next.sentAt) {
+			turn.next = f
+		}
+	}
+	return turns
+}
+
 // fenceOrders returns the orders that are due for former owners: one for each server at a
-// time, in turn, until the server responds, then all others. A call that has not ended within
-// the interval between two calls has a connection, but the response may have to wait for work.
+// time, in turn, until the server can be reached, then all others.
 func (m *Manager) fenceOrders(now time.Duration) []Order {
 	m.updateUnknownOwners(now)
+	if len(m.formerOwners) == 0 {
+		return nil
+	}
 	m.formerOwners = slices.DeleteFunc(m.formerOwners, func(f *formerOwner) bool {
-		return f.since != 0 && now-f.since > formerOwnerMemory
-	})
-	busy, connected := make(map[topology.ServerID]bool), make(map[topology.ServerID]bool)
-	next := make(map[topology.ServerID]*formerOwner) // sent the longest time ago
-	for _, f := range m.formerOwners {
 		if f.since == 0 {
 			f.since = now
 		}
-		recent := f.inFlight || now-f.sentAt < m.settings.RetryInterval
-		if f.inFlight && now-f.sentAt >= m.settings.RetryInterval {
-			connected[f.owner.Server] = true
-		}
-		if !f.reached && recent {
-			busy[f.owner.Server] = true
-		}
-		if other := next[f.owner.Server]; f.owner.Address != "" && !recent && (other == nil || f.sentAt < other.sentAt) {
-			next[f.owner.Server] = f
-		}
-	}
+		return now-f.since > formerOwnerMemory
+	})
+	turns := m.fenceTurns(now)
 	var orders []Order
 	for _, f := range m.formerOwners {
-		switch {
-		case f.owner.Address == "", f.inFlight, now-f.sentAt < m.settings.RetryInterval:
-			continue
-		case !f.reached && !connected[f.owner.Server] && (busy[f.owner.Server] || next[f.owner.Server] != f):
+		turn := turns[f.owner.Server]
+		if !m.due(f, now) || (!f.reached && !turn.connected && (turn.busy || turn.next != f)) {
 			continue
 		}
 		f.sentAt, f.inFlight = now, true
--- a/internal/ownership/network_property_test.go
+++ b/internal/ownership/network_property_test.go
@@ -317,7 +317,7 @@
 		}
 		end = max(end, p.workEnds[k])
 	}
-	p.modelServer.release(o)
+	p.release(o)
 	return end
 }
 
