Tell a server a higher fence for a minute from the loss of the last keys

Cause: an order for keys that are adjacent to those of an earlier order for the same server joined it and was forgotten with it, up to a minute too early. What callers may see: a grant of an ended leader is taken by the former owner.

Evidence: TestFenceForKeysThatAreLostLater fails before (no order).

--- a/internal/ownership/fencing.go
+++ b/internal/ownership/fencing.go
@@ -41,7 +41,7 @@
 func (m *Manager) addFenceOrder(added formerOwner) {
 	for _, f := range m.formerOwners {
 		if f.owner == added.owner && f.ownerUnknown == added.ownerUnknown && f.to+1 == added.from && !f.inFlight {
-			f.to = added.to
+			f.to, f.since = added.to, added.since
 			return
 		}
 	}
--- a/internal/ownership/fencing_test.go
+++ b/internal/ownership/fencing_test.go
@@ -200,6 +200,20 @@
 	g.Expect(fences[0]).To(HaveField("Server", topology.ServerID("cut")))
 }
 
+// Guards against a fence order that is forgotten before its minute has passed, because it
+// joined one for adjacent keys that the server lost earlier.
+func TestFenceForKeysThatAreLostLater(t *testing.T) {
+	g := NewWithT(t)
+	l := newFencingLeader(keymap.Map{{From: 0, To: 9, Server: "cut", Address: "cut:1", Incarnation: 5}, {From: 10, To: keymap.KeyCount - 1, Server: "cut", Address: "cut:1", Incarnation: 5}}, 100)
+	l.Move(0, 9, "up")
+	l.run(50*time.Second, "up")
+	l.Move(10, keymap.KeyCount-1, "up")
+	l.run(20*time.Second, "up")
+	fences, _ := l.run(settings.RetryInterval+step, "up", "cut")
+	g.Expect(fences).To(HaveLen(1))
+	g.Expect(fences[0].To).To(Equal(keymap.KeyCount - 1))
+}
+
 // Guards against a fence order that holds back the others for the same server because it
 // never succeeds.
 func TestFailingFenceHoldsBackNoOther(t *testing.T) {
