Forget no fence order because of an earlier address

A former owner is forgotten when another server responds at its address: its process has ended. But the address may be that of an earlier start of the server, if the list of servers went back to an earlier registration while the keys were waited for. The later process, which had the grants, was then never told a higher fence.

What callers saw: not traced on a deployment. Such a server takes a grant of an ended leader that arrives late.

Evidence: the test fails on the code before: no order after the server is registered at its own address again.

The order now ends this way only if the server is registered with this address and the start that had the keys. Otherwise its address counts as not known until the server is registered.

--- a/internal/ownership/fencing.go
+++ b/internal/ownership/fencing.go
@@ -212,10 +212,17 @@
 		}
 	}
 	m.formerOwners = slices.DeleteFunc(m.formerOwners, func(f *formerOwner) bool {
-		if f.id == o.id {
-			f.inFlight = false
+		if f.id != o.id {
+			return false
+		}
+		f.inFlight = false
+		if outcome == ServerGone && f.owner.Address == o.Address {
+			if m.servers[o.Server] == (Server{Address: o.Address, Incarnation: f.owner.Incarnation}) {
+				return true
+			}
+			f.owner.Address = "" // the address may be that of an earlier incarnation
 		}
-		return f.id == o.id && (outcome == Done || outcome == ServerGone)
+		return outcome == Done
 	})
 }
 
--- a/internal/ownership/fencing_test.go
+++ b/internal/ownership/fencing_test.go
@@ -318,6 +318,23 @@
 	g.Expect(fences[0].Address).To(Equal("cut:2"))
 }
 
+// Guards against a former owner that is never told a higher fence because another server has
+// the address of its earlier start, which an old list of servers shows.
+func TestFenceOutlastsAddressOfAnEarlierLife(t *testing.T) {
+	g := NewWithT(t)
+	l := newFencingLeader(keymap.Map{{From: 0, To: keymap.KeyCount - 1, Server: "cut", Address: "cut:2", Incarnation: 6}}, 100)
+	l.Move(0, keymap.KeyCount-1, "up")
+	l.run(4*time.Second, "up")
+	l.now += settings.RetryInterval
+	orders := slices.DeleteFunc(l.Step(l.now, l.now), func(o ownership.Order) bool { return o.Kind != ownership.Fence })
+	g.Expect(orders).To(HaveLen(1))
+	l.HandleResult(orders[0], ownership.ServerGone, "", l.now)
+	l.servers["cut"] = ownership.Server{Address: "cut:2", Incarnation: 6}
+	l.SetServers(l.servers)
+	fences, _ := l.run(time.Second, "up", "cut")
+	g.Expect(fences).NotTo(BeEmpty())
+}
+
 // Guards against a fence for a former owner that ends its present grants: of a server that
 // owns keys again, or has started again.
 func TestFenceForFormerOwnerEnds(t *testing.T) {
