Grant keys at the registration that the stored key map states

Cause: the address and the start of a new owner were taken from its registration once for the key map and again when that was stored. If the registration had ended in between, the leader forgot both, and could neither send a fence order nor notice a restart. Class: a value of a registration that goes back.

--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -163,6 +163,8 @@
 	raisesFence bool
 	failures    int  // failed calls since the last success
 	appending   bool // a key map that names next as the owner is being stored
+	// nextServer is the registration of next that this key map states.
+	nextServer Server
 	// fencing is true if the server is being told a higher fence, or was told one, because
 	// the keys are about to leave it.
 	fencing bool
@@ -315,7 +317,7 @@
 		// as a former owner any more once it owns the keys.
 		if srv, registered := m.servers[r.next]; r.phase == free && registered && m.movesAllowed {
 			stored.Server, stored.Address, stored.Incarnation = r.next, srv.Address, srv.Incarnation
-			r.appending = true
+			r.appending, r.nextServer = true, srv
 			changed = true
 		}
 		keyMap = append(keyMap, stored)
@@ -356,7 +358,7 @@
 		r.appending = false
 		m.regainedKeys(r.next, r.from, r.to)
 		r.server, r.next = r.next, ""
-		r.incarnation, r.address = m.servers[r.server].Incarnation, m.servers[r.server].Address
+		r.incarnation, r.address = r.nextServer.Incarnation, r.nextServer.Address
 		r.phase = granting
 		r.fence = m.nextFence()
 		r.sentAt = -time.Hour
--- a/internal/ownership/ranges.go
+++ b/internal/ownership/ranges.go
@@ -13,14 +13,14 @@
 	Server topology.ServerID
 	// Next is the server that the keys are moving to; empty if they stay.
 	Next topology.ServerID
+	// Free is true if no server owns the keys.
+	Free bool
 	// Granted is true while the server's grant is in force, so that requests for
 	// these keys can be sent to it.
 	Granted bool
 	// FreeAt is the time after which the server cannot own the keys any more unless
 	// it gets another grant.
 	FreeAt time.Duration
-	// Free is true if no server owns the keys.
-	Free bool
 	// OwnerUnknown is true if any server may own the keys until FreeAt.
 	OwnerUnknown bool
 	// Unreachable is true if the last calls to the server have failed.
