Write new addresses of owners to the key map

Callers could see two servers own a key: a server that had started again at another address took a grant of a killed leader, and the next leader told the address of its earlier start a higher fence.

Cause: the key map was written only when keys got another owner, so it named the old address until then. It is now also written when the address or start of an owner changes, once moves are allowed.

--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -475,7 +475,7 @@
 		if svc.grants == nil {
 			continue
 		}
-		if keyMap, changed := svc.grants.NextKeyMap(); changed {
+		if keyMap, changed := svc.grants.NextKeyMap(); changed || svc.grants.AddressesChanged() {
 			out[svc.name] = keyMap
 		}
 	}
--- a/internal/ownership/fencing_test.go
+++ b/internal/ownership/fencing_test.go
@@ -238,6 +238,23 @@
 	g.Expect(told[20]).To(BeTrue())
 }
 
+// Guards against an owner that started again at another address and that the next leader
+// cannot tell a higher fence, because the key map names the earlier address.
+func TestKeyMapNamesTheNewAddressOfAnOwner(t *testing.T) {
+	g := NewWithT(t)
+	l := newFencingLeader(keymap.Map{{From: 0, To: keymap.KeyCount - 1, Server: "cut", Address: "cut:1", Incarnation: 5}}, 100)
+	l.run(time.Second, "cut")
+	g.Expect(l.AddressesChanged()).To(BeFalse())
+	l.servers["cut"] = ownership.Server{Address: "cut:2", Incarnation: 6}
+	l.SetServers(l.servers)
+	g.Expect(l.AddressesChanged()).To(BeTrue())
+	keyMap, changed := l.NextKeyMap()
+	g.Expect(changed).To(BeFalse(), "the owner is the same")
+	g.Expect(keyMap).To(Equal(keymap.Map{{From: 0, To: keymap.KeyCount - 1, Server: "cut", Address: "cut:2", Incarnation: 6}}))
+	l.KeyMapStored(l.now)
+	g.Expect(l.AddressesChanged()).To(BeFalse())
+}
+
 // Guards against a grant of a killed leader that an owner without a registration takes before
 // a move of its keys is planned: they would be free at once.
 func TestUnregisteredOwnerIsFencedBeforeAMoveIsPlanned(t *testing.T) {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -22,6 +22,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/lycheerudder/lycheerudder/internal/keymap"
@@ -138,10 +139,16 @@
 	server      topology.ServerID
 	address     string // last known address of server
 	incarnation int64
-	next        topology.ServerID
-	phase       phase
-	fence       int64
-	handover    string
+	// storedAddress and storedIncarnation are those in the stored key map.
+	storedAddress     string
+	storedIncarnation int64
+	// appendedAddress and appendedIncarnation are those in the last NextKeyMap.
+	appendedAddress     string
+	appendedIncarnation int64
+	next                topology.ServerID
+	phase               phase
+	fence               int64
+	handover            string
 	// sentAt is the start of the last call, inFlight is true until that call ends.
 	sentAt   time.Duration
 	inFlight bool
@@ -223,6 +230,7 @@
 	}
 	for _, e := range keyMap {
 		r := &keyRange{from: e.From, to: e.To, server: e.Server, address: e.Address, incarnation: e.Incarnation, fence: nextFence(), earlierGrants: true, sentAt: -time.Hour, latestExpiry: -time.Hour}
+		r.storedAddress, r.storedIncarnation = e.Address, e.Incarnation
 		switch {
 		case e.OwnerUnknown:
 			r.setOwnerUnknown(e.Server)
@@ -320,11 +328,20 @@
 			r.appending, r.nextServer = true, srv
 			changed = true
 		}
+		r.appendedAddress, r.appendedIncarnation = stored.Address, stored.Incarnation
 		keyMap = append(keyMap, stored)
 	}
 	return keyMap, changed
 }
 
+// AddressesChanged reports whether the stored key map lacks the address or the start of an
+// owner. The next leader may have to tell the owner a higher fence while it is not registered.
+func (m *Manager) AddressesChanged() bool {
+	return m.movesAllowed && slices.ContainsFunc(m.ranges, func(r *keyRange) bool {
+		return r.phase != free && (r.address != r.storedAddress || r.incarnation != r.storedIncarnation)
+	})
+}
+
 // KeyMapToGrantAgain returns the key map to store before GrantAgain.
 func (m *Manager) KeyMapToGrantAgain() keymap.Map {
 	keyMap := make(keymap.Map, len(m.ranges))
@@ -352,6 +369,7 @@
 func (m *Manager) KeyMapStored(now time.Duration) {
 	for _, r := range m.ranges {
 		r.appendInDoubt = false
+		r.storedAddress, r.storedIncarnation = r.appendedAddress, r.appendedIncarnation
 		if r.phase != free || !r.appending {
 			continue
 		}
