Take no address from a registration that is older than the key map

Cause: a list of servers that is older than the key map (read late, or from a restored store) shows an earlier start of an owner. The leader took its address, in memory and for the next key map, but kept the later start. A fence order then went to the earlier address. Class: a value of a registration that goes back.

TestAddressOfEarlierStart fails before.

--- a/internal/ownership/fencing_test.go
+++ b/internal/ownership/fencing_test.go
@@ -352,6 +352,18 @@
 	g.Expect(fences).NotTo(BeEmpty())
 }
 
+// Guards against an address that goes back to that of an earlier start of the server, because
+// the list of servers is older than the key map.
+func TestAddressOfEarlierStart(t *testing.T) {
+	g := NewWithT(t)
+	l := newFencingLeader(keymap.Map{{From: 0, To: keymap.KeyCount - 1, Server: "cut", Address: "cut:2", Incarnation: 6}}, 100)
+	orders := l.Step(l.now, l.now)
+	g.Expect(orders).To(HaveLen(1))
+	g.Expect(orders[0].Address).To(Equal("cut:2"))
+	stored, _ := l.NextKeyMap()
+	g.Expect(stored[0]).To(And(HaveField("Address", "cut:2"), HaveField("Incarnation", int64(6))))
+}
+
 // Guards against a fence for a former owner that ends its present grants: of a server that
 // owns keys again, or has started again.
 func TestFenceForFormerOwnerEnds(t *testing.T) {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -290,10 +290,12 @@
 	m.updateFormerOwners()
 	for _, r := range m.ranges {
 		srv, ok := servers[r.server]
-		if ok {
-			r.address = srv.Address
+		// A list that is older than the key map may show an earlier start.
+		if !ok || srv.Incarnation < r.incarnation {
+			continue
 		}
-		if !ok || r.incarnation == srv.Incarnation || r.phase == free {
+		r.address = srv.Address
+		if r.incarnation == srv.Incarnation || r.phase == free {
 			continue
 		}
 		if r.incarnation != 0 && srv.Incarnation > r.incarnation {
@@ -310,8 +312,7 @@
 			r.phase = granting
 			m.version++
 		}
-		// A list that is older than the key map may show an earlier start.
-		r.incarnation = max(r.incarnation, srv.Incarnation)
+		r.incarnation = srv.Incarnation
 	}
 }
 
