Repeat a fence order while a call for it hangs

Cause: a call of a fence order that got no response held back the next one for 1.5 s, so the fence was not repeated every 0.2 s as docs/platform.md says, and a held-up grant could arrive first.

A release stops new work and counts its fence before it responds, so calls may overlap. TestHangingFenceIsRepeated fails before.

--- a/internal/ownership/fencing.go
+++ b/internal/ownership/fencing.go
@@ -17,10 +17,11 @@
 	id       int // of the orders
 	owner    keymap.FormerOwner
 	from, to int
-	// since is the time from which on calls are due, sentAt that of the last one; inFlight is
-	// true until it ends.
+	// since is the time from which on calls are due, sentAt that of the last one. A call that
+	// gets no response does not hold back the next one: inFlight counts those that have not
+	// ended.
 	since, sentAt time.Duration
-	inFlight      bool
+	inFlight      int
 	attempts      int
 	// reached is true once the server has responded to another order.
 	reached bool
@@ -40,7 +41,7 @@
 
 func (m *Manager) addFenceOrder(added formerOwner) {
 	for _, f := range m.formerOwners {
-		if f.owner == added.owner && f.ownerUnknown == added.ownerUnknown && f.to+1 == added.from && !f.inFlight {
+		if f.owner == added.owner && f.ownerUnknown == added.ownerUnknown && f.to+1 == added.from && f.inFlight == 0 {
 			f.to, f.since = added.to, added.since
 			return
 		}
@@ -149,7 +150,7 @@
 
 // due reports whether a call for the order may be sent.
 func (m *Manager) due(f *formerOwner, now time.Duration) bool {
-	return f.owner.Address != "" && !f.inFlight && now-f.sentAt >= m.settings.RetryInterval
+	return f.owner.Address != "" && now-f.sentAt >= m.settings.RetryInterval
 }
 
 // fenceTurns returns the state of the orders for each server.
@@ -164,8 +165,8 @@
 		recent := now-f.sentAt < m.settings.RetryInterval
 		// A dial ends within the interval, so a call that lasts for longer has a connection;
 		// the response may have to wait for work.
-		turn.connected = turn.connected || (f.inFlight && !recent)
-		turn.busy = turn.busy || (!f.reached && (f.inFlight || recent))
+		turn.connected = turn.connected || (f.inFlight > 0 && !recent)
+		turn.busy = turn.busy || (!f.reached && recent)
 		if m.due(f, now) && (turn.next == nil || f.sentAt < turn.next.sentAt) {
 			turn.next = f
 		}
@@ -193,7 +194,8 @@
 		if !m.due(f, now) || (!f.reached && !turn.connected && (turn.busy || turn.next != f)) {
 			continue
 		}
-		f.sentAt, f.inFlight = now, true
+		f.sentAt = now
+		f.inFlight++
 		f.attempts++
 		orders = append(orders, Order{
 			Kind: Fence, Service: m.service, Server: f.owner.Server, Address: f.owner.Address,
@@ -207,7 +209,7 @@
 // same server are due at once.
 func (m *Manager) handleFence(o Order, outcome Outcome) {
 	for _, f := range m.formerOwners {
-		if f.owner.Server == o.Server && !f.inFlight && outcome == Done {
+		if f.owner.Server == o.Server && f.inFlight == 0 && outcome == Done {
 			f.reached, f.sentAt = true, -time.Hour
 		}
 	}
@@ -215,7 +217,7 @@
 		if f.id != o.id {
 			return false
 		}
-		f.inFlight = false
+		f.inFlight--
 		if outcome == ServerGone && f.owner.Address == o.Address {
 			if m.servers[o.Server] == (Server{Address: o.Address, Incarnation: f.owner.Incarnation}) {
 				return true
--- a/internal/ownership/fencing_test.go
+++ b/internal/ownership/fencing_test.go
@@ -463,3 +463,20 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(len(data)).To(BeNumerically("<", maxRecordBytes))
 }
+
+// Guards against a fence that arrives late because an earlier call for the same keys hangs.
+func TestHangingFenceIsRepeated(t *testing.T) {
+	g := NewWithT(t)
+	l, _ := moveOff()
+	calls := 0
+	for end := l.now + time.Second; l.now < end; l.now += step {
+		for _, o := range l.Step(l.now, l.now) {
+			if o.Kind == ownership.Fence {
+				calls++ // no response yet
+			} else {
+				l.HandleResult(o, ownership.Done, "", l.now)
+			}
+		}
+	}
+	g.Expect(calls).To(BeNumerically("~", 5, 1))
+}
