Model servers that work on keys after their release

In this one requests outlast releases. Releases are lost, arrive up to 5 s late, lose their response, or are given up after 1.5 s and repeated; servers start again at the same or another address, whose earlier one is used again after 2 s; registrations are late, lapse, or go back; leaders stop as planned, are cut off from the store, or cannot connect; moves are refused or in doubt; the store is restored from a copy.

A grant that is taken so late that its time has run out gives no keys, and is not checked: an earlier form of the check failed on one (taken 5.15 s after its arrival, with a duration of 2.2 s).

--- a/internal/ownership/property_test.go
+++ b/internal/ownership/property_test.go
@@ -31,13 +31,26 @@
 
 // modelServer models a server: the fence and the end of its grant for each tracked key.
 type modelServer struct {
+	address     string
 	incarnation int64
 	ownedUntil  map[int]time.Duration
 	fence       map[int]int64
+	// grantEnd is the end of the last grant, whether or not the keys were released.
+	grantEnd map[int]time.Duration
+	// workEnd is the time at which the requests that run on the key have ended.
+	workEnd map[int]time.Duration
 }
 
-func newModelServer(incarnation int64) *modelServer {
-	return &modelServer{incarnation: incarnation, ownedUntil: make(map[int]time.Duration), fence: make(map[int]int64)}
+func newModelServer(address string, incarnation int64) *modelServer {
+	return &modelServer{
+		address: address, incarnation: incarnation, ownedUntil: make(map[int]time.Duration), fence: make(map[int]int64),
+		grantEnd: make(map[int]time.Duration), workEnd: make(map[int]time.Duration),
+	}
+}
+
+// worksOn reports whether a request runs on a key. Requests end with the grant.
+func (s *modelServer) worksOn(key int, now time.Duration) bool {
+	return now < s.workEnd[key] && now < s.grantEnd[key]
 }
 
 // apply carries out a grant, whose duration starts when it arrives.
@@ -52,6 +65,7 @@
 			s.fence[k] = o.Fence
 			// The server's clock is slow by 2%, the drift that the leader allows for.
 			s.ownedUntil[k] = arrived + grantDuration*102/100
+			s.grantEnd[k] = max(s.grantEnd[k], s.ownedUntil[k])
 		}
 	}
 	return true
@@ -89,6 +103,16 @@
 	appendsInDoubt bool
 	// listInterval is the interval at which hosts read the list of servers.
 	listInterval time.Duration
+	// work is true if requests may run on keys beyond their release.
+	work bool
+	// refusesAppends is true while the store refuses appends.
+	refusesAppends bool
+	// otherRegistrations holds registrations that do not show the present process of a
+	// server; one without an address has lapsed.
+	otherRegistrations map[topology.ServerID]ownership.Server
+	// formerAddresses are addresses of processes that have ended, reusedAddresses those at
+	// which other servers respond now.
+	formerAddresses, reusedAddresses map[string]bool
 	// cut holds the servers that no host reaches, held the calls on their way to them.
 	cut  map[topology.ServerID]bool
 	held []*heldCall
@@ -154,7 +178,7 @@
 	m.keyMap = rapid.SampledFrom(m.copies).Draw(m.t, "copy").WithUnknownOwners()
 	var candidates []*host
 	for _, h := range m.hosts {
-		if !h.ended && h.era == m.era-1 && m.now-h.contact <= autonomy {
+		if !h.ended && !h.killed && h.era == m.era-1 && m.now-h.contact <= autonomy {
 			candidates = append(candidates, h)
 		}
 	}
@@ -174,7 +198,12 @@
 func (m *model) registered() map[topology.ServerID]ownership.Server {
 	list := make(map[topology.ServerID]ownership.Server)
 	for id, s := range m.servers {
-		list[id] = ownership.Server{Address: string(id), Incarnation: s.incarnation}
+		list[id] = ownership.Server{Address: s.address, Incarnation: s.incarnation}
+	}
+	for id, srv := range m.otherRegistrations {
+		if list[id] = srv; srv.Address == "" {
+			delete(list, id)
+		}
 	}
 	return list
 }
@@ -220,6 +249,9 @@
 			switch {
 			case h.cutOff:
 				h.manager.KeyMapNotStored(false)
+			case m.refusesAppends:
+				h.manager.KeyMapNotStored(false)
+				h.manager.RevertMoves(m.now)
 			case m.appendsInDoubt && rapid.IntRange(0, 4).Draw(m.t, "append") == 0:
 				m.keyMap = t
 				h.manager.KeyMapNotStored(true)
@@ -234,11 +266,15 @@
 
 // call delivers an order with a fault chosen at random.
 func (m *model) call(h *host, o ownership.Order) {
-	if o.Address != string(o.Server) {
+	s := m.servers[o.Server]
+	if m.reusedAddresses[o.Address] {
+		h.manager.HandleResult(o, ownership.ServerGone, "", m.now)
+		return
+	}
+	if o.Address != s.address && !m.formerAddresses[o.Address] {
 		m.t.Fatalf("order for server %s has the address %q", o.Server, o.Address)
 	}
-	s := m.servers[o.Server]
-	if h.unreachable[o.Server] {
+	if h.unreachable[o.Server] || o.Address != s.address {
 		h.manager.HandleResult(o, ownership.Unsent, "", m.now)
 		return
 	}
@@ -253,6 +289,10 @@
 		return
 	}
 	arrived := m.now + step
+	if o.Kind == ownership.Release && m.work {
+		m.release(h, s, o)
+		return
+	}
 	if o.Kind == ownership.Fence {
 		m.events = append(m.events, event{arrived, func() {
 			m.perform(s, o, arrived)
@@ -327,7 +367,11 @@
 		s.release(o)
 		return true
 	}
-	return s.apply(o, arrived, settings.GrantDuration)
+	accepted := s.apply(o, arrived, settings.GrantDuration)
+	if accepted {
+		m.checkNoOtherWorks(s, o)
+	}
+	return accepted
 }
 
 // check fails the test if two servers own a key at the same time.
@@ -398,9 +442,12 @@
 
 // newModel returns a model with the given servers.
 func newModel(t *rapid.T, ids []topology.ServerID) *model {
-	m := &model{t: t, servers: make(map[topology.ServerID]*modelServer), copies: []keymap.Map{keymap.Empty()}, cut: make(map[topology.ServerID]bool), listInterval: step}
+	m := &model{
+		t: t, servers: make(map[topology.ServerID]*modelServer), copies: []keymap.Map{keymap.Empty()}, cut: make(map[topology.ServerID]bool), listInterval: step,
+		otherRegistrations: make(map[topology.ServerID]ownership.Server), formerAddresses: make(map[string]bool), reusedAddresses: make(map[string]bool),
+	}
 	for _, id := range ids {
-		m.servers[id] = newModelServer(1)
+		m.servers[id] = newModelServer(string(id), 1)
 	}
 	return m
 }
@@ -433,7 +480,7 @@
 			h.unreachable[id] = !h.unreachable[id]
 		case 5:
 			id := rapid.SampledFrom(ids).Draw(t, "restarted")
-			m.servers[id] = newModelServer(m.servers[id].incarnation + 1)
+			m.servers[id] = newModelServer(string(id), m.servers[id].incarnation+1)
 		case 8, 9:
 			m.restore()
 		}
