Let both random models of ownership use one server

Two models that were written beside each other declared the same constant, and the address of a server twice.

--- a/internal/ownership/network_property_test.go
+++ b/internal/ownership/network_property_test.go
@@ -28,8 +28,7 @@
 // process is one start of a server.
 type process struct {
 	*modelServer
-	id      topology.ServerID
-	address string
+	id topology.ServerID
 	// workEnds holds the time at which the work on released keys ends.
 	workEnds map[int]time.Duration
 	// heldUp holds the keys whose last grant was held up. Work under such a grant may go on
@@ -107,7 +106,7 @@
 	}
 	n.starts[id]++
 	n.running[id] = &process{
-		modelServer: newModelServer(n.starts[id]), id: id, address: rapid.SampledFrom(unused).Draw(n.t, "address"),
+		modelServer: newModelServer(rapid.SampledFrom(unused).Draw(n.t, "address"), n.starts[id]), id: id,
 		workEnds: make(map[int]time.Duration), heldUp: make(map[int]bool), openSince: n.now,
 	}
 }
--- a/internal/ownership/work_test.go
+++ b/internal/ownership/work_test.go
@@ -12,7 +12,6 @@
 )
 
 const (
-	releaseTimeout = 1500 * time.Millisecond
 	// addressReuse is the time after which the address of a process that has ended may be
 	// used by another server.
 	addressReuse = 2 * time.Second
