Keep a slow leader while the store does not respond

Cause: the resignation for lack of CPU did not ask whether another host could follow, unlike the one in favour of a host with more CPU. TestSlowLeaderStaysWhileStoreIsDown is of a new function and was not seen failing.

--- a/internal/gateway/elector_test.go
+++ b/internal/gateway/elector_test.go
@@ -98,3 +98,14 @@
 	g.Eventually(client.leaderSilent, 2*time.Second).Should(BeFalse())
 	g.Consistently(client.leaderSilent, 2*time.Second).Should(BeFalse())
 }
+
+// Guards against keys without an owner because a leader that lacks CPU resigns while the
+// store is down, so that no host can follow it.
+func TestSlowLeaderStaysWhileStoreIsDown(t *testing.T) {
+	g := NewWithT(t)
+	clk := clock.NewMonotonic()
+	l := &leadership{elector: &elector{clk: clk}, startedAt: clk.Now() - time.Minute, storeSeenAt: clk.Now() - 2*maxStoreSilence}
+	g.Expect(l.mayBeReplaced()).To(BeFalse())
+	l.recordResponse()
+	g.Expect(l.mayBeReplaced()).To(BeTrue())
+}
--- a/internal/gateway/leadership.go
+++ b/internal/gateway/leadership.go
@@ -154,7 +154,7 @@
 		newRequests, repeated := l.followers.takeRequestCounts()
 		slow = l.retransmissions.Observe(newRequests, repeated, now) || slow
 		lastTick = now
-		if slow && now-l.startedAt > minLeadershipTime {
+		if slow && l.mayBeReplaced() {
 			l.log.With("lag_ms", l.lag.Mean().Milliseconds()).With("repeated", l.retransmissions.Ratio()).Warn("this host has too little CPU to lead; it resigns")
 			l.resign(overloadPause)
 		}
@@ -171,6 +171,13 @@
 	}
 }
 
+// mayBeReplaced reports whether a leader that lacks CPU resigns. While the store does not
+// respond, no other host could claim the leadership, and grants would run out.
+func (l *leadership) mayBeReplaced() bool {
+	_, sinceResponse := l.confirmation()
+	return l.clk.Now()-l.startedAt > minLeadershipTime && sinceResponse < maxStoreSilence
+}
+
 // earlierLeaderAddresses returns the addresses of the earlier leaders that may
 // still act. As soon as they follow this leader, keys of unreachable servers
 // can be moved.
