Log the first grant that an owner accepts

A change of kind granted now states the server and the fence. TestChangesStateTheirReason expects it.

--- a/internal/ownership/changes.go
+++ b/internal/ownership/changes.go
@@ -20,19 +20,22 @@
 	// Returned means that released keys stay with their owner, because their move cannot
 	// be stored.
 	Returned
+	// Granted means that the owner has accepted the first grant of this leader, or the first
+	// one after a fence that it had not taken.
+	Granted
 )
 
 // String returns the name used in logs.
 func (k ChangeKind) String() string {
-	return [...]string{"released", "expired", "assigned", "returned"}[k]
+	return [...]string{"released", "expired", "assigned", "returned", "granted"}[k]
 }
 
 // Change is a change of the owner of a key range, with the inputs that decided it.
 type Change struct {
 	Kind     ChangeKind
 	From, To int
-	// Server is the owner that the keys had, or for Assigned and Returned the one that
-	// they have now; empty if any server could own them.
+	// Server is the owner that the keys had, or for Assigned, Returned and Granted the one
+	// that they have now; empty if any server could own them.
 	Server topology.ServerID
 	// Registered is true if the last list of servers has Server.
 	Registered bool
--- a/internal/ownership/result.go
+++ b/internal/ownership/result.go
@@ -90,11 +90,13 @@
 		case granting:
 			r.phase = granted
 			m.version++
+			m.recordChange(Granted, r)
 		case expiring:
 			// The server is reachable again, so the planned move may no longer be
 			// needed. The planner decides again.
 			r.phase, r.next = granted, ""
 			m.version++
+			m.recordChange(Granted, r)
 		}
 		r.renewedAt = r.sentAt
 		r.failures, r.handover = 0, ""
