Send nothing to a server that asks the host for a pause

Cause: Retry-After in a server's 503 was not read. A server may say with it that it wants nothing from this host for so long; at most two requests may reach it from half a second later until the end.

The host keeps the pause (schedule.Pauses) and sends the server nothing, whoever chose it. It tells the leader in a message of its own, which earlier releases reject, and tells each new leader. The scheduler assigns no such pair: requests for keys are refused as not run with the rest of the pause as Retry-After, unless it ends in the first half of the time to their target; services without keys use another server. A retry refused for a pause costs no budget. A later incarnation ends the pause.

--- a/internal/gateway/elector_test.go
+++ b/internal/gateway/elector_test.go
@@ -40,6 +40,7 @@
 
 func (l *lateLeader) HandleServerLimits(*hostlink.ServerLimits)   {}
 func (*lateLeader) HandleLeavingServers(*hostlink.LeavingServers) {}
+func (*lateLeader) HandleServerPauses(*hostlink.ServerPauses)     {}
 func (l *lateLeader) HandleToLeader(from netip.AddrPort, _ *hostlink.ToLeader) {
 	leads := l.leads.Load()
 	if !leads {
@@ -55,6 +56,7 @@
 func (h *clientHandler) HandleToLeader(netip.AddrPort, *hostlink.ToLeader) {}
 func (h *clientHandler) HandleServerLimits(*hostlink.ServerLimits)         {}
 func (*clientHandler) HandleLeavingServers(*hostlink.LeavingServers)       {}
+func (*clientHandler) HandleServerPauses(*hostlink.ServerPauses)           {}
 func (h *clientHandler) HandleFromLeader(from netip.AddrPort, m *hostlink.FromLeader) {
 	h.client.handle(from, m)
 }
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -36,6 +36,8 @@
 	b.watcher.recordLeavingServers(m)
 }
 
+func (b bothRoles) HandleServerPauses(m *hostlink.ServerPauses) { b.followers.handlePauses(m) }
+
 // Passes arbitrary datagrams to a leader and to a host with a waiting request, and
 // then uses the decision. Guards against a malformed message, or one of another
 // release, that ends the process.
@@ -76,6 +78,13 @@
 		}
 		f.Add(data)
 	}
+	for _, pause := range []hostlink.ServerPause{{Service: hash32("svc"), Server: "s", LeftMS: math.MaxUint32}, {Service: hash32("svc"), Server: "s", Incarnation: math.MinInt64, LeftMS: 1}} {
+		data, err := cbor.Marshal([]any{nil, nil, nil, nil, hostlink.ServerPauses{Incarnation: 7, Pauses: []hostlink.ServerPause{pause}}})
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
 	link, err := hostlink.Listen("127.0.0.1:0")
 	if err != nil {
 		f.Fatal(err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,6 +96,9 @@
 // HandleLeavingServers implements hostlink.Handler.
 func (g *gateway) HandleLeavingServers(m *hostlink.LeavingServers) { g.watcher.recordLeavingServers(m) }
 
+// HandleServerPauses implements hostlink.Handler.
+func (g *gateway) HandleServerPauses(m *hostlink.ServerPauses) { g.followers.handlePauses(m) }
+
 // Run serves until the context ends, and then stops gracefully. It accepts
 // changed settings while it runs: the bounds apply at once, the rest after the
 // next start.
@@ -261,7 +264,9 @@
 	if cfg == nil {
 		return
 	}
+	readAt := g.clk.Now() - g.watcher.listAge()
 	servers := g.watcher.servers()
+	g.leaderClient.pauses.endRestarted(servers, readAt)
 	g.elector.mu.Lock()
 	keyMaps := g.elector.keyMaps
 	g.elector.mu.Unlock()
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -28,6 +29,10 @@
 	// drainingRetryDelay is the pause before the leader is asked again after it
 	// chose a draining server.
 	drainingRetryDelay = 80 * time.Millisecond
+	// pausedRetryDelay is the pause before the leader is asked again after it chose a
+	// server that wants no requests from this host: the message that tells it of that
+	// may be lost.
+	pausedRetryDelay = 80 * time.Millisecond
 	// maxSends bounds the servers that a request is sent to, including those
 	// that refused it without running it.
 	maxSends = 4
@@ -69,6 +74,7 @@
 	// true while a retry that it allowed waits for a server.
 	retry      retryDecision
 	retryWaits bool
+	keyed      bool // the service has keys
 }
 
 // handle processes one request and returns its response; nil if the caller has
@@ -83,7 +89,7 @@
 		in.metrics.inc("unknown-route")
 		return &httpserver.Response{Status: http.StatusNotFound}
 	}
-	c := in.prepare(r, route)
+	c := in.prepare(r, route, cfg)
 	c.configVersion = cfg.Version
 	ctx, cancel := context.WithDeadline(parent, c.deadline)
 	defer cancel()
@@ -96,7 +102,7 @@
 
 // prepare returns a callerRequest with its deadline, service, key and forwarded
 // headers.
-func (in *ingress) prepare(r *httpserver.Request, route *fleet.Route) *callerRequest {
+func (in *ingress) prepare(r *httpserver.Request, route *fleet.Route, cfg *fleet.Config) *callerRequest {
 	timeLeft := defaultTimeLeft
 	if ms, err := strconv.ParseFloat(r.Header.Get(in.names.TimeLeft), 64); err == nil && ms > 0 {
 		timeLeft = time.Duration(ms * float64(time.Millisecond))
@@ -113,7 +119,7 @@
 	const goldenRatio = 0.6180339887498949
 	point := float64(in.serviceChoices.Add(1)) * goldenRatio
 	service := route.ChooseService(point - float64(int64(point)))
-	c.serviceHash = hash32(string(service))
+	c.serviceHash, c.keyed = hash32(string(service)), cfg.Services[service].Keyed
 	c.request = upstream.Request{
 		ID: r.Header.Get(in.names.RequestID), Method: r.Method, URI: r.RequestURI, Host: r.Host,
 		Header: in.forwardHeader(r.Header), Body: r.Content,
@@ -169,29 +175,18 @@
 			return in.undecidedResponse(ctx, c)
 		}
 		if decision.Refused {
-			if c.mayHaveRun {
-				return in.fail(c, http.StatusBadGateway, "no further attempt: "+decision.Reason.String())
-			}
-			return in.refuse(c, decision.Reason.String(), decision.RetryAfter)
+			return in.refusedResponse(c, decision.Reason, decision.RetryAfter)
 		}
 		id := schedule.JobID{HostIncarnation: in.leaderClient.incarnation, Number: number}
-		if in.serverDraining(decision.Server) {
-			// The leader reads the same list and will learn soon that the
-			// server is draining. What the server said to this host it learns
-			// from this host alone.
-			in.leaderClient.passLeaving(in.watcher.leavingServer(decision.Server))
-			in.metrics.inc("held-from-draining")
-			in.leaderClient.report(schedule.Report{ID: id, Result: schedule.CallerDisconnected})
-			clock.Sleep(ctx, drainingRetryDelay)
+		if held, response := in.holdBack(ctx, c, decision.Server, id); held {
+			if response != nil {
+				return response
+			}
 			continue
 		}
 		in.endRetryWait(c)
 		outcome := in.upstream.Do(ctx, decision.Server, decision.Address, c.deadline, &c.request)
-		in.recordLimit(c, decision, outcome)
-		if outcome.Leaving {
-			in.watcher.recordLeaving(decision.Server)
-			in.leaderClient.passLeaving(in.watcher.leavingServer(decision.Server))
-		}
+		in.recordStatements(c, decision, outcome)
 		outcome.Report.ID = id
 		in.leaderClient.report(outcome.Report)
 		c.sends++
@@ -199,6 +194,9 @@
 			c.mayHaveRun = true
 			c.possibleRuns++
 		}
+		if outcome.Pause > 0 && in.pauseOutlasts(c, decision.Server) {
+			return in.pausedResponse(c, decision.Server)
+		}
 		if outcome.Response != nil && (outcome.Result == schedule.Succeeded || !in.shouldRetry(c, outcome)) {
 			return in.serverResponse(c, decision.Server, outcome.Response)
 		}
@@ -214,6 +212,83 @@
 	}
 }
 
+// holdBack reports whether the server that the leader chose must not be sent a request. The
+// leader is told why, and is asked again after a delay unless there is a response.
+func (in *ingress) holdBack(ctx context.Context, c *callerRequest, server topology.ServerID, id schedule.JobID) (held bool, response *httpserver.Response) {
+	notSent := schedule.Report{ID: id, Result: schedule.CallerDisconnected}
+	switch {
+	case in.serverDraining(server):
+		// The leader reads the same list and will learn soon that the
+		// server is draining. What the server said to this host it learns
+		// from this host alone.
+		in.leaderClient.passLeaving(in.watcher.leavingServer(server))
+		in.metrics.inc("held-from-draining")
+		in.leaderClient.report(notSent)
+		clock.Sleep(ctx, drainingRetryDelay)
+	case in.leaderClient.pauses.left(server) > 0:
+		in.leaderClient.passPauses(in.leaderClient.pauses.listOf(server))
+		in.metrics.inc("held-from-paused")
+		in.leaderClient.report(notSent)
+		if in.pauseOutlasts(c, server) {
+			return true, in.pausedResponse(c, server)
+		}
+		if !slices.Contains(c.job.Tried, server) {
+			c.job.Tried = append(c.job.Tried, server) // for a leader of an earlier release
+		}
+		clock.Sleep(ctx, pausedRetryDelay)
+	default:
+		return false, nil
+	}
+	return true, nil
+}
+
+// pauseOutlasts reports whether a request for a key of the server cannot wait for the end
+// of the pause that the server asked this host for.
+func (in *ingress) pauseOutlasts(c *callerRequest, server topology.ServerID) bool {
+	left := in.leaderClient.pauses.left(server)
+	return c.keyed && left > 0 && !c.job.MayAwait(left, in.clk.Now())
+}
+
+// pausedResponse refuses a request because of the pause that a server asked for.
+func (in *ingress) pausedResponse(c *callerRequest, server topology.ServerID) *httpserver.Response {
+	return in.refusedResponse(c, schedule.Paused, in.leaderClient.pauses.left(server))
+}
+
+// refusedResponse returns the response to a request that gets no server.
+func (in *ingress) refusedResponse(c *callerRequest, reason schedule.Reason, after time.Duration) *httpserver.Response {
+	if reason == schedule.Paused && c.retryWaits {
+		c.retryWaits = false
+		in.budget.dropRetryWait(c.serviceHash)
+	}
+	if c.mayHaveRun {
+		return in.fail(c, http.StatusBadGateway, "no further attempt: "+reason.String())
+	}
+	return in.refuse(c, reason.String(), after)
+}
+
+// recordStatements takes note of what a response says of its server.
+func (in *ingress) recordStatements(c *callerRequest, decision schedule.Decision, outcome upstream.Outcome) {
+	in.recordLimit(c, decision, outcome)
+	in.recordPause(c, decision.Server, outcome)
+	if outcome.Leaving {
+		in.watcher.recordLeaving(decision.Server)
+		in.leaderClient.passLeaving(in.watcher.leavingServer(decision.Server))
+	}
+}
+
+// recordPause takes note of the pause that a server asks this host for in its response.
+func (in *ingress) recordPause(c *callerRequest, server topology.ServerID, outcome upstream.Outcome) {
+	if outcome.PauseError != nil {
+		in.log.event(c, "the pause that a server asks for cannot be read", string(server), outcome.Result.String(), outcome.PauseError)
+	}
+	if outcome.Pause > 0 {
+		if in.leaderClient.pauses.record(server, c.serviceHash, outcome.Pause) {
+			in.metrics.inc("server-pause")
+		}
+		in.leaderClient.passPauses(in.leaderClient.pauses.listOf(server))
+	}
+}
+
 // recordLimit takes note of what a response says of the limit of its server.
 func (in *ingress) recordLimit(c *callerRequest, decision schedule.Decision, outcome upstream.Outcome) {
 	if outcome.LimitError != nil {
--- a/internal/gateway/leaderclient.go
+++ b/internal/gateway/leaderclient.go
@@ -96,6 +96,7 @@
 	endLeadership func()        // ends the leadership of this host
 	limits        *serverLimits // that servers named to this host
 	limitPhase    float64       // of the fallback scheduler, see schedule.LimitShare
+	pauses        *serverPauses // that servers asked this host for
 	// leavingServers returns the servers to tell a new leader of.
 	leavingServers func() []hostlink.LeavingServer
 	// refuseAfter is the latest deadline of requests that may still be sent to a server;
@@ -110,6 +111,7 @@
 	}
 	c.fallback = newScheduler(clk, c.deliver, listUsable)
 	c.limits = newServerLimits(clk, logging.For(logging.Frontend))
+	c.pauses = newServerPauses(clk, logging.For(logging.Frontend))
 	c.leavingServers = func() []hostlink.LeavingServer { return nil }
 	return c
 }
@@ -128,6 +130,7 @@
 	logging.For(logging.Lead).With("leader", addr.String()).With("epoch", epoch).Info("this host follows a leader")
 	c.passLimits(c.limits.list())
 	c.passLeaving(c.leavingServers())
+	c.passPauses(c.pauses.list())
 	c.resubmitAll()
 }
 
@@ -140,6 +143,7 @@
 	c.reports = nil
 	c.mu.Unlock()
 	c.passLimits(c.limits.list())
+	c.passPauses(c.pauses.list())
 	c.resubmitAll()
 }
 
@@ -562,6 +566,7 @@
 	if c.leaderLostStore() {
 		c.suspectLeader()
 	}
+	c.pauses.endOver()
 	c.fallback.dispatch()
 }
 
--- a/internal/gateway/leaderclient_test.go
+++ b/internal/gateway/leaderclient_test.go
@@ -23,6 +23,7 @@
 	disconnected chan uint32
 	limits       chan hostlink.ServerLimit
 	leaving      chan hostlink.LeavingServer
+	pauses       chan *hostlink.ServerPauses
 }
 
 func (l *silentLeader) HandleToLeader(_ netip.AddrPort, m *hostlink.ToLeader) {
@@ -46,9 +47,12 @@
 	}
 }
 
+func (l *silentLeader) HandleServerPauses(m *hostlink.ServerPauses) { l.pauses <- m }
+
 func newSilentLeader() *silentLeader {
 	return &silentLeader{
 		disconnected: make(chan uint32, 16), limits: make(chan hostlink.ServerLimit, 16), leaving: make(chan hostlink.LeavingServer, 16),
+		pauses: make(chan *hostlink.ServerPauses, 16),
 	}
 }
 
--- a/internal/gateway/retrybudget.go
+++ b/internal/gateway/retrybudget.go
@@ -119,6 +119,14 @@
 	c.CountRetry()
 }
 
+// dropRetryWait ends the wait of an allowed retry that is not sent because its server
+// wants no requests from this host: nothing reaches the service.
+func (b *retryBudget) dropRetryWait(serviceHash uint32) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.counts(serviceHash).waiting--
+}
+
 // setHosts takes note of the number of hosts that the leader told last, zero if none
 // did.
 func (b *retryBudget) setHosts(hosts int) {
--- a/internal/hostlink/hostlink.go
+++ b/internal/hostlink/hostlink.go
@@ -94,6 +94,25 @@
 	Servers []LeavingServer
 }
 
+// ServerPause is a server that asked a host for a pause.
+type ServerPause struct {
+	_           struct{} `cbor:",toarray"`
+	Service     uint32   // hash of the service's name
+	Server      string
+	Incarnation int64 // that asked for the pause; zero if the host does not know it
+	// LeftMS is the time until the end of the pause in milliseconds.
+	LeftMS uint32
+}
+
+// ServerPauses is a message from a host to the leader with the servers that want no
+// requests from the host for now.
+type ServerPauses struct {
+	_ struct{} `cbor:",toarray"`
+	// Incarnation identifies the sender's process.
+	Incarnation uint64
+	Pauses      []ServerPause
+}
+
 // Decision is the leader's response to a routing request: a server, a refusal,
 // or the notice that the request is queued.
 type Decision struct {
@@ -171,11 +190,23 @@
 	LeavingServers *LeavingServers
 }
 
-// limitsMessageHead and leavingMessageHead are the first bytes of an encoded
-// limitsMessage and leavingMessage: arrays of three and of four elements.
+// pausesMessage is the encoded form of ServerPauses. Its array is longer than those of
+// the other messages, so earlier releases reject it and nothing else.
+type pausesMessage struct {
+	_              struct{} `cbor:",toarray"`
+	ToLeader       *struct{}
+	FromLeader     *struct{}
+	ServerLimits   *struct{}
+	LeavingServers *struct{}
+	ServerPauses   *ServerPauses
+}
+
+// The first bytes of an encoded limitsMessage, leavingMessage and pausesMessage: arrays
+// of three, four and five elements.
 const (
 	limitsMessageHead  = 0x83
 	leavingMessageHead = 0x84
+	pausesMessageHead  = 0x85
 )
 
 // Link sends and receives messages on one UDP socket. It is safe for concurrent
@@ -223,6 +254,11 @@
 	return l.send(to, leavingMessage{LeavingServers: m})
 }
 
+// SendServerPauses sends a message to the leader.
+func (l *Link) SendServerPauses(to netip.AddrPort, m *ServerPauses) error {
+	return l.send(to, pausesMessage{ServerPauses: m})
+}
+
 func (l *Link) send(to netip.AddrPort, m any) error {
 	data, err := cbor.Marshal(m)
 	if err != nil {
@@ -238,6 +274,7 @@
 	HandleFromLeader(from netip.AddrPort, m *FromLeader)
 	HandleServerLimits(m *ServerLimits)
 	HandleLeavingServers(m *LeavingServers)
+	HandleServerPauses(m *ServerPauses)
 }
 
 // Receive passes messages to h until the link is closed or reading fails.
@@ -280,6 +317,15 @@
 			h.HandleLeavingServers(m.LeavingServers)
 		}
 		return nil
+	case pausesMessageHead:
+		var m pausesMessage
+		if err := cbor.Unmarshal(datagram, &m); err != nil {
+			return err
+		}
+		if m.ServerPauses != nil {
+			h.HandleServerPauses(m.ServerPauses)
+		}
+		return nil
 	}
 	var m message
 	if err := cbor.Unmarshal(datagram, &m); err != nil {
--- a/internal/hostlink/hostlink_test.go
+++ b/internal/hostlink/hostlink_test.go
@@ -17,15 +17,18 @@
 	toLeader chan *hostlink.ToLeader
 	limits   chan *hostlink.ServerLimits
 	leaving  chan *hostlink.LeavingServers
+	pauses   chan *hostlink.ServerPauses
 }
 
 func (c collector) HandleToLeader(_ netip.AddrPort, m *hostlink.ToLeader) { c.toLeader <- m }
 func (c collector) HandleFromLeader(netip.AddrPort, *hostlink.FromLeader) {}
 func (c collector) HandleServerLimits(m *hostlink.ServerLimits)           { c.limits <- m }
 func (c collector) HandleLeavingServers(m *hostlink.LeavingServers)       { c.leaving <- m }
+func (c collector) HandleServerPauses(m *hostlink.ServerPauses)           { c.pauses <- m }
 func newCollector() collector {
 	return collector{
 		toLeader: make(chan *hostlink.ToLeader, 1), limits: make(chan *hostlink.ServerLimits, 1), leaving: make(chan *hostlink.LeavingServers, 1),
+		pauses: make(chan *hostlink.ServerPauses, 1),
 	}
 }
 
@@ -93,3 +96,33 @@
 	}
 	g.Expect(cbor.Unmarshal(data, &earlier)).NotTo(Succeed())
 }
+
+// Guards against pauses that arrive changed, or that an earlier release takes for another
+// message.
+func TestServerPausesArrive(t *testing.T) {
+	g := NewWithT(t)
+	c := newCollector()
+	receiver, err := hostlink.Listen("127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = receiver.Close() }()
+	go func() { _ = receiver.Receive(c, func(err error) { t.Error(err) }) }()
+	sender, err := hostlink.Listen("127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = sender.Close() }()
+	sent := &hostlink.ServerPauses{Incarnation: 1 << 63, Pauses: []hostlink.ServerPause{
+		{Service: 7, Server: "s-1", Incarnation: 1796493600000, LeftMS: 3_600_000}, {Server: "s-2"},
+	}}
+	g.Expect(sender.SendServerPauses(receiver.Address(), sent)).To(Succeed())
+	g.Eventually(c.pauses, time.Second).Should(Receive(Equal(sent)))
+
+	data, err := cbor.Marshal([]any{nil, nil, nil, nil, sent})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(hostlink.Dispatch(data, netip.AddrPort{}, c)).To(Succeed())
+	g.Expect(c.pauses).To(Receive(Equal(sent)))
+	var earlier struct {
+		_          struct{} `cbor:",toarray"`
+		ToLeader   *hostlink.ToLeader
+		FromLeader *hostlink.FromLeader
+	}
+	g.Expect(cbor.Unmarshal(data, &earlier)).NotTo(Succeed())
+}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -104,11 +104,13 @@
 	Harmful
 	// HostStops: the host of the request stops before a server is free.
 	HostStops
+	// Paused: the server wants no requests from the host of the request for now.
+	Paused
 )
 
 // String returns the name of the reason in logs and metrics.
 func (r Reason) String() string {
-	names := [...]string{"none", "overloaded", "no-owner", "no-server", "harmful", "host-stops"}
+	names := [...]string{"none", "overloaded", "no-owner", "no-server", "harmful", "host-stops", "paused"}
 	if int(r) >= len(names) {
 		return "unknown" // sent by a later release
 	}
@@ -196,9 +198,13 @@
 	jobs             map[JobID]*Job
 	estimates        map[uint32]*durationEstimate
 	// meanWork is the mean of the expected processing times of the jobs.
-	meanWork   durationEstimate
-	limits     map[topology.ServerID]*rateLimit
-	lastExpiry time.Duration // time of the last check of assigned
+	meanWork durationEstimate
+	limits   map[topology.ServerID]*rateLimit
+	// pausedHosts holds the hosts with pauses in force by incarnation, freeHostNumbers
+	// the numbers of former ones.
+	pausedHosts     map[uint64]*pausedHost
+	freeHostNumbers []int
+	lastExpiry      time.Duration // time of the last check of assigned
 	// dirty lists the servers whose state has changed since the last Decide.
 	dirty        []*server
 	crashTracker *crashTracker
@@ -220,6 +226,7 @@
 		jobs:         make(map[JobID]*Job),
 		estimates:    make(map[uint32]*durationEstimate),
 		limits:       make(map[topology.ServerID]*rateLimit),
+		pausedHosts:  make(map[uint64]*pausedHost),
 		crashTracker: newCrashTracker(),
 		ownerOf:      func(int) Owner { return Owner{} },
 	}
@@ -269,7 +276,7 @@
 	s.jobs[j.ID] = j
 	s.meanWork.observe(j.estimate.expectedSeconds())
 	if s.keyed {
-		if srv := s.servers[s.ownerOf(j.Key).Server]; srv != nil {
+		if srv := s.servers[s.ownerOf(j.Key).Server]; srv != nil && srv.pauseLeft(s.pausedHostNumber(j), now) == 0 {
 			srv.demand.add(j.estimate.expectedSeconds(), now)
 		}
 	} else {
@@ -355,6 +362,7 @@
 	}
 	s.lastExpiry = now
 	s.dropLimits(now)
+	s.dropPauses(now)
 	for id := range s.assigned {
 		if now > s.jobs[id].Deadline+inflightGrace {
 			s.Remove(id)
@@ -381,12 +389,15 @@
 	s.dirty = nil
 	for _, srv := range servers {
 		srv.waiting = s.dropFinished(srv.waiting)
+		var held []*Job
+		held, out = s.separatePaused(srv, now, out)
 		for len(srv.waiting) > 0 && srv.accepts(now) && len(srv.running) < srv.Slots+s.settings.Prefetch {
 			i := s.nextJob(srv.waiting, now, srv.slowness*s.targetMargin(srv, now))
 			j := srv.waiting[i]
 			srv.waiting = append(srv.waiting[:i], srv.waiting[i+1:]...)
 			out = append(out, s.assign(j, srv, now))
 		}
+		srv.waiting = append(srv.waiting, held...)
 		out = s.refuseBeyondLimit(srv, now, out)
 		out = s.refuseLate(srv, now, out)
 	}
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -27,6 +27,10 @@
 	dirty  bool
 	demand demand     // of the jobs whose keys this server owns
 	limit  *rateLimit // nil if the server named none
+	// pausedUntil holds the end of the pause of each host by its number, lastPauseEnd
+	// the latest of them.
+	pausedUntil  []time.Duration
+	lastPauseEnd time.Duration
 }
 
 // accepts reports whether the server may be sent a request now, if it has a free
--- a/internal/schedule/unkeyed.go
+++ b/internal/schedule/unkeyed.go
@@ -26,10 +26,15 @@
 	}
 	slots := int(math.Ceil(usable))
 	saturated := slots > 0 && s.demand.at(now) > poolSaturation*float64(slots)
+	var held []*Job // their hosts are paused by all free servers
 	for len(s.waiting) > 0 {
 		i := s.nextJob(s.waiting, now, poolMargin)
 		j := s.waiting[i]
 		srv := s.pickServer(j, now)
+		if srv == nil && s.pausedHostNumber(j) != noPausedHost && s.hasFreeServer(now) {
+			held = s.holdBack(j.ID.HostIncarnation, held)
+			continue
+		}
 		if srv == nil {
 			break
 		}
@@ -37,6 +42,7 @@
 		out = append(out, s.assign(j, srv, now))
 		running++
 	}
+	s.waiting = append(s.waiting, held...)
 	if len(s.waiting) > 0 {
 		out = s.refuseUnkeyed(now, slots, running, saturated, out)
 	}
@@ -64,7 +70,10 @@
 		if surplus {
 			excess--
 		}
+		pause := s.pauseOfAll(s.pausedHostNumber(j), now)
 		switch {
+		case pause > 0 && !j.MayAwait(pause, now):
+			out = append(out, s.refuse(j, Paused, max(minRetryAfter, pause)))
 		case slots == 0 && now-j.arrived > maxUnownedWait/2:
 			out = append(out, s.refuse(j, NoServer, time.Second))
 		case surplus, now+work/2 > j.Deadline, j.arrived == now && slots > 0 && now+backlog+work > j.Deadline:
@@ -82,7 +91,11 @@
 func (s *Scheduler) pickServer(j *Job, now time.Duration) *server {
 	var best *server
 	var bestCost float64
+	host := s.pausedHostNumber(j)
 	for _, srv := range s.sortedServers {
+		if host != noPausedHost && srv.pauseLeft(host, now) > 0 {
+			continue
+		}
 		if !srv.accepts(now) || len(srv.running) >= srv.Slots {
 			continue
 		}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -81,7 +81,12 @@
 	LimitError error
 	// Leaving is true if the response announces the shutdown of the server.
 	Leaving bool
-	Cause   error
+	// Pause is the time for which the server wants no further request from this host,
+	// zero if it states none. If it is stated in a way that cannot be read, PauseError
+	// is set.
+	Pause      time.Duration
+	PauseError error
+	Cause      error
 }
 
 const (
@@ -456,6 +461,9 @@
 	}
 	outcome.Report.Running, outcome.Report.Waiting, outcome.Report.LoadKnown = parseLoad(resp.Header.Get(c.headers.ServerLoad))
 	status := resp.StatusCode
+	if status == http.StatusServiceUnavailable {
+		outcome.Pause, outcome.PauseError = parsePause(resp.Header.Get("Retry-After"))
+	}
 	switch {
 	case status == http.StatusMisdirectedRequest:
 		outcome.Result, outcome.NotRun = schedule.WrongServer, true
@@ -521,6 +529,25 @@
 	return schedule.Limit{Stated: true, PerSecond: perSecond}, nil
 }
 
+// parsePause parses the seconds of the header Retry-After. A date, which HTTP permits as
+// well, is not among the values that servers send.
+func parsePause(value string) (time.Duration, error) {
+	value = strings.TrimSpace(value)
+	if value == "" {
+		return 0, nil
+	}
+	seconds, err := strconv.ParseFloat(value, 64)
+	if errors.Is(err, strconv.ErrRange) && seconds > 0 {
+		err = nil // more digits than a number holds
+	} else if math.IsInf(seconds, 0) {
+		err = strconv.ErrSyntax
+	}
+	if err != nil || math.IsNaN(seconds) || seconds < 0 {
+		return 0, fmt.Errorf("pause %q is not a number of seconds", value)
+	}
+	return time.Duration(min(seconds, schedule.MaxPause.Seconds()) * float64(time.Second)), nil
+}
+
 // announcesLeaving reports whether the value of the header Leaving announces a shutdown.
 func announcesLeaving(value string) bool {
 	value = strings.TrimSpace(value)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -227,6 +227,44 @@
 	}
 }
 
+// Guards against a pause that a server asks for and that is not read, or is read from a
+// value or a response that states none.
+func TestPauseThatServerAsksFor(t *testing.T) {
+	asks := func(status, after string) string {
+		return "HTTP/1.1 " + status + "\r\nX-Id: ID\r\nX-Signature: s\r\nRetry-After: " + after + "\r\nContent-Length: 2\r\n\r\nok"
+	}
+	for _, c := range []struct {
+		name, response string
+		pause          time.Duration
+		invalid        bool
+	}{
+		{name: "none", response: strings.Replace(okResponse, "200 OK", "503 X", 1)},
+		{name: "whole seconds", response: asks("503 X", "4"), pause: 4 * time.Second},
+		{name: "fraction and spaces", response: asks("503 X", " 0.25 "), pause: 250 * time.Millisecond},
+		{name: "zero", response: asks("503 X", "0")},
+		{name: "huge", response: asks("503 X", "18446744073709551616"), pause: schedule.MaxPause},
+		{name: "more digits than a number holds", response: asks("503 X", strings.Repeat("9", 400)), pause: schedule.MaxPause},
+		{name: "success", response: asks("200 OK", "4")},
+		{name: "another status", response: asks("429 X", "4")},
+		{name: "another server has the address", response: asks("421 X", "4")},
+		{name: "truncated response", response: strings.TrimSuffix(asks("503 X", "4"), "ok")},
+		{name: "date", response: asks("503 X", "Wed, 21 Oct 2026 07:28:00 GMT"), invalid: true},
+		{name: "text", response: asks("503 X", "soon"), invalid: true},
+		{name: "not finite", response: asks("503 X", "NaN"), invalid: true},
+		{name: "infinite", response: asks("503 X", "Inf"), invalid: true},
+		{name: "negative", response: asks("503 X", "-1"), invalid: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			address, _ := startServer(t, respond(c.response, false))
+			client := upstream.New(headers, membudget.New(testMemory))
+			out := client.Do(t.Context(), "s", address, time.Now().Add(time.Second), request("x", ""))
+			g.Expect(out.Pause).To(Equal(c.pause))
+			g.Expect(out.PauseError != nil).To(Equal(c.invalid))
+		})
+	}
+}
+
 // Guards against a TimeLeft header with more time than the caller has left.
 func TestTimeLeft(t *testing.T) {
 	g := NewWithT(t)
