Count the delay of held-up calls from the last cut of the model

TestOneOwnerWithHeldGrantsOfKilledLeader delivered a held-up grant 0.4 s after the end of a cut although the path had been cut again in between, here 0.25 s after the end of the second cut. The users' rules except grants that arrive within 0.3 s after a link healed. The delay now starts at the end of the last cut, and the grant still arrives.

The known limit of rule 13 is not narrowed further.

--- a/internal/ownership/property_test.go
+++ b/internal/ownership/property_test.go
@@ -116,6 +116,8 @@
 	// cut holds the servers that no host reaches, held the calls on their way to them.
 	cut  map[topology.ServerID]bool
 	held []*heldCall
+	// healedAt holds the end of the last cut of each server.
+	healedAt map[topology.ServerID]time.Duration
 }
 
 // heldCall is a call that the network holds up. It arrives after the cut has healed,
@@ -340,6 +342,7 @@
 // heal ends the cut of a server.
 func (m *model) heal(id topology.ServerID) {
 	delete(m.cut, id)
+	m.healedAt[id] = m.now
 	for _, h := range m.hosts {
 		delete(h.unreachable, id)
 	}
@@ -349,19 +352,28 @@
 			rest = append(rest, c)
 			continue
 		}
-		m.events = append(m.events, event{m.now + heldCallDelay, func() {
-			switch {
-			case !c.sender.killed || m.servers[id] != c.server:
-			case m.cut[id]:
-				m.held = append(m.held, c)
-			default:
-				m.perform(c.server, c.order, m.now)
-			}
-		}})
+		m.deliverAfter(heldCallDelay, c)
 	}
 	m.held = rest
 }
 
+// deliverAfter delivers a held call. If the path has been cut in the meantime, the call waits
+// for the same time after the end of that cut.
+func (m *model) deliverAfter(d time.Duration, c *heldCall) {
+	m.events = append(m.events, event{m.now + d, func() {
+		id := c.order.Server
+		switch wait := m.healedAt[id] + heldCallDelay - m.now; {
+		case !c.sender.killed || m.servers[id] != c.server:
+		case m.cut[id]:
+			m.held = append(m.held, c)
+		case wait > 0:
+			m.deliverAfter(wait, c)
+		default:
+			m.perform(c.server, c.order, m.now)
+		}
+	}})
+}
+
 func (m *model) perform(s *modelServer, o ownership.Order, arrived time.Duration) bool {
 	if o.Kind != ownership.Grant {
 		s.release(o)
@@ -443,7 +455,7 @@
 // newModel returns a model with the given servers.
 func newModel(t *rapid.T, ids []topology.ServerID) *model {
 	m := &model{
-		t: t, servers: make(map[topology.ServerID]*modelServer), copies: []keymap.Map{keymap.Empty()}, cut: make(map[topology.ServerID]bool), listInterval: step,
+		t: t, servers: make(map[topology.ServerID]*modelServer), copies: []keymap.Map{keymap.Empty()}, cut: make(map[topology.ServerID]bool), healedAt: make(map[topology.ServerID]time.Duration), listInterval: step,
 		otherRegistrations: make(map[topology.ServerID]ownership.Server), formerAddresses: make(map[string]bool), reusedAddresses: make(map[string]bool),
 	}
 	for _, id := range ids {
