Look up the paused host of a request once

Cause: the scheduler looked for the host of a request up to three times for each request.

TestRetryRefusedForPauseCostsNoBudget is new: no test showed that such a retry leaves the budget as it was.

--- a/internal/gateway/serverpauses_test.go
+++ b/internal/gateway/serverpauses_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/lycheerudder/lycheerudder/internal/fleet"
 	"github.com/lycheerudder/lycheerudder/internal/hostlink"
+	"github.com/lycheerudder/lycheerudder/internal/logging"
 	"github.com/lycheerudder/lycheerudder/internal/schedule"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
@@ -69,3 +70,28 @@
 	}
 	g.Expect(decisions).To(HaveExactElements(HaveField("Reason", schedule.Paused), HaveField("Server", topology.ServerID("s-1"))))
 }
+
+// Guards against a retry that is refused because of a pause and draws on the budget.
+func TestRetryRefusedForPauseCostsNoBudget(t *testing.T) {
+	g := NewWithT(t)
+	f := newBudgetFleet(1, 0)
+	in := &ingress{budget: f.hosts[0].budget, metrics: &metrics{}, log: &requestLog{log: logging.For(logging.Frontend), clk: f.clk}}
+	counts := func() float64 {
+		_, retries := in.budget.counts(1).Sums()
+		return retries + float64(in.budget.counts(1).waiting)
+	}
+	for _, test := range []struct {
+		reason schedule.Reason
+		cost   float64
+	}{{schedule.Paused, 0}, {schedule.Overloaded, 1}} {
+		for range 100 {
+			in.budget.countRequest(1)
+		}
+		before := counts()
+		g.Expect(in.budget.decideRetry(1, 1).denied).To(BeFalse())
+		c := &callerRequest{serviceHash: 1, retryWaits: true, route: &fleet.Route{}}
+		in.refusedResponse(c, test.reason, time.Second)
+		in.endRetryWait(c)
+		g.Expect(counts()-before).To(Equal(test.cost), test.reason.String())
+	}
+}
--- a/internal/schedule/pause.go
+++ b/internal/schedule/pause.go
@@ -149,7 +149,7 @@
 			h.number = s.freeHostNumbers[n-1]
 			s.freeHostNumbers = s.freeHostNumbers[:n-1]
 		}
-		s.pausedHosts[host] = h
+		s.pausedHosts[host], s.lastLookup = h, hostLookup{}
 	}
 	for len(srv.pausedUntil) <= h.number {
 		srv.pausedUntil = append(srv.pausedUntil, 0)
@@ -167,18 +167,33 @@
 		if now >= h.until {
 			s.freeHostNumbers = append(s.freeHostNumbers, h.number)
 			delete(s.pausedHosts, host)
+			s.lastLookup = hostLookup{}
 		}
 	}
 }
 
 // pausedHostNumber returns the number of the host of a job.
 func (s *Scheduler) pausedHostNumber(j *Job) int {
-	if len(s.pausedHosts) > 0 {
-		if h, ok := s.pausedHosts[j.ID.HostIncarnation]; ok {
-			return h.number
-		}
+	if len(s.pausedHosts) == 0 {
+		return noPausedHost
+	}
+	if last := s.lastLookup; last.valid && last.host == j.ID.HostIncarnation {
+		return last.number
+	}
+	number := noPausedHost
+	if h, ok := s.pausedHosts[j.ID.HostIncarnation]; ok {
+		number = h.number
 	}
-	return noPausedHost
+	s.lastLookup = hostLookup{valid: true, host: j.ID.HostIncarnation, number: number}
+	return number
+}
+
+// hostLookup is the number of the host that was asked for last: the same job asks for it
+// several times in a row.
+type hostLookup struct {
+	valid  bool
+	host   uint64
+	number int
 }
 
 // pauseLeft returns for how long the server wants nothing from a host; zero if it
@@ -209,7 +224,7 @@
 // separatePaused removes the jobs of paused hosts from the queue of a server. It refuses
 // those that can't wait for the end of the pause and returns the others.
 func (s *Scheduler) separatePaused(srv *server, now time.Duration, out []Decision) (held []*Job, decisions []Decision) {
-	if now >= srv.lastPauseEnd {
+	if len(srv.waiting) == 0 || now >= srv.lastPauseEnd {
 		return nil, out
 	}
 	kept := srv.waiting[:0]
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -204,6 +204,7 @@
 	// the numbers of former ones.
 	pausedHosts     map[uint64]*pausedHost
 	freeHostNumbers []int
+	lastLookup      hostLookup
 	lastExpiry      time.Duration // time of the last check of assigned
 	// dirty lists the servers whose state has changed since the last Decide.
 	dirty        []*server
