--- a/internal/ownership/changes.go
+++ b/internal/ownership/changes.go
@@ -48,7 +48,8 @@
 	Fence int64
 }
 
-// maxChanges bounds the changes that are kept for TakeChanges.
+// maxChanges bounds the changes that are kept for TakeChanges: the buffer of the log holds
+// fewer lines, and all ranges may change at once.
 const maxChanges = 1024
 
 // TakeChanges returns the changes since the last call, at most maxChanges of them, and the
