Send few fence orders for keys of unknown owners

Cause: ranges with unknown owners are scattered (they are moves in doubt), and each made an order for each server; after the first response of a server all of its others were sent at once, each on a connection of its own.

Now a server is told one span between two of its own ranges: a fence for further keys that it does not own changes nothing. Calls are spaced at 4 ms and bounded, in all and for each server; former owners that are known go before servers that may have owned keys. A leader that had no CPU time while it should have told the servers tells them before the keys get an owner, and once more after a further restore, since a rival of the next era may have had higher fences than they were told.

A call for each server stays needed: any of them may get a held-up grant. The time to tell all is the number of spans times 4 ms.

--- a/internal/ownership/fencing.go
+++ b/internal/ownership/fencing.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -70,56 +71,81 @@
 	m.formerOwners = rest
 }
 
-// unknownOwners holds keys that any server may have owned. Each server that is registered
+// unknownOwners holds the keys that any server may have owned. Each server that is registered
 // within formerOwnerMemory is told a higher fence for those of them that it does not own now.
 type unknownOwners struct {
-	from, to int
-	since    time.Duration
-	told     map[topology.ServerID]bool
+	keys  []keySpan // in order
+	since time.Duration
+	told  map[topology.ServerID]bool
 }
 
-// fenceUnknownOwners makes the leader tell all servers a higher fence for the keys of a
-// range whose owner is not known.
-func (m *Manager) fenceUnknownOwners(r *keyRange, now time.Duration) {
-	r.fencing = true
-	if n := len(m.unknownOwners); n > 0 && m.unknownOwners[n-1].since == now && m.unknownOwners[n-1].to+1 == r.from {
-		m.unknownOwners[n-1].to = r.to
-		return
+// keySpan is a range of keys, both ends included.
+type keySpan struct{ from, to int }
+
+// fenceUnknownOwners makes the leader tell all servers a higher fence for all keys whose
+// owner is not known.
+func (m *Manager) fenceUnknownOwners(now time.Duration) {
+	u := &unknownOwners{since: now, told: make(map[topology.ServerID]bool)}
+	for _, r := range m.ranges {
+		if r.ownerUnknown {
+			r.fencing = true
+			u.keys = append(u.keys, keySpan{r.from, r.to})
+		}
 	}
-	m.unknownOwners = append(m.unknownOwners, &unknownOwners{from: r.from, to: r.to, since: now, told: make(map[topology.ServerID]bool)})
+	m.unknownOwners = u
 }
 
 // updateUnknownOwners adds the servers that have not been told a fence yet.
 func (m *Manager) updateUnknownOwners(now time.Duration) {
-	m.unknownOwners = slices.DeleteFunc(m.unknownOwners, func(u *unknownOwners) bool { return now-u.since > formerOwnerMemory })
-	for _, u := range m.unknownOwners {
-		for id, srv := range m.servers {
-			if u.told[id] {
-				continue
-			}
-			u.told[id] = true
-			m.notOwnedBy(id, u.from, u.to, func(from, to int) {
-				owner := keymap.FormerOwner{Server: id, Address: srv.Address, Incarnation: srv.Incarnation}
-				m.addFenceOrder(formerOwner{owner: owner, from: from, to: to, ownerUnknown: true})
-			})
+	u := m.unknownOwners
+	if u == nil {
+		return
+	}
+	if now-u.since > formerOwnerMemory {
+		m.unknownOwners = nil
+		return
+	}
+	for id, srv := range m.servers {
+		if u.told[id] {
+			continue
+		}
+		u.told[id] = true
+		for _, s := range m.spansToFence(id, u.keys) {
+			owner := keymap.FormerOwner{Server: id, Address: srv.Address, Incarnation: srv.Incarnation}
+			m.addFenceOrder(formerOwner{owner: owner, from: s.from, to: s.to, ownerUnknown: true})
 		}
 	}
 }
 
-// notOwnedBy calls f for each part of the keys from from to to that the server does not own.
-func (m *Manager) notOwnedBy(server topology.ServerID, from, to int, f func(from, to int)) {
+// spansToFence returns spans that cover those of the given keys that the server does not own,
+// and no key that it owns or is about to get. Between two ranges of the server there is one
+// span at most: a fence for further keys that it does not own changes nothing, so the number
+// of calls does not grow with the number of ranges without a known owner.
+func (m *Manager) spansToFence(server topology.ServerID, keys []keySpan) []keySpan {
+	var spans []keySpan
+	extend := false // whether the last span may be extended
 	for _, r := range m.ranges {
-		if r.server != server || r.phase == free || r.to < from || r.from > to {
+		if (r.server == server && r.phase != free) || (r.next == server && !r.ownerUnknown) {
+			extend = false
 			continue
 		}
-		if from < r.from {
-			f(from, r.from-1)
+		for len(keys) > 0 && keys[0].to < r.from {
+			keys = keys[1:]
+		}
+		for _, k := range keys {
+			if k.from > r.to {
+				break
+			}
+			part := keySpan{max(k.from, r.from), min(k.to, r.to)}
+			if extend {
+				spans[len(spans)-1].to = part.to
+			} else {
+				spans = append(spans, part)
+			}
+			extend = true
 		}
-		from = r.to + 1
-	}
-	if from <= to {
-		f(from, to)
 	}
+	return spans
 }
 
 // updateFormerOwners takes the addresses of former owners from their registrations. It
@@ -141,6 +167,52 @@
 	})
 }
 
+const (
+	// fenceCallInterval is the mean interval between the calls of fence orders to all servers
+	// together, fenceCallBurst the number of calls that may be made up for at once. Each
+	// call needs a connection of its own, about 0.3 ms of CPU time, and leaders have a
+	// fraction of a core.
+	fenceCallInterval = 4 * time.Millisecond
+	fenceCallBurst    = 25
+	// maxFenceCalls bounds the calls of fence orders without a response,
+	// maxUnknownOwnerCalls those for keys of unknown owners: of many servers, few can have
+	// owned these keys. maxFenceCallsPerServer bounds the calls to one server. Each holds a
+	// connection; servers accept a limited number from all hosts together.
+	maxFenceCalls          = 128
+	maxUnknownOwnerCalls   = 96
+	maxFenceCallsPerServer = 8
+)
+
+// fencePace spaces the calls of fence orders.
+type fencePace struct {
+	next      time.Duration             // time from which a call may be made
+	calls     int                       // without a response
+	perServer map[topology.ServerID]int // the same by server
+}
+
+// take reports whether a call for the order may be made now, and counts it.
+func (p *fencePace) take(f *formerOwner, now time.Duration) bool {
+	server, limit := f.owner.Server, maxFenceCalls
+	if f.ownerUnknown {
+		limit = maxUnknownOwnerCalls
+	}
+	if p.next > now || p.calls >= limit || p.perServer[server] >= maxFenceCallsPerServer {
+		return false
+	}
+	p.next = max(p.next, now-fenceCallBurst*fenceCallInterval) + fenceCallInterval
+	p.calls++
+	p.perServer[server]++
+	return true
+}
+
+// end records that a call to the server has ended.
+func (p *fencePace) end(server topology.ServerID) {
+	p.calls--
+	if p.perServer[server]--; p.perServer[server] == 0 {
+		delete(p.perServer, server)
+	}
+}
+
 // fenceTurn is the state of the orders for one server.
 type fenceTurn struct {
 	busy      bool         // an order was sent within the interval between two calls
@@ -175,7 +247,9 @@
 }
 
 // fenceOrders returns the orders that are due for former owners: one for each server at a
-// time, in turn, until the server can be reached, then all others.
+// time, in turn, until the server can be reached, then all others. If more are due than the
+// pace permits, those whose owner is known go first, then those that were sent the longest
+// time ago.
 func (m *Manager) fenceOrders(now time.Duration) []Order {
 	m.updateUnknownOwners(now)
 	if len(m.formerOwners) == 0 {
@@ -188,10 +262,25 @@
 		return now-f.since > formerOwnerMemory
 	})
 	turns := m.fenceTurns(now)
-	var orders []Order
+	var due []*formerOwner
 	for _, f := range m.formerOwners {
 		turn := turns[f.owner.Server]
-		if !m.due(f, now) || (!f.reached && !turn.connected && (turn.busy || turn.next != f)) {
+		if m.due(f, now) && (f.reached || turn.connected || (!turn.busy && turn.next == f)) {
+			due = append(due, f)
+		}
+	}
+	slices.SortStableFunc(due, func(a, b *formerOwner) int {
+		if a.ownerUnknown != b.ownerUnknown {
+			if b.ownerUnknown {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.sentAt, b.sentAt)
+	})
+	var orders []Order
+	for _, f := range due {
+		if !m.fencePace.take(f, now) {
 			continue
 		}
 		f.sentAt = now
@@ -208,6 +297,7 @@
 // handleFence records the outcome of a Fence order. After a success all orders for the
 // same server are due at once.
 func (m *Manager) handleFence(o Order, outcome Outcome) {
+	m.fencePace.end(o.Server)
 	for _, f := range m.formerOwners {
 		if f.owner.Server == o.Server && f.inFlight == 0 && outcome == Done {
 			f.reached, f.sentAt = true, -time.Hour
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -201,7 +201,8 @@
 	grantsInFlight map[topology.ServerID]bool
 	ranges         []*keyRange // in the order of keys
 	formerOwners   []*formerOwner
-	unknownOwners  []*unknownOwners
+	unknownOwners  *unknownOwners // nil if no such keys are known
+	fencePace      fencePace
 	nextID         int
 	// earlierUntil is the time until which grants of earlier leaders may arrive.
 	earlierUntil time.Duration
@@ -227,6 +228,7 @@
 	m := &Manager{
 		service: service, settings: settings, nextFence: nextFence, earlierUntil: earlierUntil, servers: make(map[topology.ServerID]Server),
 		failedAt: make(map[topology.ServerID]time.Duration), grantsInFlight: make(map[topology.ServerID]bool),
+		fencePace: fencePace{perServer: make(map[topology.ServerID]int)},
 	}
 	for _, e := range keyMap {
 		r := &keyRange{from: e.From, to: e.To, server: e.Server, address: e.Address, incarnation: e.Incarnation, fence: nextFence(), earlierGrants: true, sentAt: -time.Hour, latestExpiry: -time.Hour}
@@ -428,9 +430,13 @@
 // unknown. The result of KeyMapToGrantAgain must have been stored, with no other append
 // since.
 func (m *Manager) GrantAgain() {
+	m.unknownOwners = nil
 	for _, r := range m.ranges {
 		switch {
-		case r.ownerUnknown, r.phase == free && r.server == "" && !r.appendInDoubt:
+		case r.ownerUnknown:
+			r.fencing = false // the fences that servers were told are of the epoch before
+			continue
+		case r.phase == free && r.server == "" && !r.appendInDoubt:
 			continue
 		case r.phase == free && r.appendInDoubt:
 			r.setOwnerUnknown(r.next)
@@ -540,12 +546,13 @@
 // awaitExpiry frees a range once its server cannot own the keys any more, and until then
 // begins to tell that server a higher fence when it gets no more grants.
 func (m *Manager) awaitExpiry(r *keyRange, now time.Duration) {
+	if r.ownerUnknown && !r.fencing && now >= m.earlierUntil {
+		m.fenceUnknownOwners(now)
+	}
 	switch {
 	case now >= m.freeAt(r):
 		m.markFree(r, Expired)
 	case r.phase != expiring || !r.earlierGrants || r.fencing:
-	case r.ownerUnknown && now >= m.earlierUntil:
-		m.fenceUnknownOwners(r, now)
 	case !r.ownerUnknown && !m.regainAllowed(now):
 		m.fenceOwner(r)
 	}
