--- a/internal/ownership/fencevolume_test.go
+++ b/internal/ownership/fencevolume_test.go
@@ -214,3 +214,18 @@
 	l.run(time.Second, step)
 	g.Expect(l.fences).To(HaveLen(6))
 }
+
+// Guards against a leader that opens a connection for each range at once when all ranges of
+// many servers move: all must still be released.
+func TestReleasesInFlightAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	l := newLargeLeader(manyServers, evenRanges(manyRanges, manyServers))
+	l.run(time.Second, step)
+	l.callTime = 100 * time.Millisecond
+	for i := range manyRanges {
+		l.Move(i*keymap.KeyCount/manyRanges, (i+1)*keymap.KeyCount/manyRanges-1, serverID((i+1)%manyServers))
+	}
+	l.run(2*time.Second, step)
+	g.Expect(l.most[ownership.Release]).To(BeNumerically("<=", 256))
+	l.Ranges(l.now, func(r ownership.RangeState) { g.Expect(r.Next).To(BeEmpty(), "the keys from %d on have moved", r.From) })
+}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -199,11 +199,13 @@
 	// grantsInFlight holds the servers to which a grant is being sent. One is sent at a
 	// time, so that no other is on its way when the loss of the connection is noticed.
 	grantsInFlight map[topology.ServerID]bool
-	ranges         []*keyRange // in the order of keys
-	formerOwners   []*formerOwner
-	unknownOwners  *unknownOwners // nil if no such keys are known
-	fencePace      fencePace
-	nextID         int
+	// releasesInFlight counts the releases without a response.
+	releasesInFlight int
+	ranges           []*keyRange // in the order of keys
+	formerOwners     []*formerOwner
+	unknownOwners    *unknownOwners // nil if no such keys are known
+	fencePace        fencePace
+	nextID           int
 	// earlierUntil is the time until which grants of earlier leaders may arrive.
 	earlierUntil time.Duration
 	// movesFrom is the time before which no range changes its server, movesAllowed
@@ -486,6 +488,9 @@
 		m.advance(r, now)
 		if o, due := m.dueOrder(r, now); due {
 			r.sentAt, r.inFlight = now, true
+			if o.Kind == Release {
+				m.releasesInFlight++
+			}
 			if o.Kind == Grant {
 				// The grant duration starts when the grant arrives, which can be as
 				// late as the timeout of the call.
@@ -616,7 +621,7 @@
 	case granting, granted:
 		return m.grantOrder(r), registered && m.mayGrant(r)
 	case releasing:
-		return Order{Kind: Release, Address: r.address}, r.address != ""
+		return m.releaseOrder(r)
 	case expiring:
 		// If the server can be reached again, it releases the keys early. If it may
 		// own them by a grant of an earlier leader, it first needs a grant of this
@@ -624,7 +629,7 @@
 		if r.earlierGrants {
 			return m.grantOrder(r), m.mayRegain(r, now) && m.mayGrant(r)
 		}
-		return Order{Kind: Release, Address: r.address}, r.address != ""
+		return m.releaseOrder(r)
 	default:
 		return Order{}, false
 	}
@@ -650,6 +655,15 @@
 	return Order{Kind: Grant, Address: r.address, Handover: r.handover}
 }
 
+// maxReleasesInFlight bounds the releases without a response. Each holds a connection, until
+// the server has ended its work on the keys or the call times out.
+const maxReleasesInFlight = 256
+
+// releaseOrder returns a release, and whether it may be sent now.
+func (m *Manager) releaseOrder(r *keyRange) (Order, bool) {
+	return Order{Kind: Release, Address: r.address}, r.address != "" && m.releasesInFlight < maxReleasesInFlight
+}
+
 func (m *Manager) rangeByID(id int) *keyRange {
 	for _, r := range m.ranges {
 		if r.id == id {
--- a/internal/ownership/result.go
+++ b/internal/ownership/result.go
@@ -17,8 +17,11 @@
 	if outcome != Done && (o.Kind == Grant || outcome != Unknown) {
 		m.recordFailure(o.Server, now)
 	}
-	if o.Kind == Grant {
+	switch o.Kind {
+	case Grant:
 		delete(m.grantsInFlight, o.Server)
+	case Release:
+		m.releasesInFlight--
 	}
 	r := m.rangeByID(o.id)
 	if r == nil {
