Look for no due orders after the result of a fence order

Each result of a call made the leader look at all ranges and all fence orders of the service. The result of a fence order changes no owner, and the next orders are due at the next tick (40 ms) at the latest.

--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -446,6 +446,12 @@
 	}
 	now := s.clk.Now()
 	svc.grants.HandleResult(o, outcome, handover, ended)
+	if o.Kind == ownership.Fence {
+		// It changes no owner, and the orders that are due wait for the next tick: to find
+		// them takes a look at all ranges.
+		s.mu.Unlock()
+		return false, nil
+	}
 	next = s.dueOrders(svc, now, confirmedAt)
 	svc.updateOwners(now)
 	out := s.decide(svc, now)
