Bound the log lines of a leader

Lines on single calls and key ranges now have a bound by kind (20 a second; 40 for keys that became free without a release) and count in "omitted" what they leave out. The request log uses the same limiter.

TestLinesOfALeaderAreBounded (new function, so not seen failing), TestLimiter.

--- a/internal/gateway/elector.go
+++ b/internal/gateway/elector.go
@@ -113,6 +113,7 @@
 	followers    *followers
 	watcher      *storeWatcher
 	log          logging.Logger
+	leaderLog    *leaderLog
 	memberID     string
 	self         netip.AddrPort
 	// claimWeight is the inverse of the CPU share: hosts with less CPU claim
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -183,7 +183,7 @@
 	g.followers = &followers{clk: clk, link: link, incarnation: incarnation, header: g.messageHeader, deliverLocal: g.leaderClient.deliver, currentLeader: g.leaderClient.currentLeader}
 	g.elector = &elector{
 		clk: clk, store: store, grantClient: grantClient, leaderClient: g.leaderClient, followers: g.followers, watcher: g.watcher,
-		log: logging.For(logging.Lead), memberID: string(settings.Host) + memberSeparator + strconv.FormatUint(incarnation, 36),
+		log: logging.For(logging.Lead), leaderLog: newLeaderLog(logging.For(logging.Lead), clk), memberID: string(settings.Host) + memberSeparator + strconv.FormatUint(incarnation, 36),
 		metrics: metrics, active: g.active, self: address, claimWeight: 1 / max(settings.CPUShare, minCPUShare), wake: make(chan struct{}, 1),
 	}
 	g.leaderClient.active, g.leaderClient.leavingServers = g.active, g.watcher.leavingServers
@@ -196,7 +196,7 @@
 	g.leaderClient.endLeadership = g.elector.endLeadership
 	g.ingress = &ingress{
 		clk: clk, names: names, leaderClient: g.leaderClient, watcher: g.watcher, upstream: g.upstream,
-		budget: newRetryBudget(clk, g.active), log: &requestLog{log: logging.For(logging.Frontend), clk: clk}, metrics: metrics,
+		budget: newRetryBudget(clk, g.active), log: newRequestLog(clk), metrics: metrics,
 	}
 	metrics.RegisterFunc("leads", func() float64 {
 		if g.leaderClient.state().leads {
--- a/internal/gateway/leadership.go
+++ b/internal/gateway/leadership.go
@@ -260,10 +260,6 @@
 	l.cancel()
 }
 
-// fenceAttemptsPerLine is the number of calls of a fence order for each line in the log:
-// a server that cannot be reached fails five of them a second.
-const fenceAttemptsPerLine = 25
-
 // startCalls starts the calls to servers.
 func (l *leadership) startCalls(ctx context.Context, orders []ownership.Order) {
 	for _, o := range orders {
@@ -289,18 +285,7 @@
 	}
 	outcome, ended := outcomeOf(err), l.clk.Now()
 	l.metrics.inc("order-" + o.Kind.String() + "-" + outcome.String())
-	switch {
-	case o.Kind == ownership.Fence && outcome != ownership.Done:
-		if (o.Attempt-1)%fenceAttemptsPerLine == 0 {
-			l.log.With("server", string(o.Server)).With("address", o.Address).With("from", o.From).With("to", o.To).With("fence", o.Fence).With("attempt", o.Attempt).
-				With("outcome", outcome.String()).Info("a former owner of keys has not responded to a higher fence: " + err.Error())
-		}
-	case o.Kind == ownership.Fence:
-		l.log.With("server", string(o.Server)).With("from", o.From).With("to", o.To).With("fence", o.Fence).Info("a former owner of keys refuses grants of earlier leaders from now on")
-	case outcome != ownership.Done:
-		l.log.With("server", string(o.Server)).With("from", o.From).With("to", o.To).With("fence", o.Fence).
-			With("kind", o.Kind.String()).With("outcome", outcome.String()).Info("a call to a server failed: " + err.Error())
-	}
+	l.leaderLog.recordCall(o, outcome, err)
 	confirmedAt, _ := l.confirmation()
 	if outcome != ownership.Done && o.Kind != ownership.Fence {
 		confirmedAt = l.confirmWithStore(ctx)
@@ -319,18 +304,9 @@
 
 // logChanges logs changes of the owners of keys.
 func (l *leadership) logChanges() {
-	now := l.clk.Now()
 	for service, changes := range l.scheduler.takeOwnerChanges() {
 		for _, c := range changes.changes {
-			line := l.log.With("service", string(service)).With("kind", c.Kind.String()).With("from", c.From).With("to", c.To).
-				With("server", string(c.Server)).With("registered", c.Registered).With("fence", c.Fence)
-			if c.Kind == ownership.Expired {
-				line = line.With("since_expiry_ms", (now - c.LatestExpiry).Milliseconds())
-				if c.EarlierUntil != 0 {
-					line = line.With("since_earlier_leaders_ms", (now - c.EarlierUntil).Milliseconds())
-				}
-			}
-			line.Info("the owner of keys has changed")
+			l.leaderLog.recordChange(service, c)
 		}
 		if changes.omitted > 0 {
 			l.log.With("service", string(service)).With("omitted", changes.omitted).Warn("more changes of owners than are logged")
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -17,33 +17,23 @@
 // requestLog writes one line for each unusual result of a request. Lines beyond
 // maxLinesPerSecond are counted, not written.
 type requestLog struct {
-	log logging.Logger
-	clk clock.Clock
-
-	mu      sync.Mutex
-	second  int64
-	lines   int
-	dropped int
+	log     logging.Logger
+	clk     clock.Clock
+	limiter logging.Limiter
 }
 
 const maxLinesPerSecond = 40
 
+func newRequestLog(clk clock.Clock) *requestLog {
+	return &requestLog{log: logging.For(logging.Frontend), clk: clk, limiter: logging.Limiter{PerSecond: maxLinesPerSecond}}
+}
+
 func (l *requestLog) event(c *callerRequest, message, server, outcome string, cause error) {
-	l.mu.Lock()
-	now := l.clk.Now()
-	if s := int64(now / time.Second); s != l.second {
-		if l.dropped > 0 {
-			l.log.With("lines", l.dropped).Warn("request log lines were dropped because there were too many")
-		}
-		l.second, l.lines, l.dropped = s, 0, 0
-	}
-	l.lines++
-	drop := l.lines > maxLinesPerSecond
-	if drop {
-		l.dropped++
+	ok, omitted := l.limiter.Allow(l.clk.Now())
+	if omitted > 0 {
+		l.log.With("lines", omitted).Warn("request log lines were dropped because there were too many")
 	}
-	l.mu.Unlock()
-	if drop {
+	if !ok {
 		return
 	}
 	e := l.log.With("id", c.request.ID).With("config", c.configVersion).With("epoch", c.epoch).With("route", c.route.Name).With("outcome", outcome).
--- a/internal/gateway/serverpauses_test.go
+++ b/internal/gateway/serverpauses_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/lycheerudder/lycheerudder/internal/fleet"
 	"github.com/lycheerudder/lycheerudder/internal/hostlink"
-	"github.com/lycheerudder/lycheerudder/internal/logging"
 	"github.com/lycheerudder/lycheerudder/internal/schedule"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
@@ -75,7 +74,7 @@
 func TestRetryRefusedForPauseCostsNoBudget(t *testing.T) {
 	g := NewWithT(t)
 	f := newBudgetFleet(1, 0)
-	in := &ingress{budget: f.hosts[0].budget, metrics: &metrics{}, log: &requestLog{log: logging.For(logging.Frontend), clk: f.clk}}
+	in := &ingress{budget: f.hosts[0].budget, metrics: &metrics{}, log: newRequestLog(f.clk)}
 	counts := func() float64 {
 		_, retries := in.budget.counts(1).Sums()
 		return retries + float64(in.budget.counts(1).waiting)
