--- a/internal/gateway/elector.go
+++ b/internal/gateway/elector.go
@@ -124,6 +124,8 @@
 	active  *activeBounds
 	// scheduler is the scheduler of this host while it leads; nil otherwise.
 	scheduler atomic.Pointer[scheduler]
+	// callsInFlight counts the calls to servers of this host as leader.
+	callsInFlight atomic.Int64
 
 	wake       chan struct{}
 	lastResult string // of the last search, to log only changes
--- a/internal/gateway/leadership.go
+++ b/internal/gateway/leadership.go
@@ -235,7 +235,7 @@
 		for _, sum := range l.scheduler.summaries() {
 			load := l.scheduler.keyLoad(sum.service)
 			l.log.With("service", string(sum.service)).With("waiting", sum.waiting).With("running", sum.running).With("slots", sum.slots).
-				With("parts", sum.keyRanges).With("moving", sum.moving).With("unowned", sum.unowned).
+				With("parts", sum.keyRanges).With("moving", sum.moving).With("unowned", sum.unowned).With("calls", l.callsInFlight.Load()).
 				With("busiest", load.busiestServer).With("mean", load.meanServer).With("hottest", load.hottestKey).With("rivals_ms", (l.scheduler.earlierGrantsUntil() - l.clk.Now()).Milliseconds()).Info("load of the service")
 		}
 	}
@@ -264,8 +264,10 @@
 func (l *leadership) startCalls(ctx context.Context, orders []ownership.Order) {
 	for _, o := range orders {
 		l.calls.Add(1)
+		l.callsInFlight.Add(1)
 		go func() {
 			defer l.calls.Done()
+			defer l.callsInFlight.Add(-1)
 			l.callServer(ctx, o)
 		}()
 	}
