Report a host that cannot accept connections as not ready

The connections of callers, and idle ones to servers, had no bound, and the descriptors that the settings state were read nowhere.

Now a host whose accept fails says 503 to the balancer, logs it and closes idle connections: those of callers that were idle longest, and all to servers. Callers may have half of the sockets that the settings state: beyond that the connection that was idle longest is closed for a new one; if none is idle, the new one gets a 503 for its first request at once, and the host is not ready. Idle connections to servers hold a quarter at most. The callers' port listens before the readiness port.

New metrics: lygate_caller_connections, lygate_idle_server_connections, lygate_order_calls, the event accept-failed.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,6 +77,7 @@
 	elector      *elector
 	ingress      *ingress
 	upstream     *upstream.Client
+	callers      *httpserver.Server
 	stopping     atomic.Bool
 }
 
@@ -178,6 +179,7 @@
 		RequestID: names.RequestID, TimeLeft: names.TimeLeft, Target: names.Target,
 		Signature: names.Signature, NotExecuted: names.NotExecuted, ServerLoad: names.ServerLoad, ServerLimit: names.ServerLimit, Leaving: names.Leaving,
 	}, responses)
+	g.upstream.SetMaxIdle(maxIdleServerConns(settings.MaxSockets))
 	g.watcher = newStoreWatcher(clk, store, g.active, g.readPolicy, g.storeChanged)
 	g.leaderClient = newLeaderClient(clk, link, incarnation, settings.DataCentre, func() { g.elector.checkNow() }, g.watcher.listUsable)
 	g.followers = &followers{clk: clk, link: link, incarnation: incarnation, header: g.messageHeader, deliverLocal: g.leaderClient.deliver, currentLeader: g.leaderClient.currentLeader}
@@ -198,6 +200,11 @@
 		clk: clk, names: names, leaderClient: g.leaderClient, watcher: g.watcher, upstream: g.upstream,
 		budget: newRetryBudget(clk, g.active), log: newRequestLog(clk), metrics: metrics,
 	}
+	g.callers = httpserver.New(g.ingress.handle, g.limits)
+	g.callers.OnAcceptError(newAcceptErrors(g.log, clk, metrics, g.upstream).handle)
+	metrics.RegisterFunc("caller_connections", func() float64 { return float64(g.callers.ConnCount()) })
+	metrics.RegisterFunc("idle_server_connections", func() float64 { return float64(g.upstream.IdleCount()) })
+	metrics.RegisterFunc("order_calls", func() float64 { return float64(g.elector.callsInFlight.Load()) })
 	metrics.RegisterFunc("leads", func() float64 {
 		if g.leaderClient.state().leads {
 			return 1
@@ -304,7 +311,7 @@
 	go g.tick(workCtx)
 
 	ready := &http.Server{Handler: http.HandlerFunc(g.handleReady), ReadHeaderTimeout: readHeaderTimeout}
-	callers := httpserver.New(g.ingress.handle, g.limits)
+	callers := g.callers
 	failed := make(chan error, 3)
 	if g.settings.MetricsAddress != "" {
 		mux := http.NewServeMux()
@@ -315,9 +322,6 @@
 			return err
 		}
 	}
-	if _, err := listen.Start(network, g.settings.ReadyAddress, ready.Serve, failed); err != nil {
-		return err
-	}
 	callersCtx, endRequests := context.WithCancelCause(workCtx)
 	defer endRequests(nil)
 	serve := func(l net.Listener) error {
@@ -329,6 +333,9 @@
 	if _, err := listen.Start(network, g.settings.CallerAddress, serve, failed); err != nil {
 		return err
 	}
+	if _, err := listen.Start(network, g.settings.ReadyAddress, ready.Serve, failed); err != nil {
+		return err
+	}
 	select {
 	case err := <-failed:
 		return err
@@ -374,6 +381,7 @@
 // limits returns the limits on requests of callers that are in force.
 func (g *gateway) limits() httpserver.Limits {
 	l := httpserver.Limits{
+		MaxConns:    maxCallerConns(g.settings.MaxSockets),
 		HeaderBytes: defaultHeaderBytes, BodyBytes: defaultBodyBytes,
 		HeaderTimeout: readHeaderTimeout, IdleTimeout: defaultIdle,
 	}
@@ -394,9 +402,10 @@
 	return l
 }
 
-// handleReady responds to the readiness checks of the balancer.
+// handleReady responds to the readiness checks of the balancer. A host that cannot accept
+// connections is not ready: callers would wait for their connections in vain.
 func (g *gateway) handleReady(w http.ResponseWriter, _ *http.Request) {
-	if g.stopping.Load() || g.watcher.config.Load() == nil {
+	if g.stopping.Load() || g.watcher.config.Load() == nil || !g.callers.Accepting() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -80,6 +80,9 @@
 // handle processes one request and returns its response; nil if the caller has
 // disconnected.
 func (in *ingress) handle(parent context.Context, r *httpserver.Request) *httpserver.Response {
+	if r.TooManyConns {
+		return in.refuse(nil, "too-many-connections", defaultRetryAfter)
+	}
 	cfg := in.watcher.config.Load()
 	if cfg == nil {
 		return in.refuse(nil, "no-configuration", defaultRetryAfter)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -18,6 +18,9 @@
 	// fraction.
 	CPUShare    float64
 	MemoryBytes int64
+	// MaxSockets is the number of sockets that the process may have open; zero if it is not
+	// limited.
+	MaxSockets int
 	// CallerAddress accepts requests of callers, ReadyAddress the readiness
 	// checks of the balancer.
 	CallerAddress string
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -14,14 +14,18 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
-// Limits holds size and time limits for the requests of callers.
+// Limits holds limits for the connections and requests of callers.
 type Limits struct {
+	// MaxConns is the number of connections from which on idle ones are closed for new ones,
+	// and new ones get a refusal if none is idle; zero for no limit.
+	MaxConns      int
 	HeaderBytes   int
 	BodyBytes     int64
 	HeaderTimeout time.Duration
@@ -34,6 +38,9 @@
 	Content []byte // the whole body
 	// Arrived is the time at which the first byte of the request was read.
 	Arrived time.Time
+	// TooManyConns is true if the connection exceeds Limits.MaxConns. It is closed after the
+	// response.
+	TooManyConns bool
 }
 
 // Response is the complete response to a request.
@@ -82,6 +89,11 @@
 	// closing is set when Shutdown begins, lingered when it closes the listener and
 	// the idle connections.
 	closing, lingered atomic.Bool
+	// onAcceptError, if set, is called with each error of Accept.
+	onAcceptError func(error)
+	// acceptFailedAt is the time of the last error of Accept in nanoseconds since the start of
+	// the Unix epoch; zero once a connection was accepted since.
+	acceptFailedAt atomic.Int64
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -96,6 +108,32 @@
 	return &Server{handler: handler, limits: limits, conns: make(map[*conn]bool), stopped: make(chan struct{})}
 }
 
+// OnAcceptError sets a function that is called with each error of Accept, before connections
+// are accepted again. It must be set before Serve.
+func (s *Server) OnAcceptError(f func(error)) { s.onAcceptError = f }
+
+// acceptFailureMemory is the time for which a server whose Accept has failed counts as not
+// accepting, unless it has accepted a connection since: without new connections nothing
+// tells whether the cause has gone.
+const acceptFailureMemory = time.Second
+
+// Accepting reports whether a new connection would be served: Accept has not failed lately,
+// and the number of connections is below the limit.
+func (s *Server) Accepting() bool {
+	if at := s.acceptFailedAt.Load(); at != 0 && time.Since(time.Unix(0, at)) < acceptFailureMemory {
+		return false
+	}
+	limit := s.limits().MaxConns
+	return limit <= 0 || s.ConnCount() < limit
+}
+
+// ConnCount returns the number of open connections.
+func (s *Server) ConnCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // Serve accepts connections until the listener is closed. The contexts of requests
 // derive from ctx.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
@@ -111,12 +149,14 @@
 			}
 			if !errors.Is(err, net.ErrClosed) {
 				// The process may temporarily have too many open files.
+				s.acceptFailed(err)
 				time.Sleep(acceptRetryDelay)
 				continue
 			}
 			return err
 		}
-		c := &conn{Conn: nc, server: s, responses: make(chan *pendingResponse, maxPipelined)}
+		s.acceptFailedAt.Store(0)
+		c := &conn{Conn: nc, server: s, responses: make(chan *pendingResponse, maxPipelined), idleFrom: time.Now()}
 		c.limited = &io.LimitedReader{R: nc}
 		c.br = bufio.NewReaderSize(c.limited, bufferSize)
 		if !s.addConn(c) {
@@ -127,18 +167,67 @@
 	}
 }
 
+// acceptFailed records an error of Accept, and closes idle connections to free descriptors.
+func (s *Server) acceptFailed(err error) {
+	s.acceptFailedAt.Store(time.Now().UnixNano())
+	if s.onAcceptError != nil {
+		s.onAcceptError(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closeIdle(idleClosedPerFailure)
+}
+
+const (
+	// idleClosedPerFailure is the number of idle connections that are closed when Accept
+	// fails: the connections that wait to be accepted are as many at most.
+	idleClosedPerFailure = 16
+	// refusedShare is the number of connections beyond the limit that get a refusal, as a
+	// share of the limit. Further ones are closed at once.
+	refusedShare = 0.25
+)
+
 // addConn registers a connection. It returns false once Shutdown has closed the
-// listener.
+// listener, and if there are far too many connections. If there are too many, it closes an
+// idle one, or else marks the connection for a refusal.
 func (s *Server) addConn(c *conn) bool {
+	limit := s.limits().MaxConns
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.lingered.Load() {
 		return false
 	}
+	if open := len(s.conns); limit > 0 && open >= limit {
+		c.refused = s.closeIdle(1) == 0
+		if float64(open) >= float64(limit)*(1+refusedShare) {
+			return false
+		}
+	}
 	s.conns[c] = true
 	return true
 }
 
+// closeIdle closes those n connections that have been idle for the longest time, and returns
+// their number. The caller holds the lock.
+func (s *Server) closeIdle(n int) int {
+	type idleConn struct {
+		*conn
+		since time.Time
+	}
+	var idle []idleConn
+	for c := range s.conns {
+		if since, ok := c.idleSince(); ok {
+			idle = append(idle, idleConn{c, since})
+		}
+	}
+	slices.SortFunc(idle, func(a, b idleConn) int { return a.since.Compare(b.since) })
+	idle = idle[:min(n, len(idle))]
+	for _, c := range idle {
+		c.closeUnlessBusy()
+	}
+	return len(idle)
+}
+
 // removeConn removes a connection that is closed.
 func (s *Server) removeConn(c *conn) {
 	s.mu.Lock()
@@ -209,6 +298,12 @@
 	// connection.
 	callerClosed bool
 	lastWrite    time.Time // of a response; set by the writer goroutine
+	// refused is true if the first request is refused because there are too many connections.
+	refused bool
+	// evicted is true if the connection is closed unless a request has arrived, to make room
+	// for others. idleFrom is the time since which there is no unanswered request.
+	evicted  atomic.Bool
+	idleFrom time.Time // guarded by mu
 }
 
 func (c *conn) serve(parent context.Context) {
@@ -254,6 +349,21 @@
 	}
 }
 
+// idleSince returns the time since which the connection has had no request that was not
+// answered. It returns false if it has one, or is about to be closed.
+func (c *conn) idleSince() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleFrom, c.unanswered.Load() == 0 && !c.closed && !c.finalRead && !c.evicted.Load() && !c.idleFrom.IsZero()
+}
+
+// closeUnlessBusy makes the reader goroutine close the connection, unless a request arrives
+// meanwhile; the connection is then closed after its response.
+func (c *conn) closeUnlessBusy() {
+	c.evicted.Store(true)
+	c.wake()
+}
+
 func (c *conn) isClosed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -288,11 +398,11 @@
 			if c.unanswered.Load() == 0 {
 				continue // the writer set a deadline that was replaced above
 			}
-		case c.server.lingered.Load():
+		case c.isEnding():
 			return c.requestArrived()
 		default:
 			_ = c.SetReadDeadline(time.Now().Add(idleTimeout))
-			if c.server.lingered.Load() {
+			if c.isEnding() {
 				continue // as above
 			}
 		}
@@ -303,13 +413,16 @@
 			c.callerClosed = err != nil
 			return err == nil // after an error, the requests of the caller are cancelled
 		}
-		if c.unanswered.Load() == 0 && !c.server.lingered.Load() {
+		if c.unanswered.Load() == 0 && !c.isEnding() {
 			return false
 		}
 	}
 	return false
 }
 
+// isEnding reports whether the connection is closed once it is idle.
+func (c *conn) isEnding() bool { return c.server.lingered.Load() || c.evicted.Load() }
+
 // requestArrived reports whether the first byte of a request has arrived on a
 // connection that is about to be closed.
 func (c *conn) requestArrived() bool {
@@ -342,11 +455,12 @@
 			c.drain(ctx)
 			return
 		}
-		p := &pendingResponse{ready: make(chan *Response, 1), last: r.Close, isHead: r.Method == http.MethodHead}
-		r.Arrived = arrived
+		last := r.Close || c.refused
+		p := &pendingResponse{ready: make(chan *Response, 1), last: last, isHead: r.Method == http.MethodHead}
+		r.Arrived, r.TooManyConns = arrived, c.refused
 		c.responses <- p
 		go func() { p.ready <- c.server.handler(ctx, r) }()
-		if r.Close {
+		if last {
 			c.drain(ctx)
 			return
 		}
@@ -455,7 +569,7 @@
 func (c *conn) closeAfter(p *pendingResponse) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	last := p.last || (c.server.closing.Load() && c.unanswered.Load() == 1)
+	last := p.last || ((c.server.closing.Load() || c.evicted.Load()) && c.unanswered.Load() == 1)
 	c.closed = c.closed || last
 	return last
 }
@@ -467,8 +581,11 @@
 	defer c.mu.Unlock()
 	c.closed = c.closed || ended
 	idle := c.unanswered.Add(-1) == 0
+	if idle {
+		c.idleFrom = time.Now()
+	}
 	switch {
-	case ended, idle && c.closed, idle && c.server.lingered.Load():
+	case ended, idle && c.closed, idle && c.isEnding():
 		_ = c.SetReadDeadline(past)
 	case idle:
 		_ = c.SetReadDeadline(time.Now().Add(c.server.limits().IdleTimeout))
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -119,6 +119,8 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn
+	// idleCount is the number of connections in idle, maxIdle the limit on it; zero for none.
+	idleCount, maxIdle int
 }
 
 type conn struct {
@@ -174,6 +176,7 @@
 	for i, cn := range slices.Backward(list) {
 		if !slices.Contains(except, cn) {
 			c.idle[address] = slices.Delete(list, i, i+1)
+			c.idleCount--
 			return cn
 		}
 	}
@@ -188,22 +191,53 @@
 	cn.expires = time.Now().Add(idleTimeout)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.maxIdle > 0 && c.idleCount >= c.maxIdle {
+		_ = cn.Close()
+		return
+	}
 	c.idle[address] = append(c.idle[address], cn)
+	c.idleCount++
+}
+
+// SetMaxIdle bounds the idle connections that are kept; zero for no limit.
+func (c *Client) SetMaxIdle(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.maxIdle = n
+}
+
+// IdleCount returns the number of idle connections.
+func (c *Client) IdleCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleCount
+}
+
+// CloseIdle closes all idle connections and returns their number.
+func (c *Client) CloseIdle() int {
+	return c.closeIdle(func(*conn) bool { return true })
 }
 
 // CloseExpired closes the connections whose idle timeout has passed.
 func (c *Client) CloseExpired() {
 	now := time.Now()
+	c.closeIdle(func(cn *conn) bool { return !now.Before(cn.expires) })
+}
+
+// closeIdle closes the idle connections that match and returns their number.
+func (c *Client) closeIdle(match func(*conn) bool) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	closed := 0
 	for address, list := range c.idle {
 		keep := list[:0]
 		for _, cn := range list {
-			if now.Before(cn.expires) {
+			if !match(cn) {
 				keep = append(keep, cn)
 				continue
 			}
 			_ = cn.Close()
+			closed++
 		}
 		if len(keep) == 0 {
 			delete(c.idle, address)
@@ -211,6 +245,8 @@
 		}
 		c.idle[address] = keep
 	}
+	c.idleCount -= closed
+	return closed
 }
 
 // Do sends the request to a server once, with the time left until deadline in a
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -7,7 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -285,3 +288,27 @@
 	g.Expect(left).To(BeNumerically("~", 235, 16))
 	g.Expect(target).To(Equal("s-7"))
 }
+
+// Guards against idle connections that hold all sockets of a host.
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headers.RequestID, r.Header.Get(headers.RequestID))
+		w.Header().Set(headers.Signature, "s")
+		time.Sleep(20 * time.Millisecond)
+	}))
+	defer server.Close()
+	client := upstream.New(headers, membudget.New(testMemory))
+	client.SetMaxIdle(3)
+	var calls sync.WaitGroup
+	for i := range 10 {
+		calls.Go(func() {
+			r := upstream.Request{ID: strconv.Itoa(i), Method: "GET", URI: "/", Host: "h"}
+			client.Do(t.Context(), "s", server.Listener.Addr().String(), time.Now().Add(time.Second), &r)
+		})
+	}
+	calls.Wait()
+	g.Expect(client.IdleCount()).To(Equal(3))
+	g.Expect(client.CloseIdle()).To(Equal(3))
+	g.Expect(client.IdleCount()).To(BeZero())
+}
