Grant keys again after a fence order that may have ended their grant

Callers saw 421 for keys of a server until its next renewal (up to 0.7 s): a fence order that was sent before the server got the keys can arrive after the grant, and a release is never refused.

Once such an order ends, ranges that its server owns by now are granted again at once with a higher fence.

TestFenceThatArrivesAfterAGrant failed before (no grant was due).

--- a/internal/ownership/fencing.go
+++ b/internal/ownership/fencing.go
@@ -298,6 +298,9 @@
 // same server are due at once.
 func (m *Manager) handleFence(o Order, outcome Outcome) {
 	m.fencePace.end(o.Server)
+	if outcome != Unsent && outcome != ServerGone {
+		m.grantAfterFence(o)
+	}
 	for _, f := range m.formerOwners {
 		if f.owner.Server == o.Server && f.inFlight == 0 && outcome == Done {
 			f.reached, f.sentAt = true, -time.Hour
@@ -318,6 +321,20 @@
 	})
 }
 
+// grantAfterFence grants keys again at once that a server got while a fence order for them
+// was under way: the server may have carried that out after the grant.
+func (m *Manager) grantAfterFence(o Order) {
+	for _, r := range m.ranges {
+		if r.server != o.Server || r.to < o.From || r.from > o.To || (r.phase != granting && r.phase != granted) {
+			continue
+		}
+		r.raisesFence = true
+		if !r.inFlight {
+			r.sentAt = -time.Hour
+		}
+	}
+}
+
 // formerOwnersOf returns the former owners of keys, to be stored with their range.
 func (m *Manager) formerOwnersOf(from, to int) []keymap.FormerOwner {
 	var owners []keymap.FormerOwner
--- a/internal/ownership/fencing_test.go
+++ b/internal/ownership/fencing_test.go
@@ -480,3 +480,35 @@
 	}
 	g.Expect(calls).To(BeNumerically("~", 5, 1))
 }
+
+// Guards against a server that rejects requests for its keys until the next renewal: a fence
+// order that was sent before it got the keys ended its grant.
+func TestFenceThatArrivesAfterAGrant(t *testing.T) {
+	const last = keymap.KeyCount - 1
+	g := NewWithT(t)
+	l := newFencingLeader(keymap.Empty().WithUnknownOwners(), 100)
+	l.Move(0, last, "up")
+	var late ownership.Order
+	var granted int64
+	for ; granted == 0; l.now += step {
+		for _, o := range l.Step(l.now, l.now) {
+			switch {
+			case o.Kind == ownership.Fence && o.Server == "up":
+				late = o // no response yet
+			default:
+				l.HandleResult(o, ownership.Done, "", l.now)
+			}
+			if o.Kind == ownership.Grant {
+				granted = o.Fence
+			}
+		}
+		if _, changed := l.NextKeyMap(); changed {
+			l.KeyMapStored(l.now)
+		}
+	}
+	g.Expect(late.Fence).To(And(BeNumerically(">", 0), BeNumerically("<", granted)))
+	l.HandleResult(late, ownership.Done, "", l.now)
+	orders := l.Step(l.now, l.now)
+	g.Expect(orders).To(HaveLen(1))
+	g.Expect(orders[0]).To(And(HaveField("Kind", ownership.Grant), HaveField("Server", topology.ServerID("up")), HaveField("Fence", BeNumerically(">", granted))))
+}
