Bound the grants of a leader that wait for a response

Now 512 at most wait for a response; the next ones follow with each response, so all servers get theirs as before.

--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -641,9 +641,13 @@
 // failure. Whether a call has failed is known once the grant in flight has ended.
 func (m *Manager) mayGrant(r *keyRange) bool {
 	_, failed := m.failedAt[r.server]
-	return !failed && !m.grantsInFlight[r.server]
+	return !failed && !m.grantsInFlight[r.server] && len(m.grantsInFlight) < maxGrantsInFlight
 }
 
+// maxGrantsInFlight bounds the grants without a response. A leader that claims the leadership
+// grants all ranges, and a connection that is being opened takes 50 KB of memory.
+const maxGrantsInFlight = 512
+
 // grantOrder returns a grant. After a grant without a response the new one has a
 // higher fence, so that the server refuses the earlier one if it arrives later. After
 // a failed call it has one because a new incarnation must not get the fence of the
--- a/internal/ownership/fencevolume_test.go
+++ b/internal/ownership/volume_test.go
@@ -18,10 +18,12 @@
 	*ownership.Manager
 	now     time.Duration
 	servers map[topology.ServerID]ownership.Server
-	// callTime and outcome are those of Fence and Release orders; grants succeed at once.
-	callTime time.Duration
-	outcome  ownership.Outcome
-	running  []runningCall
+	// callTime and outcome are those of Fence and Release orders. Grants succeed, at once unless
+	// grantTime is set.
+	callTime  time.Duration
+	grantTime time.Duration
+	outcome   ownership.Outcome
+	running   []runningCall
 	// inFlight counts the calls without a response by kind, most holds its highest values, and
 	// mostToServer the highest number of Fence orders to one server.
 	inFlight, most map[ownership.Kind]int
@@ -71,15 +73,23 @@
 				continue
 			}
 			l.count(c.order, -1)
-			l.HandleResult(c.order, l.outcome, "", l.now)
+			outcome := l.outcome
+			if c.order.Kind == ownership.Grant {
+				outcome = ownership.Done
+			}
+			l.HandleResult(c.order, outcome, "", l.now)
 		}
 		for _, o := range l.Step(l.now, l.now) {
+			duration := l.callTime
 			if o.Kind == ownership.Grant {
+				duration = l.grantTime
+			}
+			if o.Kind == ownership.Grant && duration == 0 {
 				l.HandleResult(o, ownership.Done, "", l.now)
 				continue
 			}
 			l.count(o, 1)
-			l.running = append(l.running, runningCall{o, l.now + l.callTime})
+			l.running = append(l.running, runningCall{o, l.now + duration})
 		}
 		if _, changed := l.NextKeyMap(); changed {
 			l.KeyMapStored(l.now)
@@ -229,3 +239,15 @@
 	g.Expect(l.most[ownership.Release]).To(BeNumerically("<=", 256))
 	l.Ranges(l.now, func(r ownership.RangeState) { g.Expect(r.Next).To(BeEmpty(), "the keys from %d on have moved", r.From) })
 }
+
+// Guards against a new leader that opens a connection to each of thousands of servers at once:
+// all of them must still get their keys within a second.
+func TestFirstGrantsOfALeaderAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	const servers = 3000
+	l := newLargeLeader(servers, evenRanges(servers, servers))
+	l.grantTime = 20 * time.Millisecond
+	l.run(time.Second, 5*time.Millisecond)
+	g.Expect(l.most[ownership.Grant]).To(BeNumerically("<=", 512))
+	l.Ranges(l.now, func(r ownership.RangeState) { g.Expect(r.Granted).To(BeTrue(), "the keys from %d on", r.From) })
+}
