--- a/internal/gateway/leaderlog.go
+++ b/internal/gateway/leaderlog.go
@@ -17,7 +17,7 @@
 	failedCallLinesPerSecond = 20
 	// Keys that became free without a release are what an outage of keys is traced by.
 	expiredLinesPerSecond = 40
-	changeLinesPerSecond  = 20
+	changeLinesPerSecond  = 60
 )
 
 // fenceAttemptsPerLine is the number of calls of a fence order for each line in the log:
