--- a/internal/ownership/fencing.go
+++ b/internal/ownership/fencing.go
@@ -125,7 +125,7 @@
 	var spans []keySpan
 	extend := false // whether the last span may be extended
 	for _, r := range m.ranges {
-		if (r.server == server && r.phase != free) || (r.next == server && !r.ownerUnknown) {
+		if r.phase != free && (r.server == server || (r.next == server && !r.ownerUnknown)) {
 			extend = false
 			continue
 		}
--- a/internal/ownership/volume_test.go
+++ b/internal/ownership/volume_test.go
@@ -251,3 +251,20 @@
 	g.Expect(l.most[ownership.Grant]).To(BeNumerically("<=", 512))
 	l.Ranges(l.now, func(r ownership.RangeState) { g.Expect(r.Granted).To(BeTrue(), "the keys from %d on", r.From) })
 }
+
+// Guards against a server that is never told a higher fence for keys of unknown owners, because
+// it registers while it shall get them, and another one gets them in the end.
+func TestServerThatShallGetKeysOfUnknownOwnersIsFenced(t *testing.T) {
+	const last = keymap.KeyCount - 1
+	g := NewWithT(t)
+	l := newFencingLeader(keymap.Empty().WithUnknownOwners(), 100, "cut")
+	l.Move(0, last, "cut")
+	l.run(4*time.Second, "up")
+	l.servers["cut"] = ownership.Server{Address: "cut:1", Incarnation: 5}
+	l.SetServers(l.servers)
+	l.Step(l.now, l.now) // the order gets no response
+	l.Move(0, last, "up")
+	fences, stored := l.run(time.Second, "up", "cut")
+	g.Expect(stored[0].Server).To(Equal(topology.ServerID("up")))
+	g.Expect(fences).To(ContainElement(And(HaveField("Server", topology.ServerID("cut")), HaveField("From", 0), HaveField("To", last))))
+}
