Tell late servers about keys of unknown owners across a further restore

The keys are kept and joined with those of the new era.

TestUnknownOwnersOfTheEraBeforeAreFenced failed before, both cases.

--- a/internal/ownership/fencing.go
+++ b/internal/ownership/fencing.go
@@ -86,15 +86,33 @@
 // owner is not known.
 func (m *Manager) fenceUnknownOwners(now time.Duration) {
 	u := &unknownOwners{since: now, told: make(map[topology.ServerID]bool)}
+	if m.unknownOwners != nil {
+		u.keys = m.unknownOwners.keys // servers that register later are told about them, too
+	}
 	for _, r := range m.ranges {
 		if r.ownerUnknown {
 			r.fencing = true
 			u.keys = append(u.keys, keySpan{r.from, r.to})
 		}
 	}
+	u.keys = joinSpans(u.keys)
 	m.unknownOwners = u
 }
 
+// joinSpans returns spans in order and without overlaps that cover the same keys.
+func joinSpans(spans []keySpan) []keySpan {
+	slices.SortFunc(spans, func(a, b keySpan) int { return cmp.Compare(a.from, b.from) })
+	var joined []keySpan
+	for _, s := range spans {
+		if n := len(joined); n > 0 && s.from <= joined[n-1].to+1 {
+			joined[n-1].to = max(joined[n-1].to, s.to)
+			continue
+		}
+		joined = append(joined, s)
+	}
+	return joined
+}
+
 // updateUnknownOwners adds the servers that have not been told a fence yet.
 func (m *Manager) updateUnknownOwners(now time.Duration) {
 	u := m.unknownOwners
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -432,7 +432,6 @@
 // unknown. The result of KeyMapToGrantAgain must have been stored, with no other append
 // since.
 func (m *Manager) GrantAgain() {
-	m.unknownOwners = nil
 	for _, r := range m.ranges {
 		switch {
 		case r.ownerUnknown:
--- a/internal/ownership/volume_test.go
+++ b/internal/ownership/volume_test.go
@@ -268,3 +268,39 @@
 	g.Expect(stored[0].Server).To(Equal(topology.ServerID("up")))
 	g.Expect(fences).To(ContainElement(And(HaveField("Server", topology.ServerID("cut")), HaveField("From", 0), HaveField("To", last))))
 }
+
+// Guards against a server that registers late and is not told about keys whose owner was
+// unknown, because the store was restored once more since they got an owner.
+func TestUnknownOwnersOfTheEraBeforeAreFenced(t *testing.T) {
+	const last = keymap.KeyCount - 1
+	for name, next := range map[string]ownership.Outcome{"grants again only": ownership.Done, "with more unknown owners": ownership.Unknown} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			l := newFencingLeader(keymap.Map{{From: 0, To: 99}, {From: 100, To: last}}.WithUnknownOwners(), 100, "cut")
+			l.Move(0, last, "up")
+			l.run(4*time.Second, "up")
+			if next == ownership.Unknown { // a move is being stored
+				l.Move(0, 99, "cut")
+				l.servers["cut"] = ownership.Server{Address: "cut:1", Incarnation: 5}
+				l.SetServers(l.servers)
+				for range 10 {
+					l.now += step
+					for _, o := range l.Step(l.now, l.now) {
+						if o.Kind != ownership.Fence {
+							l.HandleResult(o, ownership.Done, "", l.now)
+						}
+					}
+				}
+				_, changed := l.NextKeyMap()
+				g.Expect(changed).To(BeTrue())
+				l.KeyMapNotStored(true)
+			}
+			l.GrantAgain()
+			l.run(4*time.Second, "up")
+			l.servers["late"] = ownership.Server{Address: "late:1", Incarnation: 5}
+			l.SetServers(l.servers)
+			fences, _ := l.run(time.Second, "up", "late")
+			g.Expect(fences).To(ContainElement(And(HaveField("Server", topology.ServerID("late")), HaveField("From", 0), HaveField("To", last))))
+		})
+	}
+}
