Send nothing to the servers of an evacuated data centre

The records are read together with the configuration. While a data centre is evacuated its servers count as draining, on the leader and on each host, so they get no request and their keys move with a handover. Evacuations that a restored store lacks stay in force for 5 s, since the operator writes them again.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -40,6 +40,8 @@
 	restored bool
 	// leaving holds the servers that announced their shutdown in a response.
 	leaving map[topology.ServerID]*announcement
+	// evacuations holds the data centres whose servers count as draining.
+	evacuations Evacuations
 }
 
 type entry struct {
@@ -156,6 +158,9 @@
 	}
 }
 
+// Evacuations returns the evacuated data centres, for changes.
+func (d *Directory) Evacuations() *Evacuations { return &d.evacuations }
+
 // Servers calls f for each server that counts as registered, and deletes the
 // entries of the others.
 func (d *Directory) Servers(now time.Duration, f func(Server)) {
@@ -168,7 +173,7 @@
 		if e.removed && !graceApplies {
 			continue
 		}
-		f(d.withAnnouncement(e.server))
+		f(d.effective(e.server, now))
 	}
 }
 
@@ -178,5 +183,5 @@
 	if !ok || (e.removed && !d.graceApplies(now)) {
 		return Server{}, false
 	}
-	return d.withAnnouncement(e.server), true
+	return d.effective(e.server, now), true
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -24,7 +24,7 @@
 	// Sequence rises with each registration of one incarnation; zero if it is unknown.
 	Sequence int64
 	// Draining is true once the server has announced its shutdown, in its registration or
-	// in a response.
+	// in a response, and while its data centre is evacuated.
 	Draining bool
 	// WarmupLeft is how much longer the server responds slowly after its start.
 	WarmupLeft time.Duration
--- a/internal/fleet/leaving.go
+++ b/internal/fleet/leaving.go
@@ -73,10 +73,11 @@
 	return s.Incarnation <= a.incarnation
 }
 
-// withAnnouncement returns a registration, as draining if the server announced its
-// shutdown in a response.
-func (d *Directory) withAnnouncement(s Server) Server {
-	s.Draining = s.Draining || d.announcedLeaving(s)
+// effective returns a registration, as draining if the server announced its shutdown in
+// a response or its data centre is evacuated: in both cases it gets no new requests and
+// its keys move to other servers.
+func (d *Directory) effective(s Server, now time.Duration) Server {
+	s.Draining = s.Draining || d.announcedLeaving(s) || d.evacuations.Includes(s.DataCentre, now)
 	return s
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -223,6 +223,7 @@
 	}
 	metrics.RegisterFunc("limited_servers", func() float64 { return float64(g.leaderClient.limits.count()) })
 	metrics.RegisterFunc("leaving_servers", func() float64 { return float64(len(g.watcher.leavingServers())) })
+	metrics.RegisterFunc("evacuated_data_centres", func() float64 { return float64(len(g.watcher.evacuated())) })
 	metrics.RegisterFunc("hosts", func() float64 { return float64(g.leaderClient.state().hosts) })
 	return g, nil
 }
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -78,15 +78,25 @@
 	Next    Position
 }
 
+// OperatorChanges is the result of one read of what the operator has written.
+type OperatorChanges struct {
+	// Config is the newest configuration; nil if it did not change.
+	Config *fleet.Config
+	// Full is true if Evacuations holds all evacuations in force.
+	Full        bool
+	Evacuations []fleet.EvacuationChange // in the order of the changes
+	Next        Position
+}
+
 // Store is the platform's store. All calls are linearizable within an era. A call
 // that returns an error may have been carried out, or may be carried out seconds
 // later if its condition still holds.
 type Store interface {
-	// ConfigChange waits until the configuration changes after position from,
-	// and returns it and the position for the next call. The configuration is
-	// nil if it did not change within wait. If from is zero or its era has
-	// ended, it returns the present configuration at once.
-	ConfigChange(ctx context.Context, from Position, wait time.Duration) (*fleet.Config, Position, error)
+	// OperatorChanges waits, at most for wait, until the operator changes the
+	// configuration or the evacuations after position from, and returns what has
+	// changed. If from is zero or its era has ended, it returns the present
+	// configuration and all evacuations at once.
+	OperatorChanges(ctx context.Context, from Position, wait time.Duration) (OperatorChanges, error)
 	// ServerChanges returns the registrations that changed since position from,
 	// or all if from is zero or its era has ended.
 	ServerChanges(ctx context.Context, from Position) (ServerChanges, error)
--- a/internal/gateway/storewatcher.go
+++ b/internal/gateway/storewatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/fleet"
 	"github.com/lycheerudder/lycheerudder/internal/logging"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
 
 const (
@@ -115,7 +117,7 @@
 		if wait > 0 {
 			w.setOpenRead(configRead{cancel: cancel, startedAt: w.clk.Now(), version: w.configVersion()})
 		}
-		config, next, err := w.store.ConfigChange(callCtx, from, wait)
+		changes, err := w.store.OperatorChanges(callCtx, from, wait)
 		w.setOpenRead(configRead{})
 		ended := callCtx.Err() != nil
 		cancel()
@@ -131,11 +133,40 @@
 		}
 		failing = false
 		pause.reset()
-		from = next
-		w.applyConfig(config)
+		w.applyEvacuations(changes, from)
+		from = changes.Next
+		w.applyConfig(changes.Config)
 	}
 }
 
+// applyEvacuations applies the evacuations of a read from position from.
+func (w *storeWatcher) applyEvacuations(c OperatorChanges, from Position) {
+	w.mu.Lock()
+	now := w.clk.Now()
+	evacuations := w.directory.Evacuations()
+	before := evacuations.List(now)
+	if c.Full {
+		restored := from.Era != 0 && c.Next.Era != from.Era
+		evacuations.Replace(c.Evacuations, restored, now)
+	} else {
+		evacuations.Apply(c.Evacuations)
+	}
+	after := evacuations.List(now)
+	w.mu.Unlock()
+	if slices.Equal(before, after) {
+		return
+	}
+	w.log.With("data_centres", after).Info("the evacuated data centres have changed; their servers get no new requests")
+	w.onChange()
+}
+
+// evacuated returns the evacuated data centres.
+func (w *storeWatcher) evacuated() []topology.DataCentre {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.directory.Evacuations().List(w.clk.Now())
+}
+
 func (w *storeWatcher) setOpenRead(read configRead) {
 	w.openReadMu.Lock()
 	defer w.openReadMu.Unlock()
--- a/internal/gateway/storewatcher_test.go
+++ b/internal/gateway/storewatcher_test.go
@@ -62,14 +62,14 @@
 	return configs, servers
 }
 
-func (s *countingStore) ConfigChange(ctx context.Context, from Position, wait time.Duration) (*fleet.Config, Position, error) {
+func (s *countingStore) OperatorChanges(ctx context.Context, from Position, wait time.Duration) (OperatorChanges, error) {
 	s.mu.Lock()
 	s.configReads++
 	down, version, changed := s.down, s.version, s.changed
 	s.mu.Unlock()
 	time.Sleep(s.latency)
 	if down {
-		return nil, Position{}, ErrRefused
+		return OperatorChanges{}, ErrRefused
 	}
 	if version <= from.Offset && wait > 0 {
 		select {
@@ -77,16 +77,16 @@
 			time.Sleep(s.latency)
 		case <-time.After(wait):
 		case <-ctx.Done():
-			return nil, Position{}, ctx.Err()
+			return OperatorChanges{}, ctx.Err()
 		}
 		s.mu.Lock()
 		version = s.version
 		s.mu.Unlock()
 	}
 	if version == 0 || version <= from.Offset {
-		return nil, Position{Era: FirstEra, Offset: version}, nil
+		return OperatorChanges{Next: Position{Era: FirstEra, Offset: version}}, nil
 	}
-	return &fleet.Config{Version: version}, Position{Era: FirstEra, Offset: version}, nil
+	return OperatorChanges{Config: &fleet.Config{Version: version}, Next: Position{Era: FirstEra, Offset: version}}, nil
 }
 
 func (s *countingStore) ServerChanges(ctx context.Context, from Position) (ServerChanges, error) {
