--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -109,10 +109,26 @@
 	}
 }
 
+// checkEvacuation records a violation if a server of the evacuated data centre got a request
+// after the given time, which is recoveryTime after the last fault.
+func (r *run) checkEvacuation(from time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.evacuated {
+		return
+	}
+	for _, s := range r.remoteServers {
+		if arrivals := s.Arrivals(); len(arrivals) > 0 && arrivals[len(arrivals)-1].After(from) {
+			r.recordLocked("server %s got a request although its data centre is evacuated", s.ID)
+		}
+	}
+}
+
 // checkRecovery records a violation if requests are not served again after the last fault,
 // or if a host does not use the newest configuration.
 func (r *run) checkRecovery() {
 	time.Sleep(recoveryTime)
+	defer r.checkEvacuation(time.Now())
 	client := &http.Client{Transport: &http.Transport{}, Timeout: requestTimeout + time.Second}
 	served, sent := 0, 0
 	for i := range 120 {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"syscall"
 	"time"
@@ -97,6 +98,33 @@
 	}()
 }
 
+const (
+	// remoteDataCentre is the data centre that may be evacuated; one server in
+	// remoteServerInterval is there.
+	remoteDataCentre     = "remote"
+	remoteServerInterval = 4
+)
+
+// evacuate evacuates the remote data centre in half of the runs, at some time during the
+// faults and until the end of the run. It has a random source of its own, so that the other
+// faults of a seed stay the same.
+func (r *run) evacuate(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(r.opts.Seed, remoteServerInterval))
+	after := time.Duration(rng.Float64() * float64(r.opts.Duration))
+	if rng.IntN(2) == 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(after):
+		r.mu.Lock()
+		r.evacuated = true
+		r.mu.Unlock()
+		r.recordFault("data centre %s is evacuated", remoteDataCentre)
+		r.deployment.Evacuate(remoteDataCentre)
+	}
+}
+
 // drainTime is how long a draining server still runs requests.
 const drainTime = 2500 * time.Millisecond
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -65,6 +65,9 @@
 	started       time.Time
 	lastServerID  int
 	keyedServers  []string
+	// remoteServers are those of the data centre that may be evacuated.
+	remoteServers []*standin.Server
+	evacuated     bool
 }
 
 // hostProcess is the process of a host.
@@ -117,6 +120,7 @@
 		background.Go(func() { r.runCaller(ctx, i) })
 	}
 	background.Go(func() { r.watchOwners(ctx) })
+	background.Go(func() { r.evacuate(ctx) })
 	r.injectFaults(ctx)
 	r.checkRecovery()
 	cancel()
@@ -128,6 +132,11 @@
 func (r *run) recordViolation(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.recordLocked(format, args...)
+}
+
+// recordLocked is recordViolation for a caller that holds the lock.
+func (r *run) recordLocked(format string, args ...any) {
 	if len(r.report.Violations) < maxViolations {
 		at := time.Since(r.started).Round(time.Millisecond)
 		r.report.Violations = append(r.report.Violations, fmt.Sprintf("%v: ", at)+fmt.Sprintf(format, args...))
@@ -148,12 +157,20 @@
 	if keyed {
 		r.keyedServers = append(r.keyedServers, id)
 	}
+	remote := r.lastServerID%remoteServerInterval == 0
 	r.mu.Unlock()
-	return r.deployment.StartServer(standin.NewServer(id, service, keyed, 2, serverWorkTime, func(request string, _ int) {
+	server := standin.NewServer(id, service, keyed, 2, serverWorkTime, func(request string, _ int) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.runCounts[request]++
-	}))
+	})
+	if remote {
+		server.DataCentre = remoteDataCentre
+		r.mu.Lock()
+		r.remoteServers = append(r.remoteServers, server)
+		r.mu.Unlock()
+	}
+	return r.deployment.StartServer(server)
 }
 
 // publishConfig publishes a new configuration. Its first route contains the version, so
