Limit the requests that a cold server receives in a second

A server of a service with a warm-up rate crashes if it receives much more than that rate shortly after its start. The leader learns of a start from registrations only, which are written every 870 ms and read every 450 ms, and used the time left as an initial slowdown: a cold server received 14 to 20 requests in a second.

Each scheduler now counts the requests to a server in a sliding window of a second and 150 ms. They count from the last moment at which the server is known to have been warm: that of a registration written after a read that did not return it, or the end of successful exchanges that leave no time for a restart since then. The bound is divided among the leader, a leader beside which another may act, a new leader in its first 0.65 s, and hosts that act alone, which share a rate unless a fresh registration says that the server is warm. What the rate of a cold server leaves no time for is refused at once with the reason "cold".

The rate is warmup_per_s and the time warmup_s of the configuration, the bound terms.bounds.warmup_excess and warmup_slack. Nothing changes where warmup_per_s is missing or zero.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -24,6 +24,8 @@
 	// lastRead is the time at which the last successful read was sent.
 	lastRead time.Duration
 	loaded   bool
+	// readBefore is lastRead of the read before; zero if there was none.
+	readBefore time.Duration
 	// failingSince is the time of the first failed read since the last successful
 	// one. It is valid only if failing is true.
 	failingSince time.Duration
@@ -59,6 +61,9 @@
 		d.startGrace(sent)
 	}
 	d.failing = false
+	if d.loaded {
+		d.readBefore = d.lastRead
+	}
 	d.loaded = true
 	d.lastRead = max(d.lastRead, sent)
 }
@@ -119,7 +124,24 @@
 func (d *Directory) Age(now time.Duration) time.Duration { return now - d.lastRead }
 
 // Set adds or updates a registration.
-func (d *Directory) Set(s Server) { d.servers[s.ID] = &entry{server: s} }
+func (d *Directory) Set(s Server) {
+	s.ConfirmedAt = d.confirmedAt(s)
+	d.servers[s.ID] = &entry{server: s}
+}
+
+// confirmedAt returns the time after which a registration was written: that of the last
+// read which did not return it. A registration without a sequence may be any.
+func (d *Directory) confirmedAt(s Server) time.Duration {
+	old, known := d.servers[s.ID]
+	switch {
+	case s.Sequence == 0 || d.restored:
+		return 0
+	case known && !s.outdates(old.server):
+		return old.server.ConfirmedAt
+	default:
+		return d.readBefore
+	}
+}
 
 // Remove marks a registration as removed.
 func (d *Directory) Remove(id topology.ServerID, now time.Duration) {
--- a/internal/fleet/directory_test.go
+++ b/internal/fleet/directory_test.go
@@ -172,3 +172,22 @@
 	d.Replace(copied, 4*second)
 	g.Expect(get("drains").Draining).To(BeFalse(), "later lists apply as they are")
 }
+
+// Guards against a server that counts as warm by a registration which may have been written
+// before it started again: only a read that did not return it dates a registration.
+func TestTimeOfRegistration(t *testing.T) {
+	g := NewWithT(t)
+	d := fleet.NewDirectory()
+	confirmedAt := func(now time.Duration, s fleet.Server) time.Duration {
+		d.ReadSucceeded(now)
+		d.Set(s)
+		got, _ := d.Get("a", now)
+		return got.ConfirmedAt
+	}
+	g.Expect(confirmedAt(1*second, fleet.Server{ID: "a", Sequence: 7})).To(BeZero(), "the first read")
+	g.Expect(confirmedAt(2*second, fleet.Server{ID: "a", Sequence: 7})).To(BeZero(), "not renewed")
+	g.Expect(confirmedAt(3*second, fleet.Server{ID: "a", Sequence: 8})).To(Equal(2 * second))
+	g.Expect(confirmedAt(4*second, fleet.Server{ID: "a", Sequence: 8})).To(Equal(2 * second))
+	g.Expect(confirmedAt(5*second, fleet.Server{ID: "a", Incarnation: 1, Sequence: 1})).To(Equal(4 * second))
+	g.Expect(confirmedAt(6*second, fleet.Server{ID: "a", Incarnation: 1})).To(BeZero(), "without a sequence")
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -28,6 +28,9 @@
 	Draining bool
 	// WarmupLeft is how much longer the server responds slowly after its start.
 	WarmupLeft time.Duration
+	// ConfirmedAt is the time after which the registration was written, by the reads of
+	// this host; zero if it is not known.
+	ConfirmedAt time.Duration
 }
 
 // outdates reports whether s was registered after other, another registration of the same
@@ -74,6 +77,10 @@
 	// Warmup is how long requests for a key stay slow on a server that became its
 	// owner without a handover.
 	Warmup time.Duration
+	// WarmupRate is the number of requests a second that a server tolerates in the
+	// ColdTime after its start; zero if there is no such limit.
+	WarmupRate float64
+	ColdTime   time.Duration
 }
 
 // Limits bounds the requests that callers may send.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -188,6 +188,7 @@
 		log: logging.For(logging.Lead), leaderLog: newLeaderLog(logging.For(logging.Lead), clk), memberID: string(settings.Host) + memberSeparator + strconv.FormatUint(incarnation, 36),
 		metrics: metrics, active: g.active, self: address, claimWeight: 1 / max(settings.CPUShare, minCPUShare), wake: make(chan struct{}, 1),
 	}
+	g.leaderClient.fallback.warmup = g.warmupShare
 	g.leaderClient.active, g.leaderClient.leavingServers = g.active, g.watcher.leavingServers
 	g.leaderClient.cpuPercent = uint16(min(settings.CPUShare*100, 60000))
 	g.watcher.readOwners = func(ctx context.Context) {
@@ -216,7 +217,7 @@
 	metrics.RegisterFunc("config_version", func() float64 { return float64(g.watcher.configVersion()) })
 	for name, pick := range map[string]func(summary) int{
 		"waiting": func(sum summary) int { return sum.waiting }, "running": func(sum summary) int { return sum.running },
-		"slots": func(sum summary) int { return sum.slots }, "key_ranges": func(sum summary) int { return sum.keyRanges },
+		"slots": func(sum summary) int { return sum.slots }, "cold_servers": func(sum summary) int { return sum.cold }, "key_ranges": func(sum summary) int { return sum.keyRanges },
 		"key_ranges_moving": func(sum summary) int { return sum.moving }, "key_ranges_unowned": func(sum summary) int { return sum.unowned },
 	} {
 		metrics.RegisterFunc(name, func() float64 { return g.elector.sumServices(pick) })
--- a/internal/gateway/leaderclient.go
+++ b/internal/gateway/leaderclient.go
@@ -346,13 +346,7 @@
 	if !c.limits.record(l) && !known {
 		return
 	}
-	c.mu.Lock()
-	share := schedule.LimitShare{Hosts: c.maxHostCount, Phase: c.limitPhase}
-	c.mu.Unlock()
-	if share.Hosts == 0 {
-		share.Hosts = unknownHostCount
-	}
-	c.fallback.setLimit(l, share)
+	c.fallback.setLimit(l, c.limitShare())
 	c.passLimits([]serverLimit{l})
 }
 
--- a/internal/gateway/leadership.go
+++ b/internal/gateway/leadership.go
@@ -59,6 +59,7 @@
 		lease: leaderlease.New(t.lease, e.leaderClient.incarnation, e.self.String(), e.clk.Now(), record.Earlier),
 	}
 	l.scheduler = newScheduler(e.clk, e.followers.deliver, e.watcher.listUsable)
+	l.scheduler.warmup, l.scheduler.warmupLog = l.warmupShare, newWarmupLog(e.clk)
 	l.scheduler.mayGrant = func() bool {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -234,7 +235,7 @@
 		l.summaryLoggedAt = now
 		for _, sum := range l.scheduler.summaries() {
 			load := l.scheduler.keyLoad(sum.service)
-			l.log.With("service", string(sum.service)).With("waiting", sum.waiting).With("running", sum.running).With("slots", sum.slots).
+			l.log.With("service", string(sum.service)).With("waiting", sum.waiting).With("running", sum.running).With("slots", sum.slots).With("cold", sum.cold).
 				With("parts", sum.keyRanges).With("moving", sum.moving).With("unowned", sum.unowned).With("calls", l.callsInFlight.Load()).
 				With("busiest", load.busiestServer).With("mean", load.meanServer).With("hottest", load.hottestKey).With("rivals_ms", (l.scheduler.earlierGrantsUntil() - l.clk.Now()).Milliseconds()).Info("load of the service")
 		}
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -31,6 +31,11 @@
 	mayGrant           func() bool
 	earlierGrantsUntil func() time.Duration
 	movesFrom          func() time.Duration
+	// warmup returns the bounds of cold servers and the share of this scheduler; nil
+	// if no server is limited. warmupLog is nil in the scheduler of a host that does
+	// not lead.
+	warmup    func() (Bounds, schedule.WarmupShare)
+	warmupLog *warmupLog
 
 	mu       sync.Mutex
 	services map[uint32]*serviceScheduler // by hash of the name
@@ -50,6 +55,10 @@
 	// servers are not among them.
 	usable   map[topology.ServerID]schedule.Server
 	lastPlan time.Duration
+	// warmupRate and coldTime are those of the configuration.
+	warmupRate  float64
+	coldTime    time.Duration
+	coldServers int
 }
 
 const (
@@ -86,11 +95,12 @@
 	defer s.mu.Unlock()
 	for name, spec := range cfg.Services {
 		hash := hash32(string(name))
-		if _, ok := s.services[hash]; ok {
+		if svc, ok := s.services[hash]; ok {
+			svc.warmupRate, svc.coldTime = spec.WarmupRate, spec.ColdTime
 			continue
 		}
 		svc := &serviceScheduler{
-			name: name, keyed: spec.Keyed,
+			name: name, keyed: spec.Keyed, warmupRate: spec.WarmupRate, coldTime: spec.ColdTime,
 			sched: schedule.New(spec.Keyed, schedule.Settings{RemoteCost: remoteCost}),
 		}
 		if spec.Keyed {
@@ -235,11 +245,14 @@
 			if !srv.Draining {
 				usable[srv.ID] = schedule.Server{
 					Address: srv.Address, DataCentre: srv.DataCentre, Slots: srv.Slots, Incarnation: srv.Incarnation, WarmupLeft: srv.WarmupLeft,
+					ConfirmedAt: srv.ConfirmedAt,
 				}
 			}
 		}
 		svc.usable = usable
+		s.limitColdServers(svc)
 		svc.sched.SetServers(usable, now)
+		s.logColdServers(svc, now)
 		if svc.grants != nil {
 			svc.grants.SetServers(reachable)
 		}
@@ -366,6 +379,7 @@
 	service                    topology.Service
 	waiting, running, slots    int
 	keyRanges, moving, unowned int
+	cold                       int // servers
 }
 
 // keyLoad holds the measured load of a keyed service: that of its busiest
@@ -382,7 +396,7 @@
 	now := s.clk.Now()
 	var out []summary
 	for _, svc := range s.services {
-		sum := summary{service: svc.name}
+		sum := summary{service: svc.name, cold: svc.coldServers}
 		sum.waiting, sum.running, sum.slots = svc.sched.Counts()
 		if svc.grants != nil {
 			svc.grants.Ranges(now, func(r ownership.RangeState) {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -52,6 +52,11 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// WarmupExcess and WarmupSlack bound the requests that a cold server receives
+	// in any second: the rate that it tolerates times the excess, plus the slack,
+	// over all hosts.
+	WarmupExcess float64
+	WarmupSlack  float64
 	// ServerHeartbeat is the interval at which servers renew their
 	// registration.
 	ServerHeartbeat time.Duration
--- /dev/null
+++ b/internal/gateway/warmup.go
@@ -0,0 +1,109 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/lycheerudder/lycheerudder/internal/clock"
+	"github.com/lycheerudder/lycheerudder/internal/logging"
+	"github.com/lycheerudder/lycheerudder/internal/schedule"
+)
+
+const (
+	// rivalAge is the age of its last confirmation above which a leader reckons with
+	// another one: two renewals of its membership, every 0.3 s, have failed.
+	rivalAge = 700 * time.Millisecond
+	// startingTime is how long a new leader reckons with what an earlier one sent with
+	// the full share: for rivalAge after its last confirmation, and a window of 1.15 s
+	// counts it after that. The new one claims 1.2 s after the last call or later.
+	startingTime = rivalAge + 1150*time.Millisecond - 1200*time.Millisecond
+	// warmupLinesPerSecond bounds the log lines on cold servers. All servers of a data
+	// centre become cold at once when it returns.
+	warmupLinesPerSecond = 20
+)
+
+// warmupShare returns the share of the leader's scheduler in the requests that a cold
+// server tolerates.
+func (l *leadership) warmupShare() (Bounds, schedule.WarmupShare) {
+	share := schedule.WarmupShare{ListReadAt: l.clk.Now() - l.watcher.listAge(), MaxListAge: l.timing.maxListAge}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clk.Now()
+	switch {
+	case now-l.startedAt < startingTime:
+		share.Role = schedule.StartingLeader
+	case now-l.confirmedAt > rivalAge, now < l.lease.EarlierLeadersUntil():
+		share.Role = schedule.RivalLeader
+	}
+	return *l.active.bounds.Load(), share
+}
+
+// warmupShare returns the share of the fallback scheduler of this host.
+func (g *gateway) warmupShare() (Bounds, schedule.WarmupShare) {
+	t := g.active.timing()
+	share := schedule.WarmupShare{Role: schedule.AloneHost, ListReadAt: g.clk.Now() - g.watcher.listAge(), MaxListAge: t.maxListAge}
+	limits := g.leaderClient.limitShare()
+	share.Hosts, share.Phase = limits.Hosts, limits.Phase
+	return *g.active.bounds.Load(), share
+}
+
+// limitShare returns the share of the fallback scheduler in the limits of servers.
+func (c *leaderClient) limitShare() schedule.LimitShare {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	share := schedule.LimitShare{Hosts: c.maxHostCount, Phase: c.limitPhase}
+	if share.Hosts == 0 {
+		share.Hosts = unknownHostCount
+	}
+	return share
+}
+
+// limitColdServers passes on what cold servers of a service tolerate. The caller holds the
+// lock.
+func (s *scheduler) limitColdServers(svc *serviceScheduler) {
+	if s.warmup == nil {
+		return
+	}
+	bounds, share := s.warmup()
+	svc.sched.SetWarmup(schedule.WarmupTerms{
+		PerSecond: svc.warmupRate, Excess: bounds.WarmupExcess, Slack: bounds.WarmupSlack, Duration: svc.coldTime,
+	}, share)
+}
+
+// logColdServers counts the cold servers of a service and logs their changes. The caller
+// holds the lock.
+func (s *scheduler) logColdServers(svc *serviceScheduler, now time.Duration) {
+	changes, cold := svc.sched.TakeWarmupChanges(now)
+	svc.coldServers = cold
+	if s.warmupLog != nil {
+		s.warmupLog.record(string(svc.name), changes)
+	}
+}
+
+// warmupLog writes the lines on servers that become cold or warm.
+type warmupLog struct {
+	log     logging.Logger
+	clk     clock.Clock
+	limiter logging.Limiter
+}
+
+func newWarmupLog(clk clock.Clock) *warmupLog {
+	return &warmupLog{log: logging.For(logging.Lead), clk: clk, limiter: logging.Limiter{PerSecond: warmupLinesPerSecond}}
+}
+
+func (l *warmupLog) record(service string, changes []schedule.WarmupChange) {
+	for _, c := range changes {
+		ok, omitted := l.limiter.Allow(l.clk.Now())
+		if !ok {
+			continue
+		}
+		line := l.log.With("service", service).With("server", string(c.Server))
+		if omitted > 0 {
+			line = line.With("omitted", omitted)
+		}
+		if c.Cold {
+			line.Info("a server is cold; its requests are limited")
+		} else {
+			line.Info("a server is no longer cold or no longer listed")
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/warmup_test.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lycheerudder/lycheerudder/internal/clock"
+	"github.com/lycheerudder/lycheerudder/internal/fleet"
+	"github.com/lycheerudder/lycheerudder/internal/schedule"
+)
+
+// Guards against cold servers without a limit, and against a limit that outlasts its
+// configuration: the rate follows the configuration, the bound the settings, and the share
+// the role of the scheduler.
+func TestSchedulerLimitsColdServers(t *testing.T) {
+	g := NewWithT(t)
+	sent := 0
+	s := newScheduler(clock.NewMonotonic(), func(d []schedule.Decision) {
+		for _, dec := range d {
+			if !dec.Refused {
+				sent++
+			}
+		}
+	}, func() bool { return true })
+	s.warmup = func() (Bounds, schedule.WarmupShare) {
+		return Bounds{WarmupExcess: 1.5, WarmupSlack: 8}, schedule.WarmupShare{Role: schedule.StartingLeader}
+	}
+	number := uint32(0)
+	play := func(rate float64) int {
+		cfg := fleet.NewConfig(1, nil, []fleet.Service{{Name: "svc", WarmupRate: rate, ColdTime: 3 * time.Second}}, fleet.Limits{})
+		s.addServices(cfg, nil, nil)
+		s.updateServers([]fleet.Server{{ID: "s-1", Service: "svc", Slots: 20, WarmupLeft: time.Minute}})
+		before := sent
+		for range 10 {
+			number++
+			now := s.clk.Now()
+			s.add(hash32("svc"), &schedule.Job{ID: schedule.JobID{Number: number}, Key: schedule.NoKey, Target: now + time.Second, Deadline: now + time.Second})
+		}
+		return sent - before
+	}
+	g.Expect(play(3.9)).To(BeNumerically("<=", 2))
+	g.Expect(s.summaries()[0].cold).To(Equal(1))
+	g.Expect(play(0)).To(BeNumerically(">=", 10))
+	g.Expect(s.summaries()[0].cold).To(BeZero())
+}
--- a/internal/schedule/limit.go
+++ b/internal/schedule/limit.go
@@ -159,7 +159,8 @@
 // refuseBeyondLimit refuses the waiting jobs of a server that its limit leaves no
 // time for. The more urgent jobs are kept.
 func (s *Scheduler) refuseBeyondLimit(srv *server, now time.Duration, out []Decision) []Decision {
-	if !srv.limit.inForce(now) {
+	limited, cold := srv.limit.inForce(now), srv.warmup.restricts(now)
+	if !limited && !cold {
 		return out
 	}
 	saturated := s.saturated(srv, now)
@@ -174,8 +175,14 @@
 	})
 	kept := srv.waiting[:0]
 	for _, j := range srv.waiting {
-		if wait := srv.limit.wait(len(kept)+1, now); now+wait > latest(j) {
-			out = append(out, s.refuse(j, Overloaded, max(minRetryAfter, wait)))
+		wait, reason := srv.limit.wait(len(kept)+1, now), Overloaded
+		if cold {
+			if w := srv.warmup.wait(len(kept)+1, now); w > wait {
+				wait, reason = w, Cold
+			}
+		}
+		if now+wait > latest(j) {
+			out = append(out, s.refuse(j, reason, max(minRetryAfter, srv.warmup.retryAfter(wait))))
 			continue
 		}
 		kept = append(kept, j)
@@ -200,14 +207,15 @@
 	if srv.limit.inForce(now) {
 		capacity = min(capacity, srv.limit.perSecond*s.meanWork.expectedSeconds())
 	}
-	return capacity
+	return min(capacity, srv.warmup.rate(now)*s.meanWork.expectedSeconds())
 }
 
 // usableSlots returns the slots of a server, or those that the requests of its limit
 // keep busy if these are fewer.
 func (s *Scheduler) usableSlots(srv *server, now time.Duration) float64 {
-	if !srv.limit.inForce(now) {
-		return float64(srv.Slots)
+	slots := float64(srv.Slots)
+	if srv.limit.inForce(now) {
+		slots = min(slots, srv.limit.perSecond*s.meanWork.expectedSeconds())
 	}
-	return min(float64(srv.Slots), srv.limit.perSecond*s.meanWork.expectedSeconds())
+	return min(slots, srv.warmup.rate(now)*s.meanWork.expectedSeconds())
 }
--- a/internal/schedule/report.go
+++ b/internal/schedule/report.go
@@ -80,6 +80,7 @@
 	if srv == nil {
 		return j, ""
 	}
+	srv.warmup.observe(j, r, s.expectedTime(j, srv.slowness), now)
 	srv.observeResult(r, s.ExpectedSeconds(j.Class), now)
 	if r.Result == Broken {
 		s.crashTracker.recordBroken(srv.id, j.ContentHash, now)
@@ -153,6 +154,7 @@
 				srv.slowness = coldSlowness
 			}
 		}
+		srv.warmup = s.registerWarmup(id, desc, srv != s.servers[id], now)
 		if old := s.servers[id]; old != nil && old != srv {
 			s.releaseQueue(old)
 		}
@@ -167,6 +169,7 @@
 			s.crashTracker.recordCrash(id, now)
 		}
 	}
+	s.listed = s.listed || len(servers) > 0
 	s.sortedServers = s.sortedServers[:0]
 	for _, srv := range s.servers {
 		s.sortedServers = append(s.sortedServers, srv)
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -43,7 +43,9 @@
 	// Tried lists the servers at which earlier attempts failed.
 	Tried []topology.ServerID
 
-	arrived time.Duration
+	arrived, assignedAt time.Duration
+	// respondedAt is the time of the response if it shows that the server is warm.
+	respondedAt time.Duration
 	// estimate is the processing time of its class.
 	estimate *durationEstimate
 	// finished is true once the job is neither waiting nor running. Queues drop
@@ -106,11 +108,13 @@
 	HostStops
 	// Paused: the server wants no requests from the host of the request for now.
 	Paused
+	// Cold: the server warms up, and its rate leaves no time for the request.
+	Cold
 )
 
 // String returns the name of the reason in logs and metrics.
 func (r Reason) String() string {
-	names := [...]string{"none", "overloaded", "no-owner", "no-server", "harmful", "host-stops", "paused"}
+	names := [...]string{"none", "overloaded", "no-owner", "no-server", "harmful", "host-stops", "paused", "cold"}
 	if int(r) >= len(names) {
 		return "unknown" // sent by a later release
 	}
@@ -126,6 +130,9 @@
 	// WarmupLeft is the remaining time of the warm-up, during which the server is
 	// slow.
 	WarmupLeft time.Duration
+	// ConfirmedAt is the time after which the registration was written; zero if it is
+	// not known.
+	ConfirmedAt time.Duration
 }
 
 // Owner is the server that owns a key, and whether it may be sent requests.
@@ -200,6 +207,11 @@
 	// meanWork is the mean of the expected processing times of the jobs.
 	meanWork durationEstimate
 	limits   map[topology.ServerID]*rateLimit
+	// warmupLimits is nil if the servers need no warm-up; listed is true once there
+	// was a list of servers.
+	warmupLimits *warmupLimits
+	warmups      map[topology.ServerID]*warmup
+	listed       bool
 	// pausedHosts holds the hosts with pauses in force by incarnation, freeHostNumbers
 	// the numbers of former ones.
 	pausedHosts     map[uint64]*pausedHost
@@ -363,6 +375,7 @@
 	}
 	s.lastExpiry = now
 	s.dropLimits(now)
+	s.dropWarmups(now)
 	s.dropPauses(now)
 	for id := range s.assigned {
 		if now > s.jobs[id].Deadline+inflightGrace {
@@ -502,6 +515,8 @@
 	srv.running[j.ID] = true
 	s.assigned[j.ID] = srv
 	srv.limit.take(now)
+	j.assignedAt = now
+	srv.warmup.take(j, now)
 	return Decision{Job: j, Server: srv.id, Address: srv.Address, Limited: srv.limit.inForce(now)}
 }
 
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -27,6 +27,7 @@
 	dirty  bool
 	demand demand     // of the jobs whose keys this server owns
 	limit  *rateLimit // nil if the server named none
+	warmup *warmup    // nil if servers of the service need no warm-up
 	// pausedUntil holds the end of the pause of each host by its number, lastPauseEnd
 	// the latest of them.
 	pausedUntil  []time.Duration
@@ -36,7 +37,7 @@
 // accepts reports whether the server may be sent a request now, if it has a free
 // slot.
 func (srv *server) accepts(now time.Duration) bool {
-	return now >= srv.fullUntil && srv.limit.admits(now)
+	return now >= srv.fullUntil && srv.limit.admits(now) && srv.warmup.admits(now)
 }
 
 // demand is the mean number of slots that arriving jobs would keep busy at a server
