Count only requests that a cold server may have received

Requests whose connection could not be established, and those that were answered with 421, used up the limit of a server that restarts under load: a hot key left nothing for the new process. They are taken out of the window when their report arrives.

A registration that was read again moved the end of the known warm-up to the time of that read plus the time left. The earlier end holds now.

--- a/internal/schedule/warmup.go
+++ b/internal/schedule/warmup.go
@@ -135,6 +135,8 @@
 	// passed on by TakeWarmupChanges.
 	coldUntil    time.Duration
 	reportedCold bool
+	// left is the last warm-up time in a registration, leftAt its ConfirmedAt.
+	left, leftAt time.Duration
 	// confirmedAt is the time after which the last registration was written, doubtAt
 	// that of the last exchange that a restart may have ended.
 	confirmedAt, doubtAt time.Duration
@@ -160,8 +162,11 @@
 		return
 	}
 	if desc.WarmupLeft > 0 {
-		w.coldUntil = max(w.coldUntil, w.share.ListReadAt+desc.WarmupLeft)
-		w.warmAt = 0
+		until := w.share.ListReadAt + desc.WarmupLeft
+		if desc.WarmupLeft == w.left && desc.ConfirmedAt == w.leftAt { // read again
+			until = min(until, w.coldUntil)
+		}
+		w.coldUntil, w.warmAt, w.left, w.leftAt = until, 0, desc.WarmupLeft, desc.ConfirmedAt
 		return
 	}
 	if desc.ConfirmedAt <= w.confirmedAt {
@@ -196,6 +201,9 @@
 	switch r.Result {
 	case Broken, ConnectFailed, WrongServer:
 		w.doubtAt, w.warmAt, w.proofs = now, 0, nil
+		if r.Result != Broken { // not received, or answered with 421, which does not count
+			w.sends = slices.DeleteFunc(w.sends, func(sent *Job) bool { return sent == j })
+		}
 	case Succeeded, Failed:
 		if float64(r.Duration) > maxWarmTime*float64(expected) {
 			return
