Reject responses with an invalid status line at once

http.ReadResponse takes any three characters that form a number for a status code, and http.Transport passes over every code from 100 to 199 but 101. So a server that sent 000, 099, 101, 199 or +20 kept a request waiting until its deadline, 600 and 999 reached the caller, and the store or a server could do the same to a call of the leader.

A broken response ends its exchange at once, and its connection is not used again.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -26,6 +26,7 @@
 
 	"github.com/lycheerudder/lycheerudder/internal/membudget"
 	"github.com/lycheerudder/lycheerudder/internal/schedule"
+	"github.com/lycheerudder/lycheerudder/internal/statusline"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
 
@@ -369,7 +370,7 @@
 	method := &http.Request{Method: r.Method}
 	for range maxResponses {
 		cn.limited.N = maxHeadBytes
-		resp, err := http.ReadResponse(cn.br, method)
+		resp, err := readHead(cn.br, method)
 		if err != nil {
 			if cn.limited.N <= 0 {
 				err = errors.New("response head is too large")
@@ -408,6 +409,14 @@
 	return fail(errors.New("too many interim responses or responses to other requests"))
 }
 
+// readHead reads the head of a response once its status code is known to be valid.
+func readHead(br *bufio.Reader, r *http.Request) (*http.Response, error) {
+	if err := statusline.Await(br); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(br, r)
+}
+
 // checkHead returns an error if the head of a response contains another status line. A
 // server that breaks off in a head and then writes the next response on the connection
 // leaves one head with the fields of both.
