Count the calls to the store by kind

The client reports the kind of each call, and the metrics expose it as lygate_store_calls_total{kind}. TestStoreCallsOfADay plays hosts on an in-memory network and store in virtual time, so that a rise is noticed; for this, the link takes any packet connection.

--- a/cmd/lygate/main.go
+++ b/cmd/lygate/main.go
@@ -68,6 +68,7 @@
 		metrics := gateway.NewMetrics()
 		metrics.RegisterFunc("log_lines_dropped_total", func() float64 { return float64(logs.Dropped()) })
 		store := platform.NewStoreClient(initial.StoreAddress, func(path string) { metrics.Count("store" + path) })
+		store.OnCall(metrics.CountStoreCall)
 		changed := make(chan gateway.Settings)
 		go watchSettings(ctx, o.Settings, changed)
 		return gateway.Run(ctx, initial, changed, platform.HTTPNames, store, platform.NewGrantClient(), metrics)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -160,14 +160,20 @@
 // Count adds one to a counter.
 func (m *metrics) Count(name string) { m.inc(name) }
 
+// CountStoreCall adds one to the counter of calls of one kind to the store.
+func (m *metrics) CountStoreCall(kind string) { add(&m.storeCalls, kind) }
+
 func newGateway(settings Settings, names HTTPNames, store Store, grantClient GrantClient, metrics *Metrics) (*gateway, error) {
-	clk := clock.BootTime{}
-	self := net.JoinHostPort(settings.IP, strconv.Itoa(settings.PeerPort))
-	link, err := hostlink.Listen(self)
+	link, err := hostlink.Listen(net.JoinHostPort(settings.IP, strconv.Itoa(settings.PeerPort)))
 	if err != nil {
 		return nil, err
 	}
-	address, err := netip.ParseAddrPort(self)
+	return newGatewayOn(clock.BootTime{}, link, settings, names, store, grantClient, metrics)
+}
+
+// newGatewayOn returns a gateway with the given clock and link.
+func newGatewayOn(clk clock.Clock, link *hostlink.Link, settings Settings, names HTTPNames, store Store, grantClient GrantClient, metrics *Metrics) (*gateway, error) {
+	address, err := netip.ParseAddrPort(net.JoinHostPort(settings.IP, strconv.Itoa(settings.PeerPort)))
 	if err != nil {
 		return nil, eris.Wrap(err, "address of the host")
 	}
@@ -297,18 +303,9 @@
 func (g *gateway) run(ctx context.Context) error {
 	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
-	go func() {
-		err := g.link.Receive(g, func(err error) { g.log.Warn("a datagram cannot be decoded: " + err.Error()) })
-		if workCtx.Err() == nil {
-			g.log.Error("the peer socket failed", err)
-		}
-	}()
-	go g.watcher.runConfig(workCtx)
-	go g.watcher.runServers(workCtx)
 	leadCtx, stopLead := context.WithCancel(workCtx)
 	defer stopLead()
-	go g.elector.run(leadCtx)
-	go g.tick(workCtx)
+	g.startLoops(workCtx, leadCtx)
 
 	ready := &http.Server{Handler: http.HandlerFunc(g.handleReady), ReadHeaderTimeout: readHeaderTimeout}
 	callers := g.callers
@@ -345,6 +342,21 @@
 	return nil
 }
 
+// startLoops starts what the host does beside serving requests. It leads no longer than
+// leadCtx lasts.
+func (g *gateway) startLoops(ctx, leadCtx context.Context) {
+	go func() {
+		err := g.link.Receive(g, func(err error) { g.log.Warn("a datagram cannot be decoded: " + err.Error()) })
+		if ctx.Err() == nil {
+			g.log.Error("the peer socket failed", err)
+		}
+	}()
+	go g.watcher.runConfig(ctx)
+	go g.watcher.runServers(ctx)
+	go g.elector.run(leadCtx)
+	go g.tick(ctx)
+}
+
 // stop reports the host as not ready, so that the balancer sends requests
 // elsewhere, ends the leadership, and returns once all requests have a response
 // or the grace period is over. Before that, requests that may outlast the stop or wait
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -56,6 +56,7 @@
 // histograms per route.
 type metrics struct {
 	counters   sync.Map // string -> *atomic.Int64
+	storeCalls sync.Map // kind of call to the store -> *atomic.Int64
 	funcs      sync.Map // string -> func() float64
 	latencies  sync.Map // string -> gometrics.Histogram
 	routeCount atomic.Int64
@@ -70,10 +71,13 @@
 // otherRoutesLabel is the route label of the shared histogram.
 const otherRoutesLabel = "other"
 
-func (m *metrics) inc(name string) {
-	v, ok := m.counters.Load(name)
+func (m *metrics) inc(name string) { add(&m.counters, name) }
+
+// add adds one to the counter with the given name.
+func add(counters *sync.Map, name string) {
+	v, ok := counters.Load(name)
 	if !ok {
-		v, _ = m.counters.LoadOrStore(name, new(atomic.Int64))
+		v, _ = counters.LoadOrStore(name, new(atomic.Int64))
 	}
 	v.(*atomic.Int64).Add(1)
 }
@@ -112,6 +116,10 @@
 		lines = append(lines, fmt.Sprintf("lygate_events_total{event=%q} %d", k, v.(*atomic.Int64).Load()))
 		return true
 	})
+	m.storeCalls.Range(func(k, v any) bool {
+		lines = append(lines, fmt.Sprintf("lygate_store_calls_total{kind=%q} %d", k, v.(*atomic.Int64).Load()))
+		return true
+	})
 	m.funcs.Range(func(k, v any) bool {
 		lines = append(lines, fmt.Sprintf("lygate_%s %g", k, v.(func() float64)()))
 		return true
--- /dev/null
+++ b/internal/gateway/storecalls_test.go
@@ -0,0 +1,280 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lycheerudder/lycheerudder/internal/gateway"
+	"github.com/lycheerudder/lycheerudder/internal/hostlink"
+	"github.com/lycheerudder/lycheerudder/internal/ownership"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
+	"github.com/lycheerudder/lycheerudder/platform"
+	"github.com/lycheerudder/lycheerudder/platform/standin"
+)
+
+const (
+	storeLatency = 2 * time.Millisecond
+	linkLatency  = time.Millisecond
+)
+
+// datagramNetwork carries the datagrams of the hosts of a test.
+type datagramNetwork struct {
+	mu    sync.Mutex
+	conns map[netip.AddrPort]*datagramConn
+	bytes int
+}
+
+type datagram struct {
+	from netip.AddrPort
+	data []byte
+}
+
+type datagramConn struct {
+	network *datagramNetwork
+	address netip.AddrPort
+	queue   chan datagram
+	closed  chan struct{}
+}
+
+func (n *datagramNetwork) listen(address netip.AddrPort) *datagramConn {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c := &datagramConn{network: n, address: address, queue: make(chan datagram, 1024), closed: make(chan struct{})}
+	n.conns[address] = c
+	return c
+}
+
+func (c *datagramConn) ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error) {
+	select {
+	case d := <-c.queue:
+		return copy(b, d.data), d.from, nil
+	case <-c.closed:
+		return 0, netip.AddrPort{}, net.ErrClosed
+	}
+}
+
+func (c *datagramConn) WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error) {
+	c.network.mu.Lock()
+	defer c.network.mu.Unlock()
+	c.network.bytes += len(b)
+	if peer := c.network.conns[to]; peer != nil {
+		d := datagram{c.address, slices.Clone(b)}
+		time.AfterFunc(linkLatency, func() {
+			select {
+			case peer.queue <- d:
+			default:
+			}
+		})
+	}
+	return len(b), nil
+}
+
+func (c *datagramConn) LocalAddr() net.Addr { return net.UDPAddrFromAddrPort(c.address) }
+
+func (c *datagramConn) Close() error {
+	close(c.closed)
+	return nil
+}
+
+// sent returns the bytes of all datagrams so far.
+func (n *datagramNetwork) sent() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.bytes
+}
+
+// direct passes the calls of a client to the store without a network.
+type direct struct{ store http.Handler }
+
+func (d direct) RoundTrip(r *http.Request) (*http.Response, error) {
+	time.Sleep(storeLatency)
+	w := httptest.NewRecorder()
+	d.store.ServeHTTP(w, r)
+	if err := r.Context().Err(); err != nil {
+		return nil, err
+	}
+	return w.Result(), nil
+}
+
+// prompt accepts all grants and releases.
+type prompt struct{}
+
+func (prompt) Grant(context.Context, ownership.Order, time.Duration) error {
+	time.Sleep(linkLatency)
+	return nil
+}
+
+func (prompt) Release(context.Context, ownership.Order) (string, error) {
+	time.Sleep(linkLatency)
+	return "", nil
+}
+
+// simulation is a deployment in virtual time. Its hosts serve no requests.
+type simulation struct {
+	store   *standin.Store
+	network *datagramNetwork
+	hosts   []*gateway.HostWithoutListeners
+	mu      sync.Mutex
+	calls   []map[string]int // of each host, by kind
+	end     []context.CancelFunc
+}
+
+func newSimulation() *simulation {
+	return &simulation{store: standin.NewStore(), network: &datagramNetwork{conns: make(map[netip.AddrPort]*datagramConn)}}
+}
+
+// start starts a host.
+func (s *simulation) start(g *WithT, n int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	client := platform.NewStoreClientOn(direct{s.store})
+	counts := make(map[string]int)
+	client.OnCall(func(kind string) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		counts[kind]++
+	})
+	settings := gateway.Settings{
+		Host: topology.HostID(fmt.Sprint("host-", n)), DataCentre: "dc", IP: fmt.Sprintf("10.0.0.%d", n+1), PeerPort: 7000, CPUShare: 0.5, MemoryBytes: 256 << 20,
+		CallerAddress: "127.0.0.1:1", ReadyAddress: "127.0.0.1:2", StoreAddress: "127.0.0.1:3",
+		Bounds: gateway.Bounds{
+			DrainWindow: 2500 * time.Millisecond, MaxConfigDelay: 2500 * time.Millisecond, StopGrace: 6 * time.Second, MaxGrantDuration: 3 * time.Second,
+			RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second, ServerHeartbeat: 870 * time.Millisecond, MinMembershipTTL: 200 * time.Millisecond,
+		},
+	}
+	conn := s.network.listen(netip.MustParseAddrPort(fmt.Sprintf("%s:%d", settings.IP, settings.PeerPort)))
+	host, err := gateway.StartWithoutListeners(ctx, settings, hostlink.NewLink(conn), client, prompt{})
+	g.Expect(err).NotTo(HaveOccurred())
+	s.hosts, s.calls = append(s.hosts, host), append(s.calls, counts)
+	s.end = append(s.end, func() { cancel(); _ = conn.Close() })
+}
+
+// stop ends all hosts.
+func (s *simulation) stop() {
+	for _, end := range s.end {
+		end()
+	}
+	time.Sleep(15 * time.Second) // calls in progress
+	synctest.Wait()
+}
+
+// take returns the calls since the last count by kind, of the leader and of all others.
+func (s *simulation) take() (leader, others map[string]int) {
+	leader, others = make(map[string]int), make(map[string]int)
+	for i, host := range s.hosts {
+		sum := others
+		if host.Leads() {
+			sum = leader
+		}
+		s.mu.Lock()
+		for kind, n := range s.calls[i] {
+			sum[kind] += n
+		}
+		clear(s.calls[i])
+		s.mu.Unlock()
+	}
+	return leader, others
+}
+
+// register writes the registrations of servers every heartbeat until the context ends.
+func (s *simulation) register(ctx context.Context, count int) {
+	for ctx.Err() == nil {
+		for n := range count {
+			s.putServer(n, "ready")
+		}
+		time.Sleep(870 * time.Millisecond)
+	}
+}
+
+func (s *simulation) putServer(n int, state string) {
+	s.store.Put("keyed.servers", fmt.Sprint("server-", n), fmt.Appendf(nil,
+		`{"address":"10.1.0.%d:80","born":1,"info":{"service":"booking","zone":"dc","slots":4},"status":{"state":%q}}`, n+1, state))
+}
+
+func (s *simulation) configure(version int) {
+	s.store.Put("keyed.op", "config", fmt.Appendf(nil, `{"version":%d,"routes":{"r":{"host":"h.example","path_prefix":"/","kind":"idempotent","timeout_ms":2000,"target_latency_ms":300,"priority":1,"service":"booking","max_attempts":2}},"services":{"booking":{"health_path":"/health","max_connections":100,"sharded":true,"warm_s":1.0}},"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, version))
+}
+
+// paid returns the price of calls: a call to log-join costs a tenth of the others.
+func paid(calls map[string]int) float64 {
+	sum := 0.0
+	for kind, n := range calls {
+		if kind == "join" {
+			sum += 0.1 * float64(n)
+			continue
+		}
+		sum += float64(n)
+	}
+	return sum
+}
+
+// dayCalls holds the prices of the calls to the store in the sections of a simulated day.
+type dayCalls struct{ start, leader, others float64 }
+
+func (d dayCalls) total() float64 { return d.start + d.leader + d.others }
+
+// playDay returns the price of a day of 40 s: hosts start before there is a configuration,
+// which is written 2 s later and changes four times.
+func playDay(t *testing.T, hosts, servers int) (day dayCalls) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newSimulation()
+		ctx, cancel := context.WithCancel(context.Background())
+		go s.register(ctx, servers)
+		for n := range hosts {
+			s.start(g, n)
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		section := func(name string) (leader, others float64) {
+			byLeader, byOthers := s.take()
+			t.Logf("%s: leader %.1f %v, others %.1f %v", name, paid(byLeader), sorted(byLeader), paid(byOthers), sorted(byOthers))
+			return paid(byLeader), paid(byOthers)
+		}
+		_, day.start = section("before the configuration")
+		s.configure(1)
+		time.Sleep(2 * time.Second)
+		leader, others := section("start")
+		day.start += leader + others
+		for version := 2; version <= 5; version++ {
+			s.configure(version)
+			time.Sleep(2500 * time.Millisecond)
+			for _, host := range s.hosts {
+				g.Expect(host.ConfigVersion()).To(Equal(int64(version)))
+			}
+			time.Sleep(6500 * time.Millisecond)
+		}
+		day.leader, day.others = section("steady state")
+		t.Logf("total %.1f; %d bytes of datagrams", day.total(), s.network.sent())
+		cancel()
+		s.stop()
+	})
+	return day
+}
+
+// Guards against a rise in the calls to the store, which are the largest cost of a
+// deployment on most days.
+func TestStoreCallsOfADay(t *testing.T) {
+	day := playDay(t, 12, 15)
+	g := NewWithT(t)
+	g.Expect(day.total()).To(BeNumerically("<=", 650))
+}
+
+func sorted(calls map[string]int) []string {
+	var list []string
+	for _, kind := range slices.Sorted(maps.Keys(calls)) {
+		list = append(list, fmt.Sprintf("%s %d", kind, calls[kind]))
+	}
+	return list
+}
--- a/internal/hostlink/hostlink.go
+++ b/internal/hostlink/hostlink.go
@@ -212,9 +212,20 @@
 // Link sends and receives messages on one UDP socket. It is safe for concurrent
 // use.
 type Link struct {
-	conn *net.UDPConn
+	conn PacketConn
 }
 
+// PacketConn is the part of a *net.UDPConn that a link uses.
+type PacketConn interface {
+	ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error)
+	LocalAddr() net.Addr
+	Close() error
+}
+
+// NewLink returns a link on a socket, or on a network of a test.
+func NewLink(conn PacketConn) *Link { return &Link{conn: conn} }
+
 // Listen opens a link on a local IPv4 address and port.
 func Listen(address string) (*Link, error) {
 	a, err := net.ResolveUDPAddr("udp4", address)
@@ -225,7 +236,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "open peer socket")
 	}
-	return &Link{conn: conn}, nil
+	return NewLink(conn), nil
 }
 
 // Close closes the socket, which makes Receive return.
