Let hosts learn servers and owners of keys from their leader

Each host that follows a leader read the list of servers and the key maps from the store every 4 to 10 s, the list as a whole and page by page since it was older than 4 s each time, and held a read of the configuration open that every change ended. Hosts now ask their leader every 3 s for what has changed (package statesync, messages StateRequest and StateChanges); renewals of registrations are no changes, and a copy with the same digest as the state of a new leader is kept. The leader announces the position up to which it has read the configuration (ConfigNotice, repeated four times), and hosts read it only then; the leader gives up on a silent read 0.6 s after its wait instead of 1.2 s, as all hosts depend on it. A host whose leader passes nothing on for 8 s, as one of an earlier release, reads from the store as before, and so does a host whose leader is silent or has lost the store. Changes older than the last read of this host are not used.

--- a/internal/gateway/elector.go
+++ b/internal/gateway/elector.go
@@ -137,6 +137,9 @@
 	eraSeenAt time.Duration
 	// leadsSince is the time since which this host leads, if it does.
 	leadsSince atomic.Int64
+	// onOwnersRead is called with the key maps after each read of them; nil if there is
+	// nothing to call.
+	onOwnersRead func(map[topology.Service]keymap.Map)
 
 	mu      sync.Mutex
 	keyMaps map[topology.Service]keymap.Map // as last read
@@ -171,9 +174,16 @@
 	e.keyMaps = keyMaps
 	e.mu.Unlock()
 	e.leaderClient.fallback.setKeyMaps(keyMaps)
+	e.ownersRead(keyMaps)
 	return leader, end, nil
 }
 
+func (e *elector) ownersRead(keyMaps map[topology.Service]keymap.Map) {
+	if e.onOwnersRead != nil {
+		e.onOwnersRead(keyMaps)
+	}
+}
+
 // unknownLeader stands for the leader of a record that cannot be decoded. Nothing is known
 // of its followers, so it counts as able to act for as long as any leader without the store.
 var unknownLeader = leaderlease.EarlierLeader{Followers: []uint64{0}}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -6,6 +6,7 @@
 	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/fleet"
 	"github.com/lycheerudder/lycheerudder/internal/hostlink"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
 
 // HostWithoutListeners is a host that accepts no requests, for tests in virtual time.
@@ -29,3 +30,18 @@
 
 // Servers returns the list of servers of the host.
 func (h *HostWithoutListeners) Servers() []fleet.Server { return h.g.watcher.servers() }
+
+// Owner returns the server to which the host would send a request for a key without its
+// leader; empty if it knows none.
+func (h *HostWithoutListeners) Owner(service topology.Service, key int) topology.ServerID {
+	s := h.g.leaderClient.fallback
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if svc := s.services[hash32(string(service))]; svc != nil && svc.keyMap != nil {
+		return svc.keyMap.Server(key)
+	}
+	return ""
+}
+
+// ListUsable reports whether the host may send requests by its own list of servers.
+func (h *HostWithoutListeners) ListUsable() bool { return h.g.watcher.listUsable() }
--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -311,6 +311,17 @@
 	}
 }
 
+// addresses returns the addresses of the hosts that follow this one.
+func (fs *followers) addresses() []netip.AddrPort {
+	fs.mu.Lock()
+	defer fs.mu.Unlock()
+	list := make([]netip.AddrPort, 0, len(fs.hosts))
+	for _, f := range fs.hosts {
+		list = append(list, f.address)
+	}
+	return list
+}
+
 // peerSample returns the addresses of at most maxPeersSent hosts other than f.
 func (fs *followers) peerSample(f *follower) []string {
 	var addresses []string
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,6 +75,8 @@
 	leaderClient *leaderClient
 	followers    *followers
 	elector      *elector
+	stateSource  *stateSource
+	stateCopy    *stateCopy
 	ingress      *ingress
 	upstream     *upstream.Client
 	callers      *httpserver.Server
@@ -101,6 +103,21 @@
 // HandleServerPauses implements hostlink.Handler.
 func (g *gateway) HandleServerPauses(m *hostlink.ServerPauses) { g.followers.handlePauses(m) }
 
+// HandleStateRequest implements hostlink.StateHandler.
+func (g *gateway) HandleStateRequest(from netip.AddrPort, m *hostlink.StateRequest) {
+	g.stateSource.handle(from, m)
+}
+
+// HandleStateChanges implements hostlink.StateHandler.
+func (g *gateway) HandleStateChanges(from netip.AddrPort, m *hostlink.StateChanges) {
+	g.stateCopy.handle(from, m)
+}
+
+// HandleConfigNotice implements hostlink.StateHandler.
+func (g *gateway) HandleConfigNotice(from netip.AddrPort, m *hostlink.ConfigNotice) {
+	g.stateCopy.handleNotice(from, m)
+}
+
 // Run serves until the context ends, and then stops gracefully. It accepts
 // changed settings while it runs: the bounds apply at once, the rest after the
 // next start.
@@ -203,6 +220,10 @@
 		}
 	}
 	g.leaderClient.endLeadership = g.elector.endLeadership
+	g.stateSource = &stateSource{clk: clk, link: link, watcher: g.watcher, elector: g.elector}
+	g.stateCopy = &stateCopy{clk: clk, log: logging.For(logging.Platform), link: link, watcher: g.watcher, client: g.leaderClient, onChange: g.storeChanged}
+	g.elector.onOwnersRead, g.watcher.onRead = g.stateCopy.setOwners, g.stateCopy.reset
+	g.leaderClient.newConfig = g.watcher.readConfigNow
 	g.ingress = &ingress{
 		clk: clk, names: names, leaderClient: g.leaderClient, watcher: g.watcher, upstream: g.upstream,
 		budget: newRetryBudget(clk, g.active), log: newRequestLog(clk), metrics: metrics,
@@ -220,6 +241,7 @@
 	})
 	metrics.RegisterFunc("server_list_age_seconds", func() float64 { return g.watcher.listAge().Seconds() })
 	metrics.RegisterFunc("leader_list_age_seconds", func() float64 { return g.leaderClient.state().listAge.Seconds() })
+	metrics.RegisterFunc("leader_state_age_seconds", func() float64 { return g.stateCopy.age().Seconds() })
 	metrics.RegisterFunc("config_version", func() float64 { return float64(g.watcher.configVersion()) })
 	for name, pick := range map[string]func(summary) int{
 		"waiting": func(sum summary) int { return sum.waiting }, "running": func(sum summary) int { return sum.running },
@@ -262,7 +284,7 @@
 	t := g.active.timing()
 	switch {
 	case s.leads:
-		return readPolicy{pollInterval: t.leaderPollInterval, configWait: t.leaderConfigWait, leaderVersion: s.configVersion, maxRetryPause: maxLeaderRetryPause}
+		return readPolicy{pollInterval: t.leaderPollInterval, configWait: t.leaderConfigWait, configGrace: t.leaderConfigGrace, leaderVersion: s.configVersion, maxRetryPause: maxLeaderRetryPause}
 	case s.listAge > t.staleListAge || g.leaderClient.leaderSilent() || g.leaderClient.leaderLostStore():
 		starting := g.clk.Now()-g.startedAt < leaderSearchTime && !s.followed
 		return readPolicy{
@@ -271,8 +293,12 @@
 			deferConfig: starting, deferList: starting || g.watcher.config.Load() == nil,
 		}
 	default:
-		poll := max(followerPollInterval, time.Duration(s.hosts)*pollIntervalPerHost)
-		return readPolicy{pollInterval: poll, configWait: hostConfigWait, leaderVersion: s.configVersion, readOwners: true, maxRetryPause: maxHostRetryPause}
+		news := g.stateCopy.news()
+		return readPolicy{
+			pollInterval: max(followerPollInterval, time.Duration(s.hosts)*pollIntervalPerHost), configWait: hostConfigWait, leaderVersion: s.configVersion,
+			readOwners: true, maxRetryPause: maxHostRetryPause,
+			listFromLeader: news.current, configAnnounced: news.current && t.configAnnounced, configPosition: news.configPosition,
+		}
 	}
 }
 
@@ -289,7 +315,7 @@
 	if cfg == nil {
 		return
 	}
-	readAt := g.clk.Now() - g.watcher.listAge()
+	readAt := g.watcher.listAsOf()
 	servers := g.watcher.servers()
 	g.leaderClient.pauses.endRestarted(servers, readAt)
 	g.elector.mu.Lock()
@@ -455,6 +481,8 @@
 	lastClose, lastRetryLog := time.Now(), time.Now()
 	for ctx.Err() == nil {
 		g.leaderClient.tick()
+		g.stateCopy.tick()
+		g.stateSource.announceConfig(g.followers.addresses)
 		g.ingress.budget.setHosts(g.leaderClient.state().hosts)
 		if time.Since(lastRetryLog) > retryLogInterval {
 			lastRetryLog = time.Now()
--- a/internal/gateway/leaderclient.go
+++ b/internal/gateway/leaderclient.go
@@ -95,6 +95,7 @@
 	peerIndex     int
 	peerAskedAt   time.Duration // time of the last message to a peer
 	endLeadership func()        // ends the leadership of this host
+	newConfig     func()        // called when the leader states a newer configuration
 	limits        *serverLimits // that servers named to this host
 	limitPhase    float64       // of the fallback scheduler, see schedule.LimitShare
 	pauses        *serverPauses // that servers asked this host for
@@ -114,6 +115,7 @@
 	c.limits = newServerLimits(clk, logging.For(logging.Frontend))
 	c.pauses = newServerPauses(clk, logging.For(logging.Frontend))
 	c.leavingServers = func() []hostlink.LeavingServer { return nil }
+	c.newConfig = func() {}
 	return c
 }
 
@@ -447,6 +449,9 @@
 	c.lastHeard, c.unansweredSince = c.clk.Now(), 0
 	c.learnHostCount(int(m.Hosts))
 	c.leaderListAge = time.Duration(m.DirectoryAgeMS) * time.Millisecond
+	if m.ConfigVersion > c.leaderConfigVersion {
+		defer c.newConfig()
+	}
 	c.leaderConfigVersion = m.ConfigVersion
 	if n := int32(m.AckedReport - c.firstReport + 1); n > 0 {
 		c.reports = c.reports[min(int(n), len(c.reports)):]
--- a/internal/gateway/leadership.go
+++ b/internal/gateway/leadership.go
@@ -159,6 +159,10 @@
 			l.resign(overloadPause)
 		}
 	}
+	// Until it follows the next leader, this host goes on with the owners that it knew.
+	owners := l.scheduler.keyMapsOfOwners()
+	l.leaderClient.fallback.setKeyMaps(owners)
+	l.ownersRead(owners)
 	l.followers.setScheduler(nil, 0, nil)
 	l.leaderClient.setOwnScheduler(nil, l.currentEpoch())
 	l.elector.scheduler.Store(nil)
--- a/internal/gateway/storecalls_test.go
+++ b/internal/gateway/storecalls_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -96,12 +97,16 @@
 }
 
 // direct passes the calls of a client to the store without a network.
-type direct struct{ store http.Handler }
+type direct struct{ simulation *simulation }
 
 func (d direct) RoundTrip(r *http.Request) (*http.Response, error) {
 	time.Sleep(storeLatency)
+	silences := d.simulation.silences.Load()
 	w := httptest.NewRecorder()
-	d.store.ServeHTTP(w, r)
+	d.simulation.store.ServeHTTP(w, r)
+	if d.simulation.silences.Load() != silences {
+		<-r.Context().Done()
+	}
 	if err := r.Context().Err(); err != nil {
 		return nil, err
 	}
@@ -128,17 +133,23 @@
 	hosts   []*gateway.HostWithoutListeners
 	mu      sync.Mutex
 	calls   []map[string]int // of each host, by kind
-	end     []context.CancelFunc
+	// silences is raised when the connections of all calls in progress go silent.
+	silences atomic.Int64
+	// draining holds the servers that announce their shutdown.
+	draining map[int]bool
+	end      []context.CancelFunc
 }
 
-func newSimulation() *simulation {
-	return &simulation{store: standin.NewStore(), network: &datagramNetwork{conns: make(map[netip.AddrPort]*datagramConn)}}
+func newSimulation(t *testing.T) *simulation {
+	s := &simulation{store: standin.NewStore(), network: &datagramNetwork{conns: make(map[netip.AddrPort]*datagramConn)}, draining: make(map[int]bool)}
+	t.Cleanup(s.stop)
+	return s
 }
 
 // start starts a host.
 func (s *simulation) start(g *WithT, n int) {
 	ctx, cancel := context.WithCancel(context.Background())
-	client := platform.NewStoreClientOn(direct{s.store})
+	client := platform.NewStoreClientOn(direct{s})
 	counts := make(map[string]int)
 	client.OnCall(func(kind string) {
 		s.mu.Lock()
@@ -191,13 +202,30 @@
 func (s *simulation) register(ctx context.Context, count int) {
 	for ctx.Err() == nil {
 		for n := range count {
-			s.putServer(n, "ready")
+			s.putServer(n)
 		}
 		time.Sleep(870 * time.Millisecond)
 	}
 }
 
-func (s *simulation) putServer(n int, state string) {
+// drain makes a server announce its shutdown.
+func (s *simulation) drain(n int) {
+	s.mu.Lock()
+	s.draining[n] = true
+	s.mu.Unlock()
+	s.putServer(n)
+}
+
+// silence makes the connections of all calls in progress go silent.
+func (s *simulation) silence() { s.silences.Add(1) }
+
+func (s *simulation) putServer(n int) {
+	s.mu.Lock()
+	state := "ready"
+	if s.draining[n] {
+		state = "draining"
+	}
+	s.mu.Unlock()
 	s.store.Put("keyed.servers", fmt.Sprint("server-", n), fmt.Appendf(nil,
 		`{"address":"10.1.0.%d:80","born":1,"info":{"service":"booking","zone":"dc","slots":4},"status":{"state":%q}}`, n+1, state))
 }
@@ -229,8 +257,8 @@
 func playDay(t *testing.T, hosts, servers int) (day dayCalls) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		s := newSimulation()
-		ctx, cancel := context.WithCancel(context.Background())
+		s := newSimulation(t)
+		ctx := t.Context()
 		go s.register(ctx, servers)
 		for n := range hosts {
 			s.start(g, n)
@@ -257,18 +285,100 @@
 		}
 		day.leader, day.others = section("steady state")
 		t.Logf("total %.1f; %d bytes of datagrams", day.total(), s.network.sent())
-		cancel()
-		s.stop()
 	})
 	return day
 }
 
 // Guards against a rise in the calls to the store, which are the largest cost of a
-// deployment on most days.
+// deployment on most days. The bound is a third of the 2,116 calls of the same day with
+// hosts that read the list of servers, the key maps and the configuration themselves.
 func TestStoreCallsOfADay(t *testing.T) {
-	day := playDay(t, 12, 15)
 	g := NewWithT(t)
-	g.Expect(day.total()).To(BeNumerically("<=", 650))
+	g.Expect(playDay(t, 70, 15).total()).To(BeNumerically("<=", 2116/3))
+}
+
+// Guards against hosts that know neither the servers nor the owners of keys of a few seconds
+// ago when they lose their leader and the store together, as they read them from the leader
+// only; and against one that uses such a list although the store responds.
+func TestHostsKeepWhatTheLeaderKnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newSimulation(t)
+		ctx := t.Context()
+		s.configure(1)
+		go s.register(ctx, 15)
+		for n := range 5 {
+			s.start(g, n)
+		}
+		time.Sleep(10 * time.Second)
+		s.drain(3)
+		time.Sleep(4 * time.Second)
+		draining := func(host *gateway.HostWithoutListeners) (ids []string) {
+			for _, server := range host.Servers() {
+				if server.Draining {
+					ids = append(ids, string(server.ID))
+				}
+			}
+			return ids
+		}
+		var leader int
+		for n, host := range s.hosts {
+			if host.Leads() {
+				leader = n
+			}
+			g.Expect(host.Servers()).To(HaveLen(15))
+			g.Expect(draining(host)).To(Equal([]string{"server-3"}))
+			for key := 0; key < 1<<16 && !host.Leads(); key += 1 << 8 {
+				g.Expect(host.Owner("booking", key)).NotTo(Or(BeEmpty(), Equal(topology.ServerID("server-3"))))
+			}
+		}
+		s.store.SetFault(func(string) int { return http.StatusServiceUnavailable })
+		s.end[leader]()
+		time.Sleep(2 * time.Second)
+		for n, host := range s.hosts {
+			if n == leader {
+				continue
+			}
+			g.Expect(host.ListUsable()).To(BeTrue(), "the store was asked in vain")
+			g.Expect(host.Servers()).To(HaveLen(15))
+			g.Expect(draining(host)).To(Equal([]string{"server-3"}))
+			g.Expect(host.Owner("booking", 77)).NotTo(BeEmpty())
+		}
+		s.end = slices.Delete(s.end, leader, leader+1)
+		s.store.SetFault(func(string) int { return 0 })
+		time.Sleep(5 * time.Second)
+		leaders := 0
+		for n, host := range s.hosts {
+			if n != leader && host.Leads() {
+				leaders++
+			}
+		}
+		g.Expect(leaders).To(Equal(1))
+	})
+}
+
+// Guards against hosts that learn late of a configuration because the leader's open read
+// has gone silent: they hold none of their own.
+func TestConfigurationArrivesOverSilentRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newSimulation(t)
+		ctx := t.Context()
+		s.configure(1)
+		go s.register(ctx, 3)
+		for n := range 5 {
+			s.start(g, n)
+		}
+		for version := 2; version < 12; version++ {
+			time.Sleep(4*time.Second + time.Duration(version)*97*time.Millisecond)
+			s.silence() // open reads get no response
+			s.configure(version)
+			time.Sleep(2500 * time.Millisecond)
+			for _, host := range s.hosts {
+				g.Expect(host.ConfigVersion()).To(Equal(int64(version)))
+			}
+		}
+	})
 }
 
 func sorted(calls map[string]int) []string {
--- a/internal/gateway/storewatcher.go
+++ b/internal/gateway/storewatcher.go
@@ -10,6 +10,8 @@
 	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/fleet"
 	"github.com/lycheerudder/lycheerudder/internal/logging"
+	"github.com/lycheerudder/lycheerudder/internal/statesync"
+	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
 
 const (
@@ -42,8 +44,8 @@
 	// policy returns how the host reads from the store in its present role.
 	policy func() readPolicy
 	// onChange is called after the configuration has changed and after each
-	// read of the registrations.
-	onChange func()
+	// read of the registrations, onRead after each successful one.
+	onChange, onRead func()
 	// readOwners reads the key maps.
 	readOwners func(ctx context.Context)
 
@@ -52,6 +54,7 @@
 	// configuration.
 	configMissing atomic.Bool
 	wake          chan struct{}
+	configWake    chan struct{}
 	// retry ends the pause after a failed read of the registrations.
 	retry chan struct{}
 
@@ -59,6 +62,7 @@
 	openRead           configRead
 	leaderVersion      int64         // newest version that the leader announced
 	leaderVersionSince time.Duration // time at which that version was first seen
+	configFrom         Position      // position for the next read of the configuration
 
 	mu            sync.Mutex
 	directory     *fleet.Directory
@@ -70,6 +74,8 @@
 	// cancelRead cancels the read in progress; nil if there is none.
 	cancelRead   context.CancelCauseFunc
 	loggedOutage fleet.Outage
+	// leaderListAsOf is the time to which the list is known through the leader.
+	leaderListAsOf time.Duration
 }
 
 // readPolicy is how a host reads from the store in its present role.
@@ -85,6 +91,16 @@
 	readOwners bool
 	// maxRetryPause is the longest pause after a failed call.
 	maxRetryPause time.Duration
+	// configGrace is the time after configWait at which a read without a response is
+	// cancelled; that of the timing if it is zero.
+	configGrace time.Duration
+	// configAnnounced is true if the leader announces each change: the configuration is
+	// read only if configPosition or leaderVersion is ahead of this host.
+	configAnnounced bool
+	configPosition  Position
+	// listFromLeader is true if the leader passes on the list and the key maps, which
+	// are then not read.
+	listFromLeader bool
 	// deferConfig and deferList are true if the configuration is not read again, and the
 	// list of servers not read, for now.
 	deferConfig, deferList bool
@@ -103,8 +119,8 @@
 
 func newStoreWatcher(clk clock.Clock, store Store, active *activeBounds, policy func() readPolicy, onChange func()) *storeWatcher {
 	return &storeWatcher{
-		clk: clk, store: store, log: logging.For(logging.Platform), active: active, policy: policy, onChange: onChange,
-		directory: fleet.NewDirectory(), wake: make(chan struct{}, 1), retry: make(chan struct{}, 1),
+		clk: clk, store: store, log: logging.For(logging.Platform), active: active, policy: policy, onChange: onChange, onRead: func() {},
+		directory: fleet.NewDirectory(), wake: make(chan struct{}, 1), configWake: make(chan struct{}, 1), retry: make(chan struct{}, 1),
 	}
 }
 
@@ -113,15 +129,16 @@
 	go w.cancelStaleReads(ctx)
 	var from Position
 	failing := false
-	var pause backoff
+	var pause, fruitless backoff
+	var readAt time.Duration
 	for ctx.Err() == nil {
 		policy := w.policy()
-		if policy.deferConfig && from != (Position{}) && !failing {
-			clock.Sleep(ctx, roleCheckInterval)
+		if from != (Position{}) && !failing && !w.configDue(policy, from, readAt) {
+			w.awaitConfigNews(ctx)
 			continue
 		}
 		wait := policy.configWait
-		if failing {
+		if failing || policy.configAnnounced {
 			// A read that is held open would show the return of the store late.
 			wait = 0
 		}
@@ -145,12 +162,78 @@
 		}
 		failing = false
 		pause.reset()
-		from = next
+		from, readAt = next, w.clk.Now()
+		w.setConfigPosition(next)
 		w.configMissing.Store(next.Offset == 0)
 		w.applyConfig(config)
+		if policy = w.policy(); !policy.configAnnounced || !w.configDue(policy, from, readAt) {
+			fruitless.reset()
+			continue
+		}
+		// The store lacks what the leader has seen: it was restored from a copy.
+		clock.Sleep(ctx, fruitless.next(maxFruitlessPause))
 	}
 }
 
+const (
+	// announcedConfigInterval is the interval at which a host reads the configuration
+	// although its leader announces no change: the leader repeats its notices, and each of
+	// its messages states the version. missingConfigInterval is that of a host without
+	// one, which serves no requests.
+	announcedConfigInterval = time.Minute
+	missingConfigInterval   = 5 * time.Second
+	// maxFruitlessPause is the longest pause before a configuration that the leader
+	// announced, and that the store does not have, is read again.
+	maxFruitlessPause = 10 * time.Second
+)
+
+// configDue reports whether the configuration is to be read now by a host that has read up
+// to the given position, last at readAt.
+func (w *storeWatcher) configDue(policy readPolicy, from Position, readAt time.Duration) bool {
+	if policy.deferConfig {
+		return false
+	}
+	if !policy.configAnnounced {
+		return true
+	}
+	interval := announcedConfigInterval
+	if w.config.Load() == nil {
+		interval = missingConfigInterval
+	}
+	return policy.configPosition.follows(from) || policy.leaderVersion > w.configVersion() || w.clk.Now()-readAt > interval
+}
+
+// awaitConfigNews waits until the leader announces a configuration, or the role of this
+// host may have changed.
+func (w *storeWatcher) awaitConfigNews(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-w.configWake:
+	case <-time.After(roleCheckInterval):
+	}
+}
+
+// readConfigNow makes runConfig check at once whether the configuration is to be read.
+func (w *storeWatcher) readConfigNow() {
+	select {
+	case w.configWake <- struct{}{}:
+	default:
+	}
+}
+
+func (w *storeWatcher) setConfigPosition(p Position) {
+	w.openReadMu.Lock()
+	defer w.openReadMu.Unlock()
+	w.configFrom = p
+}
+
+// configPosition returns the position up to which this host has read the configuration.
+func (w *storeWatcher) configPosition() Position {
+	w.openReadMu.Lock()
+	defer w.openReadMu.Unlock()
+	return w.configFrom
+}
+
 func (w *storeWatcher) setOpenRead(read configRead) {
 	w.openReadMu.Lock()
 	defer w.openReadMu.Unlock()
@@ -172,7 +255,11 @@
 		}
 		late := policy.leaderVersion > read.version && w.clk.Now()-w.leaderVersionSince > w.active.timing().newerConfigGrace
 		w.openReadMu.Unlock()
-		if read.cancel != nil && (late || w.clk.Now()-read.startedAt > policy.configWait+w.active.timing().configWaitGrace) {
+		grace := w.active.timing().configWaitGrace
+		if policy.configGrace > 0 {
+			grace = policy.configGrace
+		}
+		if read.cancel != nil && (late || w.clk.Now()-read.startedAt > policy.configWait+grace) {
 			read.cancel()
 		}
 	}
@@ -205,7 +292,7 @@
 	failing := false
 	var pause backoff
 	for ctx.Err() == nil {
-		if w.policy().deferList {
+		if policy := w.policy(); policy.deferList || policy.listFromLeader {
 			clock.Sleep(ctx, roleCheckInterval)
 			continue
 		}
@@ -234,17 +321,91 @@
 			continue
 		}
 		pause.reset()
+		w.onRead()
 		if policy.readOwners {
 			w.readOwners(ctx)
 		}
+		w.awaitPoll(ctx)
+	}
+}
+
+// awaitPoll waits until the registrations are to be read again by the role that the host
+// then has, or until readNow is called.
+func (w *storeWatcher) awaitPoll(ctx context.Context) {
+	for since := w.clk.Now(); ; {
+		policy := w.policy()
+		left := policy.pollInterval - (w.clk.Now() - since)
+		if left <= 0 || policy.listFromLeader {
+			return
+		}
 		select {
 		case <-ctx.Done():
+			return
 		case <-w.wake:
-		case <-time.After(policy.pollInterval):
+			return
+		case <-time.After(min(left, roleCheckInterval)):
 		}
 	}
 }
 
+// applyLeaderList applies changes of servers that the leader read from the store at the
+// given time or later, unless this host has read the registrations since, or is reading
+// them: the changes would undo what that read shows. If advance returns true, the changes
+// continue the list; unlisted servers then are not registered.
+func (w *storeWatcher) applyLeaderList(page statesync.Page, asOf time.Duration, advance func() (unlisted func(topology.ServerID) bool, ok bool)) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.clk.Now()
+	if w.readStartedAt != 0 || (w.directory.Loaded() && now-w.directory.Age(now) > asOf) {
+		return false
+	}
+	unlisted, ok := advance()
+	if !ok {
+		return false
+	}
+	for _, c := range page.Changes {
+		switch {
+		case c.Server == nil:
+		case c.Removed:
+			w.directory.Remove(c.Server.ID, now)
+		default:
+			w.directory.Set(*c.Server)
+		}
+	}
+	if unlisted != nil {
+		var removed []topology.ServerID
+		w.directory.Servers(now, func(s fleet.Server) {
+			if unlisted(s.ID) {
+				removed = append(removed, s.ID)
+			}
+		})
+		for _, id := range removed {
+			w.directory.Remove(id, now)
+		}
+	}
+	if !page.More {
+		w.leaderListAsOf = asOf
+	}
+	w.forgetLeaving(now)
+	return true
+}
+
+// listAsOf returns the time to which this host knows the list of servers, by its own reads
+// or through its leader.
+func (w *storeWatcher) listAsOf() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.clk.Now()
+	return max(now-w.directory.Age(now), w.leaderListAsOf)
+}
+
+// loaded reports whether this host has read the registrations.
+func (w *storeWatcher) loaded() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.directory.Loaded()
+}
+
 // readNow makes the next read of the registrations due at once.
 func (w *storeWatcher) readNow() {
 	select {
--- a/internal/gateway/timing.go
+++ b/internal/gateway/timing.go
@@ -43,9 +43,14 @@
 	newerConfigGrace time.Duration
 	// configWaitGrace is the time after configWait at which a read is
 	// cancelled. configCheckInterval is the interval at which reads are
-	// checked.
+	// checked. leaderConfigGrace is configWaitGrace for the leader, which reads for
+	// all hosts: they get the configuration after it.
 	configWaitGrace     time.Duration
+	leaderConfigGrace   time.Duration
 	configCheckInterval time.Duration
+	// configAnnounced is true if hosts that follow a leader may rely on its
+	// announcements: a lost one is made good by the next heartbeat.
+	configAnnounced bool
 
 	// membershipTTL is the time after its last call for which the store lists
 	// the leader as a member; it bounds the time to a takeover.
@@ -100,6 +105,8 @@
 		leaderConfigWait:    scaled(configScale, time.Second),
 		urgentConfigWait:    scaled(configScale, 1500*time.Millisecond),
 		configWaitGrace:     scaled(configScale, storeTimeout),
+		leaderConfigGrace:   scaled(configScale, 600*time.Millisecond),
+		configAnnounced:     b.MaxConfigDelay >= baseConfigDelay,
 		newerConfigGrace:    scaled(configScale, 300*time.Millisecond),
 		configCheckInterval: scaled(configScale, 200*time.Millisecond),
 
--- a/internal/hostlink/hostlink.go
+++ b/internal/hostlink/hostlink.go
@@ -147,7 +147,8 @@
 	AckedReport uint32
 	// Hosts is the number of hosts from which the leader receives messages.
 	Hosts uint16
-	// DirectoryAgeMS is the age of the leader's list of servers.
+	// DirectoryAgeMS is the age of the leader's list of servers, or the time for which
+	// it leads if that is shorter.
 	DirectoryAgeMS uint32
 	// ConfigVersion is the version of the configuration that the leader uses.
 	ConfigVersion int64
@@ -338,6 +339,9 @@
 		}
 		return nil
 	}
+	if sh, ok := h.(StateHandler); ok && head == stateMessageHead {
+		return dispatchState(datagram, from, sh)
+	}
 	var m message
 	if err := cbor.Unmarshal(datagram, &m); err != nil {
 		return err
--- a/internal/hostlink/hostlink_test.go
+++ b/internal/hostlink/hostlink_test.go
@@ -126,3 +126,49 @@
 	}
 	g.Expect(cbor.Unmarshal(data, &earlier)).NotTo(Succeed())
 }
+
+// stateCollector receives the messages on the state of servers and keys.
+type stateCollector struct {
+	collector
+	state chan any
+}
+
+func (c stateCollector) HandleStateRequest(_ netip.AddrPort, m *hostlink.StateRequest) { c.state <- m }
+func (c stateCollector) HandleStateChanges(_ netip.AddrPort, m *hostlink.StateChanges) { c.state <- m }
+func (c stateCollector) HandleConfigNotice(_ netip.AddrPort, m *hostlink.ConfigNotice) { c.state <- m }
+
+// Guards against messages on the state of servers and keys that arrive changed, or that an
+// earlier release takes for another message.
+func TestStateMessagesArrive(t *testing.T) {
+	g := NewWithT(t)
+	c := stateCollector{newCollector(), make(chan any, 3)}
+	receiver, err := hostlink.Listen("127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = receiver.Close() }()
+	go func() { _ = receiver.Receive(c, func(err error) { t.Error(err) }) }()
+	sender, err := hostlink.Listen("127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = sender.Close() }()
+	request := &hostlink.StateRequest{Number: 3, Epoch: 9, Digest: 1 << 63}
+	changes := &hostlink.StateChanges{
+		Request: 3, Epoch: 9, ListAgeMS: 450, ConfigEra: 1, ConfigOffset: 4, Next: 12, More: true,
+		Servers: []hostlink.StateServer{{Change: 11, Server: "s-1", Service: "svc", Address: "10.0.0.1:80", DataCentre: "dc", Slots: 4, Incarnation: 1796493600000, Draining: true}, {Change: 12, Server: "s-2", Removed: true}},
+		Ranges:  []hostlink.StateRange{{Change: 10, Service: "svc", From: 7, To: 65535, Server: "s-1"}},
+	}
+	notice := &hostlink.ConfigNotice{Epoch: 9, Era: 1, Offset: 4}
+	g.Expect(sender.SendStateRequest(receiver.Address(), request)).To(Succeed())
+	g.Eventually(c.state, time.Second).Should(Receive(Equal(request)))
+	g.Expect(sender.SendStateChanges(receiver.Address(), changes)).To(Succeed())
+	g.Eventually(c.state, time.Second).Should(Receive(Equal(changes)))
+	g.Expect(sender.SendConfigNotice(receiver.Address(), notice)).To(Succeed())
+	g.Eventually(c.state, time.Second).Should(Receive(Equal(notice)))
+
+	data, err := cbor.Marshal([]any{nil, nil, nil, nil, nil, nil, nil, request, nil, nil})
+	g.Expect(err).NotTo(HaveOccurred())
+	var earlier struct {
+		_          struct{} `cbor:",toarray"`
+		ToLeader   *hostlink.ToLeader
+		FromLeader *hostlink.FromLeader
+	}
+	g.Expect(cbor.Unmarshal(data, &earlier)).NotTo(Succeed())
+}
--- /dev/null
+++ b/internal/hostlink/state.go
@@ -0,0 +1,127 @@
+package hostlink
+
+import (
+	"net/netip"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// StateRequest is a message from a host to the leader that it follows: it asks for the
+// changes of servers and owners of keys after a number.
+type StateRequest struct {
+	_ struct{} `cbor:",toarray"`
+	// Number identifies the request among those of the sender.
+	Number uint32
+	// Epoch is the epoch of the leader.
+	Epoch int64
+	After uint64
+	// Digest is that of the sender's copy, if After is zero.
+	Digest uint64
+}
+
+// StateServer is the present state of a server.
+type StateServer struct {
+	_           struct{} `cbor:",toarray"`
+	Change      uint64   // number of the change
+	Server      string
+	Removed     bool // whether the server is not registered; the fields below are then empty
+	Service     string
+	Address     string
+	DataCentre  string
+	Slots       int32
+	Incarnation int64
+	Draining    bool
+	// WarmupLeftMS is the time left of the warm-up when the change was noticed.
+	WarmupLeftMS uint32
+}
+
+// StateRange is the present server of a range of keys; empty if there is none.
+type StateRange struct {
+	_       struct{} `cbor:",toarray"`
+	Change  uint64   // number of the change
+	Service string
+	From    uint16
+	To      uint16
+	Server  string
+}
+
+// StateChanges is the leader's response to a StateRequest.
+type StateChanges struct {
+	_       struct{} `cbor:",toarray"`
+	Request uint32
+	Epoch   int64
+	// ListAgeMS is the age of the list of servers that the leader read.
+	ListAgeMS uint32
+	// ConfigEra and ConfigOffset are the position up to which the leader has read the
+	// configuration.
+	ConfigEra    int64
+	ConfigOffset int64
+	Servers      []StateServer
+	Ranges       []StateRange
+	// Next is the number from which to continue, at once if More is true.
+	Next uint64
+	More bool
+	// Same is true if the copy of the host has all changes, by its digest.
+	Same bool
+}
+
+// ConfigNotice tells a host up to which position its leader has read the configuration.
+type ConfigNotice struct {
+	_      struct{} `cbor:",toarray"`
+	Epoch  int64
+	Era    int64
+	Offset int64
+}
+
+// stateMessage is the encoded form of the messages of this file: exactly one of the last
+// three elements is set. Its array is longer than those of the other messages, so earlier
+// releases reject it and nothing else. The lengths between are left for other messages.
+type stateMessage struct {
+	_                          struct{} `cbor:",toarray"`
+	U1, U2, U3, U4, U5, U6, U7 *struct{}
+	Request                    *StateRequest
+	Changes                    *StateChanges
+	Notice                     *ConfigNotice
+}
+
+// stateMessageHead is the first byte of an stateMessage: an array of ten elements.
+const stateMessageHead = 0x8a
+
+// StateHandler is implemented by handlers that process the messages of this file.
+type StateHandler interface {
+	HandleStateRequest(from netip.AddrPort, m *StateRequest)
+	HandleStateChanges(from netip.AddrPort, m *StateChanges)
+	HandleConfigNotice(from netip.AddrPort, m *ConfigNotice)
+}
+
+// SendStateRequest sends a message to the leader.
+func (l *Link) SendStateRequest(to netip.AddrPort, m *StateRequest) error {
+	return l.send(to, stateMessage{Request: m})
+}
+
+// SendStateChanges sends a message to a host.
+func (l *Link) SendStateChanges(to netip.AddrPort, m *StateChanges) error {
+	return l.send(to, stateMessage{Changes: m})
+}
+
+// SendConfigNotice sends a message to a host.
+func (l *Link) SendConfigNotice(to netip.AddrPort, m *ConfigNotice) error {
+	return l.send(to, stateMessage{Notice: m})
+}
+
+// dispatchState decodes a datagram with a message of this file and passes it to h.
+func dispatchState(datagram []byte, from netip.AddrPort, h StateHandler) error {
+	var m stateMessage
+	if err := cbor.Unmarshal(datagram, &m); err != nil {
+		return err
+	}
+	switch {
+	case m.Request != nil:
+		h.HandleStateRequest(from, m.Request)
+	case m.Changes != nil:
+		h.HandleStateChanges(from, m.Changes)
+	case m.Notice != nil:
+		h.HandleConfigNotice(from, m.Notice)
+	}
+	return nil
+}
