Let hosts obtain the configuration from their leader

Hosts now ask the leader for the records that it has read (ConfigRequest, ConfigPart; compressed, in parts of one packet) and decode them themselves, so that a host of another release loses no field.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,6 +118,16 @@
 	g.stateCopy.handleNotice(from, m)
 }
 
+// HandleConfigRequest implements hostlink.StateHandler.
+func (g *gateway) HandleConfigRequest(from netip.AddrPort, m *hostlink.ConfigRequest) {
+	g.stateSource.handleConfigRequest(from, m)
+}
+
+// HandleConfigPart implements hostlink.StateHandler.
+func (g *gateway) HandleConfigPart(from netip.AddrPort, m *hostlink.ConfigPart) {
+	g.stateCopy.handleConfigPart(from, m)
+}
+
 // Run serves until the context ends, and then stops gracefully. It accepts
 // changed settings while it runs: the bounds apply at once, the rest after the
 // next start.
@@ -221,7 +231,8 @@
 	}
 	g.leaderClient.endLeadership = g.elector.endLeadership
 	g.stateSource = &stateSource{clk: clk, link: link, watcher: g.watcher, elector: g.elector}
-	g.stateCopy = &stateCopy{clk: clk, log: logging.For(logging.Platform), link: link, watcher: g.watcher, client: g.leaderClient, onChange: g.storeChanged}
+	g.stateCopy = &stateCopy{clk: clk, log: logging.For(logging.Platform), link: link, watcher: g.watcher, client: g.leaderClient, onChange: g.storeChanged, configParts: make(chan *hostlink.ConfigPart, 4)}
+	g.watcher.fetchConfig = g.stateCopy.fetchConfig
 	g.elector.onOwnersRead, g.watcher.onRead = g.stateCopy.setOwners, g.stateCopy.reset
 	g.leaderClient.newConfig = g.watcher.readConfigNow
 	g.ingress = &ingress{
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -87,6 +87,12 @@
 	// nil if it did not change within wait. If from is zero or its era has
 	// ended, it returns the present configuration at once.
 	ConfigChange(ctx context.Context, from Position, wait time.Duration) (*fleet.Config, Position, error)
+	// ConfigRecords returns the records that the configuration last read or adopted
+	// consists of, and the position up to which they were read; zero if there is none.
+	ConfigRecords() ([]Record, Position)
+	// AdoptConfig takes records that another host has read instead of reading them. It
+	// returns the configuration, or nil if the records hold none that can be read.
+	AdoptConfig(records []Record, position Position) *fleet.Config
 	// ServerChanges returns the registrations that changed since position from,
 	// or all if from is zero or its era has ended.
 	ServerChanges(ctx context.Context, from Position) (ServerChanges, error)
--- a/internal/gateway/statesync.go
+++ b/internal/gateway/statesync.go
@@ -58,6 +58,9 @@
 	noticed   Position
 	notices   int
 	noticedAt time.Duration
+	// config is the encoded configuration at position configAt.
+	config   []byte
+	configAt Position
 }
 
 // handle responds to a request. A leader that has no list of servers yet does not respond.
@@ -152,6 +155,8 @@
 	completeAt     time.Duration
 	configPosition Position // up to which the leader has read the configuration
 	fresh          bool     // as last logged
+	configRequest  uint32   // number of the last fetchConfig
+	configParts    chan *hostlink.ConfigPart
 }
 
 // setOwners records the key maps that were read from the store.
--- a/internal/gateway/storecalls_test.go
+++ b/internal/gateway/storecalls_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -135,6 +136,8 @@
 	calls   []map[string]int // of each host, by kind
 	// silences is raised when the connections of all calls in progress go silent.
 	silences atomic.Int64
+	// filler makes the configuration longer.
+	filler []byte
 	// draining holds the servers that announce their shutdown.
 	draining map[int]bool
 	end      []context.CancelFunc
@@ -171,6 +174,17 @@
 	s.end = append(s.end, func() { cancel(); _ = conn.Close() })
 }
 
+// endLeader ends the host that leads.
+func (s *simulation) endLeader() {
+	for n, host := range s.hosts {
+		if host.Leads() {
+			s.end[n]()
+			s.hosts, s.end, s.calls = slices.Delete(s.hosts, n, n+1), slices.Delete(s.end, n, n+1), slices.Delete(s.calls, n, n+1)
+			return
+		}
+	}
+}
+
 // stop ends all hosts.
 func (s *simulation) stop() {
 	for _, end := range s.end {
@@ -231,7 +245,7 @@
 }
 
 func (s *simulation) configure(version int) {
-	s.store.Put("keyed.op", "config", fmt.Appendf(nil, `{"version":%d,"routes":{"r":{"host":"h.example","path_prefix":"/","kind":"idempotent","timeout_ms":2000,"target_latency_ms":300,"priority":1,"service":"booking","max_attempts":2}},"services":{"booking":{"health_path":"/health","max_connections":100,"sharded":true,"warm_s":1.0}},"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, version))
+	s.store.Put("keyed.op", "config", fmt.Appendf(nil, `{"version":%d,"filler":"%x","routes":{"r":{"host":"h.example","path_prefix":"/","kind":"idempotent","timeout_ms":2000,"target_latency_ms":300,"priority":1,"service":"booking","max_attempts":2}},"services":{"booking":{"health_path":"/health","max_connections":100,"sharded":true,"warm_s":1.0}},"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, version, s.filler))
 }
 
 // paid returns the price of calls: a call to log-join costs a tenth of the others.
@@ -321,11 +335,7 @@
 			}
 			return ids
 		}
-		var leader int
-		for n, host := range s.hosts {
-			if host.Leads() {
-				leader = n
-			}
+		for _, host := range s.hosts {
 			g.Expect(host.Servers()).To(HaveLen(15))
 			g.Expect(draining(host)).To(Equal([]string{"server-3"}))
 			for key := 0; key < 1<<16 && !host.Leads(); key += 1 << 8 {
@@ -333,23 +343,19 @@
 			}
 		}
 		s.store.SetFault(func(string) int { return http.StatusServiceUnavailable })
-		s.end[leader]()
+		s.endLeader()
 		time.Sleep(2 * time.Second)
-		for n, host := range s.hosts {
-			if n == leader {
-				continue
-			}
+		for _, host := range s.hosts {
 			g.Expect(host.ListUsable()).To(BeTrue(), "the store was asked in vain")
 			g.Expect(host.Servers()).To(HaveLen(15))
 			g.Expect(draining(host)).To(Equal([]string{"server-3"}))
 			g.Expect(host.Owner("booking", 77)).NotTo(BeEmpty())
 		}
-		s.end = slices.Delete(s.end, leader, leader+1)
 		s.store.SetFault(func(string) int { return 0 })
 		time.Sleep(5 * time.Second)
 		leaders := 0
-		for n, host := range s.hosts {
-			if n != leader && host.Leads() {
+		for _, host := range s.hosts {
+			if host.Leads() {
 				leaders++
 			}
 		}
@@ -381,6 +387,37 @@
 	})
 }
 
+// Guards against a configuration of several packets that hosts do not obtain from their
+// leader, and against a host that does not pass it on when it leads later.
+func TestHostsObtainLongConfigurationFromLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newSimulation(t)
+		s.filler = make([]byte, 12<<10)
+		rand.NewChaCha8([32]byte{1}).Read(s.filler)
+		s.configure(1)
+		go s.register(t.Context(), 3)
+		for n := range 5 {
+			s.start(g, n)
+		}
+		time.Sleep(3 * time.Second)
+		for version := 2; version < 6; version++ {
+			if version == 4 {
+				s.endLeader()
+				time.Sleep(5 * time.Second)
+			}
+			s.take()
+			s.configure(version)
+			time.Sleep(time.Second)
+			_, others := s.take()
+			g.Expect(others["read-config"]).To(BeZero())
+			for _, host := range s.hosts {
+				g.Expect(host.ConfigVersion()).To(Equal(int64(version)))
+			}
+		}
+	})
+}
+
 func sorted(calls map[string]int) []string {
 	var list []string
 	for _, kind := range slices.Sorted(maps.Keys(calls)) {
--- a/internal/gateway/storewatcher.go
+++ b/internal/gateway/storewatcher.go
@@ -46,6 +46,8 @@
 	// onChange is called after the configuration has changed and after each
 	// read of the registrations, onRead after each successful one.
 	onChange, onRead func()
+	// fetchConfig obtains a configuration after a position from the leader.
+	fetchConfig func(ctx context.Context, after Position) ([]Record, Position, bool)
 	// readOwners reads the key maps.
 	readOwners func(ctx context.Context)
 
@@ -137,6 +139,13 @@
 			w.awaitConfigNews(ctx)
 			continue
 		}
+		if policy.configAnnounced && !failing && w.configAnnouncedAfter(policy, from) {
+			if records, position, ok := w.fetchConfig(ctx, from); ok {
+				from, readAt = position, w.clk.Now()
+				w.useConfig(w.store.AdoptConfig(records, position), position)
+				continue
+			}
+		}
 		wait := policy.configWait
 		if failing || policy.configAnnounced {
 			// A read that is held open would show the return of the store late.
@@ -163,9 +172,7 @@
 		failing = false
 		pause.reset()
 		from, readAt = next, w.clk.Now()
-		w.setConfigPosition(next)
-		w.configMissing.Store(next.Offset == 0)
-		w.applyConfig(config)
+		w.useConfig(config, next)
 		if policy = w.policy(); !policy.configAnnounced || !w.configDue(policy, from, readAt) {
 			fruitless.reset()
 			continue
@@ -200,7 +207,20 @@
 	if w.config.Load() == nil {
 		interval = missingConfigInterval
 	}
-	return policy.configPosition.follows(from) || policy.leaderVersion > w.configVersion() || w.clk.Now()-readAt > interval
+	return w.configAnnouncedAfter(policy, from) || w.clk.Now()-readAt > interval
+}
+
+// configAnnouncedAfter reports whether the leader has read the configuration further than
+// to the given position.
+func (w *storeWatcher) configAnnouncedAfter(policy readPolicy, from Position) bool {
+	return policy.configPosition.follows(from) || policy.leaderVersion > w.configVersion()
+}
+
+// useConfig records a read of the configuration, which is nil if it has not changed.
+func (w *storeWatcher) useConfig(config *fleet.Config, next Position) {
+	w.setConfigPosition(next)
+	w.configMissing.Store(next.Offset == 0)
+	w.applyConfig(config)
 }
 
 // awaitConfigNews waits until the leader announces a configuration, or the role of this
--- a/internal/hostlink/hostlink_test.go
+++ b/internal/hostlink/hostlink_test.go
@@ -136,6 +136,10 @@
 func (c stateCollector) HandleStateRequest(_ netip.AddrPort, m *hostlink.StateRequest) { c.state <- m }
 func (c stateCollector) HandleStateChanges(_ netip.AddrPort, m *hostlink.StateChanges) { c.state <- m }
 func (c stateCollector) HandleConfigNotice(_ netip.AddrPort, m *hostlink.ConfigNotice) { c.state <- m }
+func (c stateCollector) HandleConfigRequest(_ netip.AddrPort, m *hostlink.ConfigRequest) {
+	c.state <- m
+}
+func (c stateCollector) HandleConfigPart(_ netip.AddrPort, m *hostlink.ConfigPart) { c.state <- m }
 
 // Guards against messages on the state of servers and keys that arrive changed, or that an
 // earlier release takes for another message.
@@ -162,8 +166,16 @@
 	g.Eventually(c.state, time.Second).Should(Receive(Equal(changes)))
 	g.Expect(sender.SendConfigNotice(receiver.Address(), notice)).To(Succeed())
 	g.Eventually(c.state, time.Second).Should(Receive(Equal(notice)))
+	configRequest, part := &hostlink.ConfigRequest{Number: 4, Epoch: 9, Part: 1}, &hostlink.ConfigPart{Number: 4, Epoch: 9, Era: 1, Offset: 4, Part: 1, Parts: 2, Data: []byte{0, 255}}
+	g.Expect(sender.SendConfigRequest(receiver.Address(), configRequest)).To(Succeed())
+	g.Eventually(c.state, time.Second).Should(Receive(Equal(configRequest)))
+	g.Expect(sender.SendConfigPart(receiver.Address(), part)).To(Succeed())
+	g.Eventually(c.state, time.Second).Should(Receive(Equal(part)))
 
-	data, err := cbor.Marshal([]any{nil, nil, nil, nil, nil, nil, nil, request, nil, nil})
+	data, err := cbor.Marshal([]any{nil, nil, nil, nil, nil, nil, nil, request, nil, nil, nil, nil})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(hostlink.Dispatch(data, netip.AddrPort{}, c)).To(Succeed())
+	g.Expect(c.state).To(Receive(Equal(request)))
 	g.Expect(err).NotTo(HaveOccurred())
 	var earlier struct {
 		_          struct{} `cbor:",toarray"`
--- a/internal/hostlink/state.go
+++ b/internal/hostlink/state.go
@@ -73,8 +73,31 @@
 	Offset int64
 }
 
+// ConfigRequest asks the leader for a part of the configuration that it has read.
+type ConfigRequest struct {
+	_ struct{} `cbor:",toarray"`
+	// Number identifies the request among those of the sender.
+	Number uint32
+	Epoch  int64
+	Part   uint16
+}
+
+// ConfigPart is the leader's response to a ConfigRequest. The parts of the same position
+// together are the records of the configuration, encoded and compressed.
+type ConfigPart struct {
+	_      struct{} `cbor:",toarray"`
+	Number uint32
+	Epoch  int64
+	// Era and Offset are the position up to which the leader has read the configuration.
+	Era    int64
+	Offset int64
+	Part   uint16
+	Parts  uint16
+	Data   []byte
+}
+
 // stateMessage is the encoded form of the messages of this file: exactly one of the last
-// three elements is set. Its array is longer than those of the other messages, so earlier
+// five elements is set. Its array is longer than those of the other messages, so earlier
 // releases reject it and nothing else. The lengths between are left for other messages.
 type stateMessage struct {
 	_                          struct{} `cbor:",toarray"`
@@ -82,16 +105,20 @@
 	Request                    *StateRequest
 	Changes                    *StateChanges
 	Notice                     *ConfigNotice
+	ConfigRequest              *ConfigRequest
+	ConfigPart                 *ConfigPart
 }
 
-// stateMessageHead is the first byte of an stateMessage: an array of ten elements.
-const stateMessageHead = 0x8a
+// stateMessageHead is the first byte of an stateMessage: an array of twelve elements.
+const stateMessageHead = 0x8c
 
 // StateHandler is implemented by handlers that process the messages of this file.
 type StateHandler interface {
 	HandleStateRequest(from netip.AddrPort, m *StateRequest)
 	HandleStateChanges(from netip.AddrPort, m *StateChanges)
 	HandleConfigNotice(from netip.AddrPort, m *ConfigNotice)
+	HandleConfigRequest(from netip.AddrPort, m *ConfigRequest)
+	HandleConfigPart(from netip.AddrPort, m *ConfigPart)
 }
 
 // SendStateRequest sends a message to the leader.
@@ -109,6 +136,16 @@
 	return l.send(to, stateMessage{Notice: m})
 }
 
+// SendConfigRequest sends a message to the leader.
+func (l *Link) SendConfigRequest(to netip.AddrPort, m *ConfigRequest) error {
+	return l.send(to, stateMessage{ConfigRequest: m})
+}
+
+// SendConfigPart sends a message to a host.
+func (l *Link) SendConfigPart(to netip.AddrPort, m *ConfigPart) error {
+	return l.send(to, stateMessage{ConfigPart: m})
+}
+
 // dispatchState decodes a datagram with a message of this file and passes it to h.
 func dispatchState(datagram []byte, from netip.AddrPort, h StateHandler) error {
 	var m stateMessage
@@ -122,6 +159,10 @@
 		h.HandleStateChanges(from, m.Changes)
 	case m.Notice != nil:
 		h.HandleConfigNotice(from, m.Notice)
+	case m.ConfigRequest != nil:
+		h.HandleConfigRequest(from, m.ConfigRequest)
+	case m.ConfigPart != nil:
+		h.HandleConfigPart(from, m.ConfigPart)
 	}
 	return nil
 }
