Follow the linter in the rule of cold servers

Cause: make lint reported a switch without a tag and a parameter of a test function that always has the same value. Neither changes what is decided; go test ./internal/schedule passed.

--- a/internal/schedule/warmup.go
+++ b/internal/schedule/warmup.go
@@ -266,10 +266,10 @@
 // allowance returns the number of requests that this scheduler may send in a window.
 func (w *warmup) allowance(now time.Duration) int {
 	n := w.parts.leader
-	switch {
-	case w.share.Role == StartingLeader:
+	switch w.share.Role {
+	case StartingLeader:
 		n = w.parts.starting
-	case w.share.Role == RivalLeader:
+	case RivalLeader:
 		n = w.parts.rival
 	}
 	if w.cold(now) {
--- a/internal/schedule/warmup_test.go
+++ b/internal/schedule/warmup_test.go
@@ -26,9 +26,10 @@
 	return schedule.Server{Address: "a", DataCentre: "a", Slots: 4, Incarnation: 1, ConfirmedAt: confirmedAt}
 }
 
-// sendFor keeps a server busy for a time, each request with the given time at the server,
-// and returns the numbers of requests that were sent and refused.
-func sendFor(s *schedule.Scheduler, now, d, work time.Duration) (sent int, refused []schedule.Decision) {
+// sendFor keeps a server busy for a time, and returns the number of requests that were sent
+// and the refusals.
+func sendFor(s *schedule.Scheduler, now, d time.Duration) (sent int, refused []schedule.Decision) {
+	const work = 50 * ms
 	type ending struct {
 		job *schedule.Job
 		at  time.Duration
@@ -77,9 +78,9 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			s := warmupScheduler(schedule.WarmupShare{Role: c.role, ListReadAt: now}, now, c.server)
-			sent, _ := sendFor(s, now, 1150*ms, 50*ms)
+			sent, _ := sendFor(s, now, 1150*ms)
 			g.Expect(sent).To(Equal(c.want))
-			sent, _ = sendFor(s, now+1150*ms, 1150*ms, 50*ms)
+			sent, _ = sendFor(s, now+1150*ms, 1150*ms)
 			g.Expect(sent).To(BeNumerically("<=", c.want))
 		})
 	}
@@ -91,7 +92,7 @@
 	now := time.Hour
 	s := warmupScheduler(schedule.WarmupShare{ListReadAt: now}, now, warmServer(0))
 	s.SetWarmup(schedule.WarmupTerms{Excess: 1.5, Slack: 8}, schedule.WarmupShare{})
-	sent, refused := sendFor(s, now, time.Second, 50*ms)
+	sent, refused := sendFor(s, now, time.Second)
 	g.Expect(sent).To(Equal(80))
 	for _, d := range refused {
 		g.Expect(d.Reason).To(Equal(schedule.Overloaded))
@@ -187,7 +188,7 @@
 				s.Decide(now)
 				s.HandleReport(schedule.Report{ID: j.ID, Result: schedule.Broken}, now+c.after)
 			}
-			sent, _ := sendFor(s, now+c.after, 300*ms, 50*ms)
+			sent, _ := sendFor(s, now+c.after, 300*ms)
 			if c.free {
 				g.Expect(sent).To(BeNumerically(">=", 20))
 			} else {
