Take the role of a leader from its contact with the store

A leader is confirmed as such every 0.6 to 2.6 s, since its read of the owners is held open. The age of the last confirmation is thus no sign that another host may lead, and a limit of 0.7 s would give a leader the share of a rival in normal operation.

The leader now reckons with another one when the store has not responded for 0.7 s, or its list of servers is 0.8 s old, until a confirmation that was sent later. Since another host may claim the leadership once the list is 1.1 s old, a new leader keeps to the small share for 0.85 s.

--- a/internal/gateway/leadership.go
+++ b/internal/gateway/leadership.go
@@ -36,6 +36,7 @@
 	ownersEnd        Position      // end of the ownership topic
 	confirmedAt      time.Duration // send time of the last confirmation
 	storeSeenAt      time.Duration // time of the last response of the store
+	contactLostAt    time.Duration // time at which the store was last out of reach; see warmupShare
 	confirmReadAt    time.Duration // send time of the last read by confirmWithStore
 	lastFence        int64
 	cancel           context.CancelFunc
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -9,13 +9,15 @@
 )
 
 const (
-	// rivalAge is the age of its last confirmation above which a leader reckons with
-	// another one: two renewals of its membership, every 0.3 s, have failed.
+	// rivalAge is the time since the last response of the store after which a leader
+	// reckons with another one: two renewals of its membership, every 0.3 s, have
+	// failed. Another host claims the leadership 1.2 s after the last one.
 	rivalAge = 700 * time.Millisecond
 	// startingTime is how long a new leader reckons with what an earlier one sent with
-	// the full share: for rivalAge after its last confirmation, and a window of 1.15 s
-	// counts it after that. The new one claims 1.2 s after the last call or later.
-	startingTime = rivalAge + 1150*time.Millisecond - 1200*time.Millisecond
+	// the full share. That may have gone on until its list of servers was 0.8 s old
+	// (staleListAge) and counts for a window of 1.15 s; the new one claims the
+	// leadership once the list is 1.1 s old (takeoverListAge).
+	startingTime = 850 * time.Millisecond
 	// warmupLinesPerSecond bounds the log lines on cold servers. All servers of a data
 	// centre become cold at once when it returns.
 	warmupLinesPerSecond = 20
@@ -24,17 +26,28 @@
 // warmupShare returns the share of the leader's scheduler in the requests that a cold
 // server tolerates.
 func (l *leadership) warmupShare() (Bounds, schedule.WarmupShare) {
-	share := schedule.WarmupShare{ListReadAt: l.clk.Now() - l.watcher.listAge(), MaxListAge: l.timing.maxListAge}
+	now, listAge := l.clk.Now(), l.watcher.listAge()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.clk.Now()
+	if now-l.storeSeenAt > rivalAge || listAge > l.timing.staleListAge {
+		l.contactLostAt = now
+	}
+	role := warmupRole(now, l.startedAt, l.confirmedAt, l.contactLostAt, l.lease.EarlierLeadersUntil())
+	return *l.active.bounds.Load(), schedule.WarmupShare{Role: role, ListReadAt: now - listAge, MaxListAge: l.timing.maxListAge}
+}
+
+// warmupRole returns the role of a leader that has led since startedAt. Contact with the
+// store was lost at contactLostAt, zero if never; a confirmation that was sent later shows
+// that no other host claimed the leadership meanwhile.
+func warmupRole(now, startedAt, confirmedAt, contactLostAt, earlierLeadersUntil time.Duration) schedule.WarmupRole {
 	switch {
-	case now-l.startedAt < startingTime:
-		share.Role = schedule.StartingLeader
-	case now-l.confirmedAt > rivalAge, now < l.lease.EarlierLeadersUntil():
-		share.Role = schedule.RivalLeader
+	case now-startedAt < startingTime:
+		return schedule.StartingLeader
+	case contactLostAt != 0 && confirmedAt <= contactLostAt, now < earlierLeadersUntil:
+		return schedule.RivalLeader
+	default:
+		return schedule.SoleLeader
 	}
-	return *l.active.bounds.Load(), share
 }
 
 // warmupShare returns the share of the fallback scheduler of this host.
--- a/internal/gateway/warmup_test.go
+++ b/internal/gateway/warmup_test.go
@@ -45,3 +45,24 @@
 	g.Expect(play(0)).To(BeNumerically(">=", 10))
 	g.Expect(s.summaries()[0].cold).To(BeZero())
 }
+
+// Guards against two leaders that both use the full share of the bound: a leader that lost
+// the store reckons with another one until a later confirmation.
+func TestWarmupRoleOfLeader(t *testing.T) {
+	const s = time.Second
+	for name, c := range map[string]struct {
+		now, confirmedAt, contactLostAt, earlierUntil time.Duration
+		want                                          schedule.WarmupRole
+	}{
+		"just started":              {now: 100*s + startingTime - 1, confirmedAt: 100 * s, want: schedule.StartingLeader},
+		"an earlier leader acts":    {now: 102 * s, confirmedAt: 101 * s, earlierUntil: 103 * s, want: schedule.RivalLeader},
+		"in contact":                {now: 104 * s, confirmedAt: 102 * s, earlierUntil: 103 * s, want: schedule.SoleLeader},
+		"lost contact":              {now: 106 * s, confirmedAt: 104 * s, contactLostAt: 105 * s, want: schedule.RivalLeader},
+		"in contact, not confirmed": {now: 107 * s, confirmedAt: 105 * s, contactLostAt: 105 * s, want: schedule.RivalLeader},
+		"confirmed later":           {now: 107 * s, confirmedAt: 106 * s, contactLostAt: 105 * s, want: schedule.SoleLeader},
+	} {
+		t.Run(name, func(t *testing.T) {
+			NewWithT(t).Expect(warmupRole(c.now, 100*s, c.confirmedAt, c.contactLostAt, c.earlierUntil)).To(Equal(c.want))
+		})
+	}
+}
