Keep the share of a leader whose hosts all follow it

A leader that the store did not answer took the share of a rival, also in an outage of the store for all hosts, in which nobody can claim the leadership. It keeps the full share while each host that followed it has sent a message within 0.85 s: a host that leads follows nobody, and uses a small share for that time.

--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -333,6 +333,20 @@
 	return float64(percent) / 100
 }
 
+// allHeardWithin reports whether each host that followed this leader has sent a message
+// within the given time.
+func (fs *followers) allHeardWithin(d time.Duration) bool {
+	fs.mu.Lock()
+	defer fs.mu.Unlock()
+	now := fs.clk.Now()
+	for _, f := range fs.hosts {
+		if now-f.lastHeard > d {
+			return false
+		}
+	}
+	return len(fs.hosts)+1 >= fs.maxHosts
+}
+
 // tick sends acknowledgements that no decision carried, and removes hosts that
 // are no longer present. It returns the number of hosts, this one included, and
 // the largest number so far.
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -16,7 +16,8 @@
 	// startingTime is how long a new leader reckons with what an earlier one sent with
 	// the full share. That may have gone on until its list of servers was 0.8 s old
 	// (staleListAge) and counts for a window of 1.15 s; the new one claims the
-	// leadership once the list is 1.1 s old (takeoverListAge).
+	// leadership once the list is 1.1 s old (takeoverListAge). A host that follows sends
+	// a message every 0.7 s at least.
 	startingTime = 850 * time.Millisecond
 	// warmupLinesPerSecond bounds the log lines on cold servers. All servers of a data
 	// centre become cold at once when it returns.
@@ -27,9 +28,12 @@
 // server tolerates.
 func (l *leadership) warmupShare() (Bounds, schedule.WarmupShare) {
 	now, listAge := l.clk.Now(), l.watcher.listAge()
+	// A host that leads follows nobody. As long as all follow this leader, another one
+	// began at most startingTime ago, and uses a small share.
+	followed := l.followers.allHeardWithin(startingTime)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now-l.storeSeenAt > rivalAge || listAge > l.timing.staleListAge {
+	if !followed && (now-l.storeSeenAt > rivalAge || listAge > l.timing.staleListAge) {
 		l.contactLostAt = now
 	}
 	role := warmupRole(now, l.startedAt, l.confirmedAt, l.contactLostAt, l.lease.EarlierLeadersUntil())
@@ -37,7 +41,7 @@
 }
 
 // warmupRole returns the role of a leader that has led since startedAt. Contact with the
-// store was lost at contactLostAt, zero if never; a confirmation that was sent later shows
+// store and some host was lost at contactLostAt, zero if never; a confirmation that was sent later shows
 // that no other host claimed the leadership meanwhile.
 func warmupRole(now, startedAt, confirmedAt, contactLostAt, earlierLeadersUntil time.Duration) schedule.WarmupRole {
 	switch {
--- a/internal/gateway/warmup_test.go
+++ b/internal/gateway/warmup_test.go
@@ -66,3 +66,17 @@
 		})
 	}
 }
+
+// Guards against a leader that, out of reach of the store, counts on hosts that may follow
+// another leader: one is silent, or has not been heard for longer than it takes to lead.
+func TestAllHostsFollow(t *testing.T) {
+	g := NewWithT(t)
+	clk := clock.NewMonotonic()
+	now := clk.Now()
+	fs := &followers{clk: clk, maxHosts: 3, hosts: map[uint64]*follower{1: {lastHeard: now}, 2: {lastHeard: now}}}
+	g.Expect(fs.allHeardWithin(time.Minute)).To(BeTrue())
+	fs.hosts[2].lastHeard = now - 2*time.Minute
+	g.Expect(fs.allHeardWithin(time.Minute)).To(BeFalse())
+	delete(fs.hosts, 2)
+	g.Expect(fs.allHeardWithin(time.Minute)).To(BeFalse())
+}
