Refuse at once what cold servers without keys leave no time for

Requests to a service without keys waited until shortly before their deadline when all its servers were cold, since the queue counted one slot for a rate of 3.9 a second. If all servers of the service are cold, those for which the sum of the rates leaves no time are refused at once, the least urgent first, with the time until a turn as Retry-After.

The new test fails without the call; go test ./internal/schedule passed.

--- a/internal/schedule/unkeyed.go
+++ b/internal/schedule/unkeyed.go
@@ -43,6 +43,7 @@
 		running++
 	}
 	s.waiting = append(s.waiting, held...)
+	out = s.refuseBeyondWarmup(now, out)
 	if len(s.waiting) > 0 {
 		out = s.refuseUnkeyed(now, slots, running, saturated, out)
 	}
--- a/internal/schedule/warmup.go
+++ b/internal/schedule/warmup.go
@@ -445,6 +445,36 @@
 	}
 }
 
+// refuseBeyondWarmup refuses the waiting jobs of a service without keys for which the rates
+// of its servers leave no time, if all of them are cold. The more urgent jobs are kept.
+func (s *Scheduler) refuseBeyondWarmup(now time.Duration, out []Decision) []Decision {
+	if len(s.waiting) == 0 || len(s.sortedServers) == 0 {
+		return out
+	}
+	rate, first := 0.0, time.Duration(math.MaxInt64)
+	for _, srv := range s.sortedServers {
+		if !srv.warmup.restricts(now) {
+			return out
+		}
+		rate += srv.warmup.rate(now)
+		first = min(first, srv.warmup.wait(1, now))
+	}
+	latest := func(j *Job) time.Duration { return j.Deadline - s.expectedTime(j, 1) }
+	order := func(j *Job) time.Duration { return latest(j) + time.Duration(j.Priority)*priorityStep }
+	slices.SortStableFunc(s.waiting, func(a, b *Job) int { return cmp.Compare(order(a), order(b)) })
+	kept := s.waiting[:0]
+	for _, j := range s.waiting {
+		wait := first + time.Duration(float64(len(kept))/max(rate, minLimitRate)*float64(time.Second))
+		if now+wait > latest(j) {
+			out = append(out, s.refuse(j, Cold, max(minRetryAfter, s.sortedServers[0].warmup.retryAfter(wait))))
+			continue
+		}
+		kept = append(kept, j)
+	}
+	s.waiting = kept
+	return out
+}
+
 // WarmupChange is the begin or the end of the time in which a server is cold.
 type WarmupChange struct {
 	Server topology.ServerID
--- a/internal/schedule/warmup_test.go
+++ b/internal/schedule/warmup_test.go
@@ -197,3 +197,41 @@
 		})
 	}
 }
+
+// Guards against requests to a service without keys that wait until their deadline since
+// all its servers are cold, and against refusals while one of them is warm.
+func TestRefusalWhileAllServersAreCold(t *testing.T) {
+	now := time.Hour
+	cold := warmServer(0)
+	cold.WarmupLeft = 10 * time.Second
+	for name, c := range map[string]struct {
+		second schedule.Server
+		cold   bool
+	}{"all cold": {cold, true}, "one warm": {warmServer(now), false}} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := schedule.New(false, schedule.Settings{RemoteCost: 2})
+			s.SetWarmup(warmupTerms, schedule.WarmupShare{ListReadAt: now})
+			s.SetServers(map[topology.ServerID]schedule.Server{id(0): cold, id(1): c.second}, now)
+			for range 20 {
+				s.Add(job(schedule.NoKey, 1, now, 500*ms, 900*ms), now)
+			}
+			sent, refused := 0, 0
+			for _, d := range s.Decide(now) {
+				switch {
+				case !d.Refused:
+					sent++
+				case d.Reason == schedule.Cold:
+					refused++
+					g.Expect(d.RetryAfter).To(BeNumerically("<", 3*time.Second))
+				}
+			}
+			g.Expect(sent).To(BeNumerically(">=", 6))
+			if c.cold {
+				g.Expect(refused).To(BeNumerically(">=", 5))
+			} else {
+				g.Expect(refused).To(BeZero())
+			}
+		})
+	}
+}
