Describe the calls to the store, and read when the leader does not

Hosts hold reads of the configuration open again if their leader has not read it for 2.5 s although its list is fresh, and obtain it from the leader also while they cannot read the store themselves.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -308,7 +308,7 @@
 		return readPolicy{
 			pollInterval: max(followerPollInterval, time.Duration(s.hosts)*pollIntervalPerHost), configWait: hostConfigWait, leaderVersion: s.configVersion,
 			readOwners: true, maxRetryPause: maxHostRetryPause,
-			listFromLeader: news.current, configAnnounced: news.current && t.configAnnounced, configPosition: news.configPosition,
+			listFromLeader: news.current, configAnnounced: news.current && news.configRead && t.configAnnounced, configPosition: news.configPosition,
 		}
 	}
 }
--- a/internal/gateway/statesync.go
+++ b/internal/gateway/statesync.go
@@ -36,6 +36,9 @@
 	// store again what its leader does not pass on, as with a leader of an earlier
 	// release: three lost requests and a margin.
 	stateTimeout = 8 * time.Second
+	// maxConfigReadAge is the time without a read of the configuration by the leader after
+	// which its hosts read it themselves: the leader reads it once a second.
+	maxConfigReadAge = 2500 * time.Millisecond
 	// noticeInterval and noticeCount say how often the leader repeats to all hosts that
 	// the configuration has changed, since datagrams may be lost.
 	noticeInterval = 250 * time.Millisecond
@@ -89,6 +92,7 @@
 	reply.ListAgeMS = uint32(min(age, time.Hour).Milliseconds()) + 1
 	position := s.watcher.configPosition()
 	reply.ConfigEra, reply.ConfigOffset = position.Era, position.Offset
+	reply.ConfigAgeMS = uint32(min(s.watcher.configReadAge(), time.Hour).Milliseconds())
 	reply.Next, reply.More, reply.Same = page.Next, page.More, page.Same
 	for _, c := range page.Changes {
 		if r := c.Range; r != nil {
@@ -154,6 +158,7 @@
 	answered       bool // the present leader has responded
 	completeAt     time.Duration
 	configPosition Position // up to which the leader has read the configuration
+	configRead     bool     // whether the leader has read it lately
 	fresh          bool     // as last logged
 	configRequest  uint32   // number of the last fetchConfig
 	configParts    chan *hostlink.ConfigPart
@@ -189,7 +194,7 @@
 	if leader != c.leader || epoch != c.epoch {
 		c.leader, c.epoch, c.followedAt = leader, epoch, now
 		c.cursor.Reset()
-		c.waiting, c.more, c.answered, c.configPosition = false, false, false, Position{}
+		c.waiting, c.more, c.answered, c.configPosition, c.configRead = false, false, false, Position{}, true
 		c.requestSentAt = now - stateInterval
 	}
 	interval := stateInterval
@@ -223,6 +228,7 @@
 	now := c.clk.Now()
 	c.waiting, c.answered, c.answeredAt = false, true, now
 	c.notePosition(Position{Era: m.ConfigEra, Offset: m.ConfigOffset})
+	c.configRead = time.Duration(m.ConfigAgeMS)*time.Millisecond < maxConfigReadAge
 	// The request was sent before the response, so the list is not older than this.
 	asOf := c.requestSentAt - time.Duration(m.ListAgeMS)*time.Millisecond
 	page := decodePage(m)
@@ -321,6 +327,8 @@
 	// to have done so.
 	current        bool
 	configPosition Position
+	// configRead is false if the leader has not read the configuration lately.
+	configRead bool
 }
 
 func (c *stateCopy) news() leaderNews {
@@ -328,9 +336,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clk.Now()
-	news := leaderNews{}
+	news := leaderNews{configRead: true}
 	if leader == c.leader && epoch == c.epoch {
-		news.configPosition = c.configPosition
+		news.configPosition, news.configRead = c.configPosition, c.configRead
 		since := c.followedAt
 		if c.answered {
 			since = c.answeredAt
--- a/internal/gateway/storecalls_test.go
+++ b/internal/gateway/storecalls_test.go
@@ -284,10 +284,11 @@
 			t.Logf("%s: leader %.1f %v, others %.1f %v", name, paid(byLeader), sorted(byLeader), paid(byOthers), sorted(byOthers))
 			return paid(byLeader), paid(byOthers)
 		}
-		_, day.start = section("before the configuration")
+		leader, others := section("before the configuration")
+		day.start = leader + others
 		s.configure(1)
 		time.Sleep(2 * time.Second)
-		leader, others := section("start")
+		leader, others = section("start")
 		day.start += leader + others
 		for version := 2; version <= 5; version++ {
 			s.configure(version)
@@ -394,7 +395,7 @@
 		g := NewWithT(t)
 		s := newSimulation(t)
 		s.filler = make([]byte, 12<<10)
-		rand.NewChaCha8([32]byte{1}).Read(s.filler)
+		_, _ = rand.NewChaCha8([32]byte{1}).Read(s.filler)
 		s.configure(1)
 		go s.register(t.Context(), 3)
 		for n := range 5 {
--- a/internal/gateway/storewatcher.go
+++ b/internal/gateway/storewatcher.go
@@ -65,6 +65,7 @@
 	leaderVersion      int64         // newest version that the leader announced
 	leaderVersionSince time.Duration // time at which that version was first seen
 	configFrom         Position      // position for the next read of the configuration
+	configReadAt       time.Duration // time of the last successful read
 
 	mu            sync.Mutex
 	directory     *fleet.Directory
@@ -139,26 +140,16 @@
 			w.awaitConfigNews(ctx)
 			continue
 		}
-		if policy.configAnnounced && !failing && w.configAnnouncedAfter(policy, from) {
-			if records, position, ok := w.fetchConfig(ctx, from); ok {
-				from, readAt = position, w.clk.Now()
-				w.useConfig(w.store.AdoptConfig(records, position), position)
-				continue
-			}
+		if position, ok := w.obtainConfig(ctx, policy, from); ok {
+			from, readAt, failing = position, w.clk.Now(), false
+			continue
 		}
 		wait := policy.configWait
 		if failing || policy.configAnnounced {
 			// A read that is held open would show the return of the store late.
 			wait = 0
 		}
-		callCtx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
-		if wait > 0 {
-			w.setOpenRead(configRead{cancel: cancel, startedAt: w.clk.Now(), version: w.configVersion()})
-		}
-		config, next, err := w.store.ConfigChange(callCtx, from, wait)
-		w.setOpenRead(configRead{})
-		ended := callCtx.Err() != nil
-		cancel()
+		config, next, ended, err := w.readConfig(ctx, from, wait)
 		if err != nil {
 			if !failing && ctx.Err() == nil && !ended {
 				w.log.Warn("the configuration cannot be read: " + err.Error())
@@ -182,6 +173,33 @@
 	}
 }
 
+// readConfig reads the configuration from the store. The result ended is true if the read
+// was cancelled or timed out.
+func (w *storeWatcher) readConfig(ctx context.Context, from Position, wait time.Duration) (config *fleet.Config, next Position, ended bool, err error) {
+	callCtx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
+	defer cancel()
+	if wait > 0 {
+		w.setOpenRead(configRead{cancel: cancel, startedAt: w.clk.Now(), version: w.configVersion()})
+	}
+	config, next, err = w.store.ConfigChange(callCtx, from, wait)
+	w.setOpenRead(configRead{})
+	return config, next, callCtx.Err() != nil, err
+}
+
+// obtainConfig obtains a configuration after position from that the leader has announced,
+// also while this host cannot read it from the store. It returns false if the leader does
+// not send one.
+func (w *storeWatcher) obtainConfig(ctx context.Context, policy readPolicy, from Position) (Position, bool) {
+	if !policy.configAnnounced || !w.configAnnouncedAfter(policy, from) {
+		return Position{}, false
+	}
+	records, position, ok := w.fetchConfig(ctx, from)
+	if ok {
+		w.useConfig(w.store.AdoptConfig(records, position), position)
+	}
+	return position, ok
+}
+
 const (
 	// announcedConfigInterval is the interval at which a host reads the configuration
 	// although its leader announces no change: the leader repeats its notices, and each of
@@ -244,7 +262,14 @@
 func (w *storeWatcher) setConfigPosition(p Position) {
 	w.openReadMu.Lock()
 	defer w.openReadMu.Unlock()
-	w.configFrom = p
+	w.configFrom, w.configReadAt = p, w.clk.Now()
+}
+
+// configReadAge returns the time since the configuration was last read.
+func (w *storeWatcher) configReadAge() time.Duration {
+	w.openReadMu.Lock()
+	defer w.openReadMu.Unlock()
+	return w.clk.Now() - w.configReadAt
 }
 
 // configPosition returns the position up to which this host has read the configuration.
--- a/internal/hostlink/state.go
+++ b/internal/hostlink/state.go
@@ -56,8 +56,10 @@
 	// configuration.
 	ConfigEra    int64
 	ConfigOffset int64
-	Servers      []StateServer
-	Ranges       []StateRange
+	// ConfigAgeMS is the time since the leader last read the configuration.
+	ConfigAgeMS uint32
+	Servers     []StateServer
+	Ranges      []StateRange
 	// Next is the number from which to continue, at once if More is true.
 	Next uint64
 	More bool
