Share the tries of hosts during an outage of the store

While the store is down for all hosts, each host whose leader had lost it read the list of servers and the configuration about every second, and refused calls are charged for too. A leader that has read the list again after a while tells all hosts at once, so that they do not look for another one.

--- a/internal/gateway/backoff.go
+++ b/internal/gateway/backoff.go
@@ -25,6 +25,13 @@
 	// enough for a host to read the configuration and the servers well before
 	// it is expected to have recovered from an outage of the store.
 	maxHostRetryPause = 1200 * time.Millisecond
+	// retryPausePerHost bounds the rate at which the hosts of a leader that has lost the
+	// store together try whether they reach it: 70 hosts made 117 calls a second in an
+	// outage. At 25 a second, one of them notices its return after 40 ms.
+	retryPausePerHost = 40 * time.Millisecond
+	// maxSharedRetryPause bounds these pauses. It is below 2 * storeTimeout, for which a
+	// failed read shows that the store was asked in vain, should the leader end meanwhile.
+	maxSharedRetryPause = 2 * time.Second
 	// retryJitter is the fraction by which a pause is shortened at random, so
 	// that hosts that lost the store together do not return together.
 	retryJitter = 0.25
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -22,6 +22,9 @@
 	return &HostWithoutListeners{g}, nil
 }
 
+// Name returns the name of the host.
+func (h *HostWithoutListeners) Name() topology.HostID { return h.g.settings.Host }
+
 // Leads reports whether the host leads.
 func (h *HostWithoutListeners) Leads() bool { return h.g.leaderClient.state().leads }
 
--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -301,6 +301,13 @@
 		return
 	}
 	fs.announcedVersion = version
+	fs.mu.Unlock()
+	fs.replyToAll()
+}
+
+// replyToAll sends the present state of this leader to all hosts.
+func (fs *followers) replyToAll() {
+	fs.mu.Lock()
 	ids := make([]uint64, 0, len(fs.hosts))
 	for id := range fs.hosts {
 		ids = append(ids, id)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -296,13 +296,23 @@
 	switch {
 	case s.leads:
 		return readPolicy{pollInterval: t.leaderPollInterval, configWait: t.leaderConfigWait, configGrace: t.leaderConfigGrace, leaderVersion: s.configVersion, maxRetryPause: maxLeaderRetryPause}
-	case s.listAge > t.staleListAge || g.leaderClient.leaderSilent() || g.leaderClient.leaderLostStore():
+	case g.leaderClient.leaderSilent():
 		starting := g.clk.Now()-g.startedAt < leaderSearchTime && !s.followed
 		return readPolicy{
 			pollInterval: t.urgentPollInterval, configWait: t.urgentConfigWait, leaderVersion: s.configVersion, maxRetryPause: maxHostRetryPause,
 			// Without a configuration, there is nothing to send to a server.
 			deferConfig: starting, deferList: starting || g.watcher.config.Load() == nil,
 		}
+	case s.listAge > t.staleListAge || g.leaderClient.leaderLostStore():
+		// The store may be down for all hosts. One of them notices its return to replace a
+		// leader that is cut off; the configuration is obtained from the leader meanwhile.
+		news := g.stateCopy.news()
+		return readPolicy{
+			pollInterval: t.urgentPollInterval, configWait: t.urgentConfigWait, leaderVersion: s.configVersion,
+			maxRetryPause:   min(max(maxHostRetryPause, time.Duration(s.hosts)*retryPausePerHost), maxSharedRetryPause),
+			configAnnounced: news.current && t.configAnnounced && g.watcher.readsFail(), configPosition: news.configPosition,
+			deferList: g.watcher.config.Load() == nil,
+		}
 	default:
 		news := g.stateCopy.news()
 		return readPolicy{
--- a/internal/gateway/leadership.go
+++ b/internal/gateway/leadership.go
@@ -45,6 +45,7 @@
 	lag              leaderlease.TickLagMonitor
 	retransmissions  leaderlease.RetransmissionMonitor
 	storeWake        chan struct{} // wakes storeKeyMaps
+	listFresh        bool          // whether the list of servers was fresh at the last tick
 }
 
 func newLeadership(e *elector, record leaderRecord, claimedAt time.Duration, ownersEnd Position) *leadership {
@@ -234,6 +235,7 @@
 	l.wakeStoreLoop()
 	l.startCalls(ctx, orders)
 	l.logChanges()
+	l.announceFreshList()
 	if now := l.clk.Now(); now-l.summaryLoggedAt > summaryInterval {
 		l.summaryLoggedAt = now
 		for _, sum := range l.scheduler.summaries() {
@@ -260,6 +262,17 @@
 	}
 }
 
+// announceFreshList tells the hosts at once that this leader has read the list of servers
+// after a while without: those that reach the store again would else look for another leader
+// until their next heartbeat.
+func (l *leadership) announceFreshList() {
+	fresh := l.watcher.listAge() < l.timing.staleListAge
+	if fresh && !l.listFresh {
+		l.followers.replyToAll()
+	}
+	l.listFresh = fresh
+}
+
 // resign ends the leadership and makes no new claim for a while.
 func (l *leadership) resign(pause time.Duration) {
 	l.noClaimUntil.Store(int64(l.clk.Now() + pause))
--- a/internal/gateway/storecalls_test.go
+++ b/internal/gateway/storecalls_test.go
@@ -98,11 +98,17 @@
 }
 
 // direct passes the calls of a client to the store without a network.
-type direct struct{ simulation *simulation }
+type direct struct {
+	simulation *simulation
+	crashed    *atomic.Bool // whether the host has crashed
+}
 
 func (d direct) RoundTrip(r *http.Request) (*http.Response, error) {
 	time.Sleep(storeLatency)
 	silences := d.simulation.silences.Load()
+	if d.crashed.Load() {
+		return nil, net.ErrClosed
+	}
 	w := httptest.NewRecorder()
 	d.simulation.store.ServeHTTP(w, r)
 	if d.simulation.silences.Load() != silences {
@@ -136,6 +142,7 @@
 	calls   []map[string]int // of each host, by kind
 	// silences is raised when the connections of all calls in progress go silent.
 	silences atomic.Int64
+	crashed  map[topology.HostID]*atomic.Bool
 	// filler makes the configuration longer.
 	filler []byte
 	// draining holds the servers that announce their shutdown.
@@ -144,7 +151,7 @@
 }
 
 func newSimulation(t *testing.T) *simulation {
-	s := &simulation{store: standin.NewStore(), network: &datagramNetwork{conns: make(map[netip.AddrPort]*datagramConn)}, draining: make(map[int]bool)}
+	s := &simulation{store: standin.NewStore(), network: &datagramNetwork{conns: make(map[netip.AddrPort]*datagramConn)}, draining: make(map[int]bool), crashed: make(map[topology.HostID]*atomic.Bool)}
 	t.Cleanup(s.stop)
 	return s
 }
@@ -152,7 +159,10 @@
 // start starts a host.
 func (s *simulation) start(g *WithT, n int) {
 	ctx, cancel := context.WithCancel(context.Background())
-	client := platform.NewStoreClientOn(direct{s})
+	crashed := new(atomic.Bool)
+	name := topology.HostID(fmt.Sprint("host-", n))
+	s.crashed[name] = crashed
+	client := platform.NewStoreClientOn(direct{s, crashed})
 	counts := make(map[string]int)
 	client.OnCall(func(kind string) {
 		s.mu.Lock()
@@ -160,7 +170,7 @@
 		counts[kind]++
 	})
 	settings := gateway.Settings{
-		Host: topology.HostID(fmt.Sprint("host-", n)), DataCentre: "dc", IP: fmt.Sprintf("10.0.0.%d", n+1), PeerPort: 7000, CPUShare: 0.5, MemoryBytes: 256 << 20,
+		Host: name, DataCentre: "dc", IP: fmt.Sprintf("10.0.0.%d", n+1), PeerPort: 7000, CPUShare: 0.5, MemoryBytes: 256 << 20,
 		CallerAddress: "127.0.0.1:1", ReadyAddress: "127.0.0.1:2", StoreAddress: "127.0.0.1:3",
 		Bounds: gateway.Bounds{
 			DrainWindow: 2500 * time.Millisecond, MaxConfigDelay: 2500 * time.Millisecond, StopGrace: 6 * time.Second, MaxGrantDuration: 3 * time.Second,
@@ -174,10 +184,11 @@
 	s.end = append(s.end, func() { cancel(); _ = conn.Close() })
 }
 
-// endLeader ends the host that leads.
+// endLeader ends the host that leads. Its membership ends later, as after a crash.
 func (s *simulation) endLeader() {
 	for n, host := range s.hosts {
 		if host.Leads() {
+			s.crashed[host.Name()].Store(true)
 			s.end[n]()
 			s.hosts, s.end, s.calls = slices.Delete(s.hosts, n, n+1), slices.Delete(s.end, n, n+1), slices.Delete(s.calls, n, n+1)
 			return
@@ -419,6 +430,36 @@
 	})
 }
 
+// Guards against hosts that all try for themselves whether the store is back while their
+// leader, which also misses it, does the same for them. In 8 s a host tries four times in the
+// first 2 s and then about every 1.5 s, and reads nothing else.
+func TestStoreOutageIsTriedByTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const hosts = 70
+		s := newSimulation(t)
+		s.configure(1)
+		go s.register(t.Context(), 15)
+		for n := range hosts {
+			s.start(g, n)
+		}
+		time.Sleep(10 * time.Second)
+		s.take()
+		s.store.SetFault(func(string) int { return http.StatusServiceUnavailable })
+		time.Sleep(8 * time.Second)
+		leader, others := s.take()
+		t.Logf("leader %.1f %v, others %.1f %v", paid(leader), sorted(leader), paid(others), sorted(others))
+		g.Expect(paid(others)).To(BeNumerically("<=", 9*hosts))
+		s.store.SetFault(func(string) int { return 0 })
+		time.Sleep(3 * time.Second)
+		s.configure(2)
+		time.Sleep(2500 * time.Millisecond)
+		for _, host := range s.hosts {
+			g.Expect(host.ConfigVersion()).To(Equal(int64(2)))
+		}
+	})
+}
+
 func sorted(calls map[string]int) []string {
 	var list []string
 	for _, kind := range slices.Sorted(maps.Keys(calls)) {
--- a/internal/gateway/storewatcher.go
+++ b/internal/gateway/storewatcher.go
@@ -136,7 +136,7 @@
 	var readAt time.Duration
 	for ctx.Err() == nil {
 		policy := w.policy()
-		if from != (Position{}) && !failing && !w.configDue(policy, from, readAt) {
+		if from != (Position{}) && (!failing || policy.configAnnounced) && !w.configDue(policy, from, readAt) {
 			w.awaitConfigNews(ctx)
 			continue
 		}
@@ -444,6 +444,13 @@
 	return max(now-w.directory.Age(now), w.leaderListAsOf)
 }
 
+// readsFail reports whether the last read of the registrations failed.
+func (w *storeWatcher) readsFail() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.failed
+}
+
 // loaded reports whether this host has read the registrations.
 func (w *storeWatcher) loaded() bool {
 	w.mu.Lock()
