Repeat heartbeats that the leader has not answered

A host without requests sends its leader one message every 0.7 s. If it or its answer was lost, the host took the leader for silent after 0.25 s, read the list of servers and the configuration from the store and searched for a leader there every 0.2 s until the next heartbeat. The message is now repeated every 0.08 s until leaderTimeout, as routing requests are.

--- a/internal/gateway/leaderclient.go
+++ b/internal/gateway/leaderclient.go
@@ -540,6 +540,10 @@
 	// heartbeatInterval is the interval at which a host without requests sends
 	// an empty message to the leader.
 	heartbeatInterval = 700 * time.Millisecond
+	// heartbeatRetryInterval is the interval at which a host repeats its message to a leader
+	// that does not respond, until leaderTimeout: a leader responds within its tick of 40 ms.
+	// With one message, a lost datagram made an idle host search for a leader in the store.
+	heartbeatRetryInterval = 80 * time.Millisecond
 	// leaderTimeout is the time that the first unanswered message may wait
 	// before the leader is suspected.
 	leaderTimeout = 250 * time.Millisecond
@@ -552,8 +556,10 @@
 	now := c.clk.Now()
 	retries := c.dueRetries(now)
 	leader := c.leader
+	unanswered := c.unansweredSince != 0 && now-c.unansweredSince <= leaderTimeout
 	sendDue := c.ownScheduler == nil && leader.IsValid() &&
-		((len(c.reports) > 0 && now-c.reportsSentAt >= reportRetryInterval) || now-c.lastSent >= heartbeatInterval)
+		((len(c.reports) > 0 && now-c.reportsSentAt >= reportRetryInterval) || now-c.lastSent >= heartbeatInterval ||
+			(unanswered && now-c.lastSent >= heartbeatRetryInterval))
 	if sendDue && c.unansweredSince == 0 {
 		c.unansweredSince = now
 	}
--- a/internal/gateway/storecalls_test.go
+++ b/internal/gateway/storecalls_test.go
@@ -36,6 +36,8 @@
 	mu    sync.Mutex
 	conns map[netip.AddrPort]*datagramConn
 	bytes int
+	// drops returns true for the datagrams that are lost; nil if none are.
+	drops func(data []byte) bool
 }
 
 type datagram struct {
@@ -71,6 +73,9 @@
 	c.network.mu.Lock()
 	defer c.network.mu.Unlock()
 	c.network.bytes += len(b)
+	if c.network.drops != nil && c.network.drops(b) {
+		return len(b), nil
+	}
 	if peer := c.network.conns[to]; peer != nil {
 		d := datagram{c.address, slices.Clone(b)}
 		time.AfterFunc(linkLatency, func() {
@@ -430,6 +435,57 @@
 	})
 }
 
+// Guards against hosts that rely on a leader of an earlier release, which passes nothing on:
+// they must read from the store again. Also guards against lost datagrams that keep hosts from
+// learning what the leader knows, and against a lost heartbeat that makes a host read from the
+// store and search for a leader.
+func TestHostsWhoseLeaderPassesNothingOn(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		drops func(data []byte) bool
+		hosts int
+		calls OmegaMatcher // reads of the list from the store; one search makes up to three
+	}{
+		{"earlier release", func(data []byte) bool { return data[0] == 0x8c }, 5, BeNumerically(">=", 4)},
+		{"datagrams are lost", func([]byte) bool { return rand.IntN(20) == 0 }, 20, BeNumerically("<=", 9)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				s := newSimulation(t)
+				s.network.drops = test.drops
+				s.configure(1)
+				go s.register(t.Context(), 15)
+				for n := range test.hosts {
+					s.start(g, n)
+				}
+				time.Sleep(12 * time.Second)
+				s.take()
+				s.drain(3)
+				s.configure(2)
+				time.Sleep(2500 * time.Millisecond)
+				for _, host := range s.hosts {
+					g.Expect(host.ConfigVersion()).To(Equal(int64(2)))
+				}
+				time.Sleep(5 * time.Second)
+				for _, host := range s.hosts {
+					draining := 0
+					for _, server := range host.Servers() {
+						if server.Draining {
+							draining++
+						}
+					}
+					g.Expect(host.Servers()).To(HaveLen(15))
+					g.Expect(draining).To(Equal(1))
+				}
+				_, others := s.take()
+				t.Log(sorted(others))
+				g.Expect(others["newest-servers"] + others["read-servers"]).To(test.calls)
+			})
+		})
+	}
+}
+
 // Guards against hosts that all try for themselves whether the store is back while their
 // leader, which also misses it, does the same for them. In 8 s a host tries four times in the
 // first 2 s and then about every 1.5 s, and reads nothing else.
