State when hosts that follow a leader read from the store

The comments on the intervals of such hosts described them as the normal case. They now apply only with a leader that does not pass on its state. No change of behaviour.

--- a/internal/gateway/storewatcher.go
+++ b/internal/gateway/storewatcher.go
@@ -16,8 +16,9 @@
 
 const (
 	// hostConfigWait is the time for which the store holds a read of the
-	// configuration open for a host that follows a leader. The leader announces
-	// new versions to such hosts, so the read is only a fallback.
+	// configuration open for a host whose leader does not pass on its state, as one of
+	// an earlier release. That leader announces new versions all the same, so the read
+	// is only a fallback.
 	hostConfigWait = 20 * time.Second
 	// storeTimeout bounds calls to the store, which responds within
 	// milliseconds unless it is slow or down.
@@ -26,8 +27,8 @@
 	// returns page by page: 3,000 of them are 1.2 MB, a second on a link of 10
 	// Mbit/s.
 	fullReadTimeout = 8 * time.Second
-	// followerPollInterval is the interval at which a host that follows a
-	// leader reads the registrations. It needs the list and the key maps if it
+	// followerPollInterval is the interval at which a host whose leader does not pass
+	// on its state reads the registrations. It needs the list and the key maps if it
 	// loses the leader and the store together. The interval is at least
 	// pollIntervalPerHost for each host, so that all hosts together make a
 	// bounded number of calls.
