--- a/internal/gateway/statesync.go
+++ b/internal/gateway/statesync.go
@@ -21,10 +21,12 @@
 	// goes on with what it knew at most this much earlier, and an age of a few seconds
 	// is acceptable then.
 	stateInterval = 3 * time.Second
-	// statePageInterval is the interval between requests for further pages. At this
-	// rate, 70 hosts that need the whole state load the leader with half of a link of
-	// 10 Mbit/s, for about 3 s.
+	// statePageInterval is the interval between requests for further pages, and
+	// statePagePerHost the least such interval for each host: if all hosts need the
+	// whole state at once, the leader sends 286 pages a second, a quarter of a link of
+	// 10 Mbit/s. 24 pages (201 servers and 500 key ranges) then take 70 hosts 6 s.
 	statePageInterval = 150 * time.Millisecond
+	statePagePerHost  = 3500 * time.Microsecond
 	// stateRetryInterval is the interval at which an unanswered request is repeated:
 	// more than the time in which a busy leader responds.
 	stateRetryInterval = 400 * time.Millisecond
@@ -36,6 +38,9 @@
 	// store again what its leader does not pass on, as with a leader of an earlier
 	// release: three lost requests and a margin.
 	stateTimeout = 8 * time.Second
+	// maxConfigReadAge is the time without a read of the configuration by the leader after
+	// which its hosts read it themselves: the leader reads it once a second.
+	maxConfigReadAge = 2500 * time.Millisecond
 	// noticeInterval and noticeCount say how often the leader repeats to all hosts that
 	// the configuration has changed, since datagrams may be lost.
 	noticeInterval = 250 * time.Millisecond
@@ -89,6 +94,7 @@
 	reply.ListAgeMS = uint32(min(age, time.Hour).Milliseconds()) + 1
 	position := s.watcher.configPosition()
 	reply.ConfigEra, reply.ConfigOffset = position.Era, position.Offset
+	reply.ConfigAgeMS = uint32(min(s.watcher.configReadAge(), time.Hour).Milliseconds())
 	reply.Next, reply.More, reply.Same = page.Next, page.More, page.Same
 	for _, c := range page.Changes {
 		if r := c.Range; r != nil {
@@ -154,6 +160,7 @@
 	answered       bool // the present leader has responded
 	completeAt     time.Duration
 	configPosition Position // up to which the leader has read the configuration
+	configRead     bool     // whether the leader has read it lately
 	fresh          bool     // as last logged
 	configRequest  uint32   // number of the last fetchConfig
 	configParts    chan *hostlink.ConfigPart
@@ -184,12 +191,13 @@
 	if !leader.IsValid() || c.client.leaderSilent() {
 		return
 	}
+	hosts := c.client.state().hosts
 	c.mu.Lock()
 	now := c.clk.Now()
 	if leader != c.leader || epoch != c.epoch {
 		c.leader, c.epoch, c.followedAt = leader, epoch, now
 		c.cursor.Reset()
-		c.waiting, c.more, c.answered, c.configPosition = false, false, false, Position{}
+		c.waiting, c.more, c.answered, c.configPosition, c.configRead = false, false, false, Position{}, true
 		c.requestSentAt = now - stateInterval
 	}
 	interval := stateInterval
@@ -197,7 +205,7 @@
 	case c.waiting:
 		interval = stateRetryInterval
 	case c.more:
-		interval = statePageInterval
+		interval = max(statePageInterval, time.Duration(hosts)*statePagePerHost)
 	}
 	if now-c.requestSentAt < interval {
 		c.mu.Unlock()
@@ -223,6 +231,7 @@
 	now := c.clk.Now()
 	c.waiting, c.answered, c.answeredAt = false, true, now
 	c.notePosition(Position{Era: m.ConfigEra, Offset: m.ConfigOffset})
+	c.configRead = time.Duration(m.ConfigAgeMS)*time.Millisecond < maxConfigReadAge
 	// The request was sent before the response, so the list is not older than this.
 	asOf := c.requestSentAt - time.Duration(m.ListAgeMS)*time.Millisecond
 	page := decodePage(m)
@@ -321,6 +330,8 @@
 	// to have done so.
 	current        bool
 	configPosition Position
+	// configRead is false if the leader has not read the configuration lately.
+	configRead bool
 }
 
 func (c *stateCopy) news() leaderNews {
@@ -328,9 +339,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clk.Now()
-	news := leaderNews{}
+	news := leaderNews{configRead: true}
 	if leader == c.leader && epoch == c.epoch {
-		news.configPosition = c.configPosition
+		news.configPosition, news.configRead = c.configPosition, c.configRead
 		since := c.followedAt
 		if c.answered {
 			since = c.answeredAt
--- a/internal/gateway/storewatcher.go
+++ b/internal/gateway/storewatcher.go
@@ -17,8 +17,9 @@
 
 const (
 	// hostConfigWait is the time for which the store holds a read of the
-	// configuration open for a host that follows a leader. The leader announces
-	// new versions to such hosts, so the read is only a fallback.
+	// configuration open for a host whose leader does not pass on its state, as one of
+	// an earlier release. That leader announces new versions all the same, so the read
+	// is only a fallback.
 	hostConfigWait = 20 * time.Second
 	// storeTimeout bounds calls to the store, which responds within
 	// milliseconds unless it is slow or down.
@@ -27,8 +28,8 @@
 	// returns page by page: 3,000 of them are 1.2 MB, a second on a link of 10
 	// Mbit/s.
 	fullReadTimeout = 8 * time.Second
-	// followerPollInterval is the interval at which a host that follows a
-	// leader reads the registrations. It needs the list and the key maps if it
+	// followerPollInterval is the interval at which a host whose leader does not pass
+	// on its state reads the registrations. It needs the list and the key maps if it
 	// loses the leader and the store together. The interval is at least
 	// pollIntervalPerHost for each host, so that all hosts together make a
 	// bounded number of calls.
@@ -66,6 +67,7 @@
 	leaderVersion      int64         // newest version that the leader announced
 	leaderVersionSince time.Duration // time at which that version was first seen
 	configFrom         Position      // position for the next read of the configuration
+	configReadAt       time.Duration // time of the last successful read
 
 	mu            sync.Mutex
 	directory     *fleet.Directory
@@ -136,30 +138,20 @@
 	var readAt time.Duration
 	for ctx.Err() == nil {
 		policy := w.policy()
-		if from != (Position{}) && !failing && !w.configDue(policy, from, readAt) {
+		if from != (Position{}) && (!failing || policy.configAnnounced) && !w.configDue(policy, from, readAt) {
 			w.awaitConfigNews(ctx)
 			continue
 		}
-		if policy.configAnnounced && !failing && w.configAnnouncedAfter(policy, from) {
-			if records, position, ok := w.fetchConfig(ctx, from); ok {
-				w.useChanges(w.store.AdoptConfig(records, position), from)
-				from, readAt = position, w.clk.Now()
-				continue
-			}
+		if position, ok := w.obtainConfig(ctx, policy, from); ok {
+			from, readAt, failing = position, w.clk.Now(), false
+			continue
 		}
 		wait := policy.configWait
 		if failing || policy.configAnnounced {
 			// A read that is held open would show the return of the store late.
 			wait = 0
 		}
-		callCtx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
-		if wait > 0 {
-			w.setOpenRead(configRead{cancel: cancel, startedAt: w.clk.Now(), version: w.configVersion()})
-		}
-		changes, err := w.store.OperatorChanges(callCtx, from, wait)
-		w.setOpenRead(configRead{})
-		ended := callCtx.Err() != nil
-		cancel()
+		changes, ended, err := w.readConfig(ctx, from, wait)
 		if err != nil {
 			if !failing && ctx.Err() == nil && !ended {
 				w.log.Warn("the configuration cannot be read: " + err.Error())
@@ -183,6 +175,33 @@
 	}
 }
 
+// readConfig reads the configuration from the store. The result ended is true if the read
+// was cancelled or timed out.
+func (w *storeWatcher) readConfig(ctx context.Context, from Position, wait time.Duration) (changes OperatorChanges, ended bool, err error) {
+	callCtx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
+	defer cancel()
+	if wait > 0 {
+		w.setOpenRead(configRead{cancel: cancel, startedAt: w.clk.Now(), version: w.configVersion()})
+	}
+	changes, err = w.store.OperatorChanges(callCtx, from, wait)
+	w.setOpenRead(configRead{})
+	return changes, callCtx.Err() != nil, err
+}
+
+// obtainConfig obtains a configuration after position from that the leader has announced,
+// also while this host cannot read it from the store. It returns false if the leader does
+// not send one.
+func (w *storeWatcher) obtainConfig(ctx context.Context, policy readPolicy, from Position) (Position, bool) {
+	if !policy.configAnnounced || !w.configAnnouncedAfter(policy, from) {
+		return Position{}, false
+	}
+	records, position, ok := w.fetchConfig(ctx, from)
+	if ok {
+		w.useChanges(w.store.AdoptConfig(records, position), from)
+	}
+	return position, ok
+}
+
 const (
 	// announcedConfigInterval is the interval at which a host reads the configuration
 	// although its leader announces no change: the leader repeats its notices, and each of
@@ -274,7 +293,14 @@
 func (w *storeWatcher) setConfigPosition(p Position) {
 	w.openReadMu.Lock()
 	defer w.openReadMu.Unlock()
-	w.configFrom = p
+	w.configFrom, w.configReadAt = p, w.clk.Now()
+}
+
+// configReadAge returns the time since the configuration was last read.
+func (w *storeWatcher) configReadAge() time.Duration {
+	w.openReadMu.Lock()
+	defer w.openReadMu.Unlock()
+	return w.clk.Now() - w.configReadAt
 }
 
 // configPosition returns the position up to which this host has read the configuration.
@@ -449,6 +475,13 @@
 	return max(now-w.directory.Age(now), w.leaderListAsOf)
 }
 
+// readsFail reports whether the last read of the registrations failed.
+func (w *storeWatcher) readsFail() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.failed
+}
+
 // loaded reports whether this host has read the registrations.
 func (w *storeWatcher) loaded() bool {
 	w.mu.Lock()
