Give a second copy of a request a free slot that no other request needs

The copy that is given up is reported as caller-disconnected. If it had taken longer than its server usually needs, the server counts as slower; without this a server that loses each race would never be known to be slow. Requests without a second copy are reported and scheduled as before.

--- a/internal/schedule/report.go
+++ b/internal/schedule/report.go
@@ -81,6 +81,9 @@
 		return j, ""
 	}
 	srv.observeResult(r, s.ExpectedSeconds(j.Class), now)
+	if j.hedged && r.Result == CallerDisconnected {
+		srv.observeLostRace(r.Duration, s.ExpectedSeconds(j.Class))
+	}
 	if r.Result == Broken {
 		s.crashTracker.recordBroken(srv.id, j.ContentHash, now)
 	}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -43,9 +43,11 @@
 	// Tried lists the servers at which earlier attempts failed.
 	Tried []topology.ServerID
 
-	arrived time.Duration
+	arrived, assigned time.Duration
 	// estimate is the processing time of its class.
 	estimate *durationEstimate
+	// hedged is true if a second copy of the job was sent, or if it is that copy.
+	hedged bool
 	// finished is true once the job is neither waiting nor running. Queues drop
 	// finished jobs when they are next processed.
 	finished bool
@@ -499,6 +501,7 @@
 }
 
 func (s *Scheduler) assign(j *Job, srv *server, now time.Duration) Decision {
+	j.assigned = now
 	srv.running[j.ID] = true
 	s.assigned[j.ID] = srv
 	srv.limit.take(now)
