Send a second copy of a slow request to another server

The first response that is passed on without a retry is used; the other exchange is reset and reported as caller-disconnected, so that its slot is free. Both count as sends and as possible runs, and a refusal stays true. The hedge counts in the retry budget and in max_attempts; there is at most one a request, none without a leader that responds within 45 ms, and none for downloads, whose large responses would take memory and link from all other requests.

The leader is asked by a message of its own, HedgeRequests, which earlier releases reject. It is sent once; a hedge whose decision is lost is reported as given up. Requests can be copied, so that two exchanges share nothing that changes, and a copy is never sent on a connection that carried the other. Counters: hedge-sent, hedge-won, hedge-cancelled and hedge-denied-REASON.

--- a/cmd/lygate/main.go
+++ b/cmd/lygate/main.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/lycheerudder/lycheerudder/internal/gateway"
+	"github.com/lycheerudder/lycheerudder/internal/hedge"
 	"github.com/lycheerudder/lycheerudder/internal/logging"
 	"github.com/lycheerudder/lycheerudder/internal/settings"
 	"github.com/lycheerudder/lycheerudder/platform"
@@ -23,7 +24,9 @@
 type options struct {
 	Settings    string `env:"LYCHEERUDDER_CONFIG" flag:"settings" help:"path of the platform's settings file"`
 	MetricsPort int    `env:"LYGATE_METRICS_PORT" flag:"metrics-port" help:"TCP port of the metrics on the host's address, path /metrics; 0 for none"`
-	LogLevel    string `env:"LYGATE_LOG_LEVEL" envDefault:"info" flag:"log-level" help:"debug, info, warn or error"`
+	// HedgeShare is off by default: hedges are extra work for the servers.
+	HedgeShare float64 `env:"LYGATE_HEDGE_SHARE" flag:"hedge-share" help:"share of the requests to a service for which a second copy may be sent to another server, 0 to 0.2; 0 for none"`
+	LogLevel   string  `env:"LYGATE_LOG_LEVEL" envDefault:"info" flag:"log-level" help:"debug, info, warn or error"`
 }
 
 // Validate implements settings.Validator.
@@ -35,6 +38,9 @@
 	if o.MetricsPort < 0 || o.MetricsPort > 65535 {
 		errs = append(errs, fmt.Errorf("metrics-port: %d is not a port from 0 to 65535", o.MetricsPort))
 	}
+	if !(o.HedgeShare >= 0 && o.HedgeShare <= hedge.MaxShare) { // also if it is not a number
+		errs = append(errs, fmt.Errorf("hedge-share: %g is not a share from 0 to %g", o.HedgeShare, hedge.MaxShare))
+	}
 	return errs
 }
 
@@ -65,6 +71,7 @@
 		if o.MetricsPort > 0 {
 			initial.MetricsAddress = net.JoinHostPort(initial.IP, strconv.Itoa(o.MetricsPort))
 		}
+		initial.HedgeShare = o.HedgeShare
 		metrics := gateway.NewMetrics()
 		metrics.RegisterFunc("log_lines_dropped_total", func() float64 { return float64(logs.Dropped()) })
 		store := platform.NewStoreClient(initial.StoreAddress, func(path string) { metrics.Count("store" + path) })
--- a/cmd/lygate/main_test.go
+++ b/cmd/lygate/main_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
+	"math"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -43,3 +46,14 @@
 	g.Eventually(changed, settingsPollInterval).Should(Receive(&got))
 	g.Expect(got.Bounds.DrainWindow).To(Equal(time.Second))
 }
+
+// Guards against a share of extra work that the servers cannot bear.
+func TestHedgeShareIsChecked(t *testing.T) {
+	for share, valid := range map[float64]bool{0: true, 0.05: true, 0.2: true, 0.21: false, -0.01: false, math.NaN(): false, math.Inf(1): false} {
+		g := NewWithT(t)
+		o := options{Settings: "x", HedgeShare: share}
+		g.Expect(o.Validate()).To(HaveLen(map[bool]int{true: 0, false: 1}[valid]), "%g", share)
+		s := gateway.Settings{HedgeShare: share}
+		g.Expect(strings.Contains(fmt.Sprint(s.Check()), "hedge share")).To(Equal(!valid), "%g", share)
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -52,6 +52,9 @@
 	Prefix string
 	// Idempotent is true if a request may run more than once.
 	Idempotent bool
+	// LargeResponses is true if a second copy at the same time would cost much memory and
+	// many bytes on the link of the host.
+	LargeResponses bool
 	// Timeout is the maximum time for which a request waits for its response.
 	Timeout       time.Duration
 	TargetLatency time.Duration
--- a/internal/gateway/elector_test.go
+++ b/internal/gateway/elector_test.go
@@ -38,9 +38,11 @@
 	denials atomic.Int64
 }
 
-func (l *lateLeader) HandleServerLimits(*hostlink.ServerLimits)   {}
-func (*lateLeader) HandleLeavingServers(*hostlink.LeavingServers) {}
-func (*lateLeader) HandleServerPauses(*hostlink.ServerPauses)     {}
+func (l *lateLeader) HandleServerLimits(*hostlink.ServerLimits)    {}
+func (*lateLeader) HandleLeavingServers(*hostlink.LeavingServers)  {}
+func (*lateLeader) HandleServerPauses(*hostlink.ServerPauses)      {}
+func (*lateLeader) HandleHedgeRequests(*hostlink.HedgeRequests)    {}
+func (*clientHandler) HandleHedgeRequests(*hostlink.HedgeRequests) {}
 func (l *lateLeader) HandleToLeader(from netip.AddrPort, _ *hostlink.ToLeader) {
 	leads := l.leads.Load()
 	if !leads {
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -36,7 +36,8 @@
 	b.watcher.recordLeavingServers(m)
 }
 
-func (b bothRoles) HandleServerPauses(m *hostlink.ServerPauses) { b.followers.handlePauses(m) }
+func (b bothRoles) HandleServerPauses(m *hostlink.ServerPauses)   { b.followers.handlePauses(m) }
+func (b bothRoles) HandleHedgeRequests(m *hostlink.HedgeRequests) { b.followers.handleHedges(m) }
 
 // Passes arbitrary datagrams to a leader and to a host with a waiting request, and
 // then uses the decision. Guards against a malformed message, or one of another
@@ -85,6 +86,12 @@
 		}
 		f.Add(data)
 	}
+	hedges := []hostlink.HedgeRequest{{First: 1, Request: hostlink.RoutingRequest{Number: 1, Service: hash32("svc"), Key: -7, TargetMS: -1 << 31}}, {First: 9}}
+	data, err := cbor.Marshal([]any{nil, nil, nil, nil, nil, hostlink.HedgeRequests{Incarnation: 7, Requests: hedges}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
 	link, err := hostlink.Listen("127.0.0.1:0")
 	if err != nil {
 		f.Fatal(err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/lycheerudder/lycheerudder/internal/clock"
+	"github.com/lycheerudder/lycheerudder/internal/hedge"
 	"github.com/lycheerudder/lycheerudder/internal/hostlink"
 	"github.com/lycheerudder/lycheerudder/internal/httpserver"
 	"github.com/lycheerudder/lycheerudder/internal/listen"
@@ -100,6 +101,9 @@
 // HandleServerPauses implements hostlink.Handler.
 func (g *gateway) HandleServerPauses(m *hostlink.ServerPauses) { g.followers.handlePauses(m) }
 
+// HandleHedgeRequests implements hostlink.Handler.
+func (g *gateway) HandleHedgeRequests(m *hostlink.HedgeRequests) { g.followers.handleHedges(m) }
+
 // Run serves until the context ends, and then stops gracefully. It accepts
 // changed settings while it runs: the bounds apply at once, the rest after the
 // next start.
@@ -139,7 +143,8 @@
 // reload applies the bounds of changed settings, unless the settings have a
 // problem.
 func (g *gateway) reload(next Settings) {
-	next.MetricsAddress = g.settings.MetricsAddress // not set by the settings file
+	// These are not set by the settings file.
+	next.MetricsAddress, next.HedgeShare = g.settings.MetricsAddress, g.settings.HedgeShare
 	if err := next.Check(); err != nil {
 		g.log.Error("the changed settings are invalid and are not used", err)
 		return
@@ -198,7 +203,7 @@
 	g.leaderClient.endLeadership = g.elector.endLeadership
 	g.ingress = &ingress{
 		clk: clk, names: names, leaderClient: g.leaderClient, watcher: g.watcher, upstream: g.upstream,
-		budget: newRetryBudget(clk, g.active), log: newRequestLog(clk), metrics: metrics,
+		budget: newRetryBudget(clk, g.active), hedges: hedge.New(settings.HedgeShare), log: newRequestLog(clk), metrics: metrics,
 	}
 	g.callers = httpserver.New(g.ingress.handle, g.limits)
 	g.callers.OnAcceptError(newAcceptErrors(g.log, clk, metrics, g.upstream).handle)
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -14,6 +14,7 @@
 
 	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/fleet"
+	"github.com/lycheerudder/lycheerudder/internal/hedge"
 	"github.com/lycheerudder/lycheerudder/internal/httpserver"
 	"github.com/lycheerudder/lycheerudder/internal/schedule"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
@@ -49,6 +50,7 @@
 	watcher        *storeWatcher
 	upstream       *upstream.Client
 	budget         *retryBudget
+	hedges         *hedge.Policy
 	log            *requestLog
 	metrics        *metrics
 	serviceChoices atomic.Uint64
@@ -75,6 +77,7 @@
 	retry      retryDecision
 	retryWaits bool
 	keyed      bool // the service has keys
+	hedged     bool // a second copy was sent
 }
 
 // handle processes one request and returns its response; nil if the caller has
@@ -97,6 +100,7 @@
 	ctx, cancel := context.WithDeadline(parent, c.deadline)
 	defer cancel()
 	in.budget.countRequest(c.serviceHash)
+	in.hedges.CountRequest(c.serviceHash)
 	response := in.forward(ctx, c)
 	in.endRetryWait(c)
 	in.metrics.observeLatency(route.Name, time.Since(c.startedAt))
@@ -188,15 +192,7 @@
 			continue
 		}
 		in.endRetryWait(c)
-		outcome := in.upstream.Do(ctx, decision.Server, decision.Address, c.deadline, &c.request)
-		in.recordStatements(c, decision, outcome)
-		outcome.Report.ID = id
-		in.leaderClient.report(outcome.Report)
-		c.sends++
-		if !outcome.NotRun {
-			c.mayHaveRun = true
-			c.possibleRuns++
-		}
+		decision, outcome := in.exchange(ctx, c, decision, id)
 		if outcome.Pause > 0 && in.pauseOutlasts(c, decision.Server) {
 			return in.pausedResponse(c, decision.Server)
 		}
--- a/internal/gateway/leaderclient.go
+++ b/internal/gateway/leaderclient.go
@@ -45,6 +45,7 @@
 	lastSent    time.Duration
 	firstSent   time.Duration
 	queued      bool
+	hedge       bool // asks for a server for a second copy; never repeated
 	// timedOut is true once the request went to the fallback scheduler because
 	// the leader did not respond.
 	timedOut bool
@@ -173,6 +174,9 @@
 	c.mu.Lock()
 	var list []*routingRequest
 	for _, r := range c.pending {
+		if r.hedge {
+			continue // a new leader does not know the first copy
+		}
 		r.queued, r.timedOut = false, false
 		r.firstSent, r.lastSent = c.clk.Now(), c.clk.Now()
 		list = append(list, r)
@@ -578,7 +582,7 @@
 		if r.queued {
 			wait = queuedRetryInterval
 		}
-		if now-r.lastSent >= wait {
+		if now-r.lastSent >= wait && !r.hedge {
 			due = append(due, r)
 		}
 	}
--- a/internal/gateway/leaderclient_test.go
+++ b/internal/gateway/leaderclient_test.go
@@ -24,10 +24,13 @@
 	limits       chan hostlink.ServerLimit
 	leaving      chan hostlink.LeavingServer
 	pauses       chan *hostlink.ServerPauses
+	hedges       chan *hostlink.HedgeRequests
+	routed       atomic.Int64 // routing requests
 }
 
 func (l *silentLeader) HandleToLeader(_ netip.AddrPort, m *hostlink.ToLeader) {
 	l.timedOut.Add(int64(m.TimedOut))
+	l.routed.Add(int64(len(m.Requests)))
 	for _, r := range m.Reports {
 		if schedule.Result(r.Result) == schedule.CallerDisconnected {
 			l.disconnected <- r.Number
@@ -47,12 +50,13 @@
 	}
 }
 
-func (l *silentLeader) HandleServerPauses(m *hostlink.ServerPauses) { l.pauses <- m }
+func (l *silentLeader) HandleServerPauses(m *hostlink.ServerPauses)   { l.pauses <- m }
+func (l *silentLeader) HandleHedgeRequests(m *hostlink.HedgeRequests) { l.hedges <- m }
 
 func newSilentLeader() *silentLeader {
 	return &silentLeader{
 		disconnected: make(chan uint32, 16), limits: make(chan hostlink.ServerLimit, 16), leaving: make(chan hostlink.LeavingServer, 16),
-		pauses: make(chan *hostlink.ServerPauses, 16),
+		pauses: make(chan *hostlink.ServerPauses, 16), hedges: make(chan *hostlink.HedgeRequests, 16),
 	}
 }
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/lycheerudder/lycheerudder/internal/hedge"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
 
@@ -31,7 +32,10 @@
 	// MetricsAddress serves metrics as text and the state queries; empty for
 	// none.
 	MetricsAddress string
-	Bounds         Bounds
+	// HedgeShare is the share of the requests to a service for which a second copy may be
+	// sent, from 0 (none) to hedge.MaxShare.
+	HedgeShare float64
+	Bounds     Bounds
 }
 
 // Bounds are the time and retry limits that the deployment guarantees.
@@ -95,6 +99,9 @@
 	if s.PeerPort < 1 || s.PeerPort > 65535 {
 		errs = append(errs, fmt.Errorf("peer port: %d is not a port", s.PeerPort))
 	}
+	if !(s.HedgeShare >= 0 && s.HedgeShare <= hedge.MaxShare) {
+		errs = append(errs, fmt.Errorf("hedge share: %g is not from 0 to %g", s.HedgeShare, hedge.MaxShare))
+	}
 	return errors.Join(errs...)
 }
 
--- a/internal/hostlink/hostlink.go
+++ b/internal/hostlink/hostlink.go
@@ -113,6 +113,24 @@
 	Pauses      []ServerPause
 }
 
+// HedgeRequest asks the leader for a server for a second copy of a request. The leader
+// decides at once and only once: neither side repeats it.
+type HedgeRequest struct {
+	_ struct{} `cbor:",toarray"`
+	// First is the number of the routing request of the first copy.
+	First   uint32
+	Request RoutingRequest
+}
+
+// HedgeRequests is a message from a host to the leader.
+type HedgeRequests struct {
+	_ struct{} `cbor:",toarray"`
+	// Incarnation identifies the sender's process.
+	Incarnation uint64
+	DataCentre  string
+	Requests    []HedgeRequest
+}
+
 // Decision is the leader's response to a routing request: a server, a refusal,
 // or the notice that the request is queued.
 type Decision struct {
@@ -201,12 +219,25 @@
 	ServerPauses   *ServerPauses
 }
 
-// The first bytes of an encoded limitsMessage, leavingMessage and pausesMessage: arrays
-// of three, four and five elements.
+// hedgesMessage is the encoded form of HedgeRequests. Its array is longer than those of
+// the other messages, so earlier releases reject it and nothing else.
+type hedgesMessage struct {
+	_              struct{} `cbor:",toarray"`
+	ToLeader       *struct{}
+	FromLeader     *struct{}
+	ServerLimits   *struct{}
+	LeavingServers *struct{}
+	ServerPauses   *struct{}
+	HedgeRequests  *HedgeRequests
+}
+
+// The first bytes of an encoded limitsMessage, leavingMessage, pausesMessage and
+// hedgesMessage: arrays of three, four, five and six elements.
 const (
 	limitsMessageHead  = 0x83
 	leavingMessageHead = 0x84
 	pausesMessageHead  = 0x85
+	hedgesMessageHead  = 0x86
 )
 
 // Link sends and receives messages on one UDP socket. It is safe for concurrent
@@ -259,6 +290,11 @@
 	return l.send(to, pausesMessage{ServerPauses: m})
 }
 
+// SendHedgeRequests sends a message to the leader.
+func (l *Link) SendHedgeRequests(to netip.AddrPort, m *HedgeRequests) error {
+	return l.send(to, hedgesMessage{HedgeRequests: m})
+}
+
 func (l *Link) send(to netip.AddrPort, m any) error {
 	data, err := cbor.Marshal(m)
 	if err != nil {
@@ -275,6 +311,7 @@
 	HandleServerLimits(m *ServerLimits)
 	HandleLeavingServers(m *LeavingServers)
 	HandleServerPauses(m *ServerPauses)
+	HandleHedgeRequests(m *HedgeRequests)
 }
 
 // Receive passes messages to h until the link is closed or reading fails.
@@ -301,31 +338,16 @@
 	switch head {
 	case limitsMessageHead:
 		var m limitsMessage
-		if err := cbor.Unmarshal(datagram, &m); err != nil {
-			return err
-		}
-		if m.ServerLimits != nil {
-			h.HandleServerLimits(m.ServerLimits)
-		}
-		return nil
+		return deliver(datagram, &m, &m.ServerLimits, h.HandleServerLimits)
 	case leavingMessageHead:
 		var m leavingMessage
-		if err := cbor.Unmarshal(datagram, &m); err != nil {
-			return err
-		}
-		if m.LeavingServers != nil {
-			h.HandleLeavingServers(m.LeavingServers)
-		}
-		return nil
+		return deliver(datagram, &m, &m.LeavingServers, h.HandleLeavingServers)
 	case pausesMessageHead:
 		var m pausesMessage
-		if err := cbor.Unmarshal(datagram, &m); err != nil {
-			return err
-		}
-		if m.ServerPauses != nil {
-			h.HandleServerPauses(m.ServerPauses)
-		}
-		return nil
+		return deliver(datagram, &m, &m.ServerPauses, h.HandleServerPauses)
+	case hedgesMessageHead:
+		var m hedgesMessage
+		return deliver(datagram, &m, &m.HedgeRequests, h.HandleHedgeRequests)
 	}
 	var m message
 	if err := cbor.Unmarshal(datagram, &m); err != nil {
@@ -339,3 +361,14 @@
 	}
 	return nil
 }
+
+// deliver decodes a datagram into m and passes content, a field of m, to handle if it is set.
+func deliver[T any](datagram []byte, m any, content **T, handle func(*T)) error {
+	if err := cbor.Unmarshal(datagram, m); err != nil {
+		return err
+	}
+	if *content != nil {
+		handle(*content)
+	}
+	return nil
+}
--- a/internal/hostlink/hostlink_test.go
+++ b/internal/hostlink/hostlink_test.go
@@ -18,6 +18,7 @@
 	limits   chan *hostlink.ServerLimits
 	leaving  chan *hostlink.LeavingServers
 	pauses   chan *hostlink.ServerPauses
+	hedges   chan *hostlink.HedgeRequests
 }
 
 func (c collector) HandleToLeader(_ netip.AddrPort, m *hostlink.ToLeader) { c.toLeader <- m }
@@ -25,10 +26,12 @@
 func (c collector) HandleServerLimits(m *hostlink.ServerLimits)           { c.limits <- m }
 func (c collector) HandleLeavingServers(m *hostlink.LeavingServers)       { c.leaving <- m }
 func (c collector) HandleServerPauses(m *hostlink.ServerPauses)           { c.pauses <- m }
+func (c collector) HandleHedgeRequests(m *hostlink.HedgeRequests)         { c.hedges <- m }
+
 func newCollector() collector {
 	return collector{
 		toLeader: make(chan *hostlink.ToLeader, 1), limits: make(chan *hostlink.ServerLimits, 1), leaving: make(chan *hostlink.LeavingServers, 1),
-		pauses: make(chan *hostlink.ServerPauses, 1),
+		pauses: make(chan *hostlink.ServerPauses, 1), hedges: make(chan *hostlink.HedgeRequests, 1),
 	}
 }
 
@@ -126,3 +129,31 @@
 	}
 	g.Expect(cbor.Unmarshal(data, &earlier)).NotTo(Succeed())
 }
+
+// Guards against requests for hedges that arrive changed, or that an earlier release takes
+// for routing requests, which it would queue.
+func TestHedgeRequestsArrive(t *testing.T) {
+	g := NewWithT(t)
+	c := newCollector()
+	receiver, err := hostlink.Listen("127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = receiver.Close() }()
+	go func() { _ = receiver.Receive(c, func(err error) { t.Error(err) }) }()
+	sent := &hostlink.HedgeRequests{Incarnation: 1 << 63, DataCentre: "a", Requests: []hostlink.HedgeRequest{
+		{First: 3, Request: hostlink.RoutingRequest{Number: 4, Service: 7, Class: 8, Key: -1, TargetMS: -5, DeadlineMS: 100, Tried: []string{"s-1"}}},
+	}}
+	g.Expect(receiver.SendHedgeRequests(receiver.Address(), sent)).To(Succeed())
+	g.Eventually(c.hedges, time.Second).Should(Receive(Equal(sent)))
+
+	data, err := cbor.Marshal([]any{nil, nil, nil, nil, nil, sent})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(hostlink.Dispatch(data, netip.AddrPort{}, c)).To(Succeed())
+	g.Expect(c.hedges).To(Receive(Equal(sent)))
+	var earlier struct {
+		_            struct{} `cbor:",toarray"`
+		ToLeader     *hostlink.ToLeader
+		FromLeader   *hostlink.FromLeader
+		ServerLimits *hostlink.ServerLimits
+	}
+	g.Expect(cbor.Unmarshal(data, &earlier)).NotTo(Succeed())
+}
--- a/internal/upstream/resend_test.go
+++ b/internal/upstream/resend_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -51,3 +54,32 @@
 		})
 	}
 }
+
+// Guards against a request that is sent again on a connection that carried a copy of it: a
+// second response to the copy would pass for that to the request. Run with the race
+// detector, it guards against copies that share what exchanges change.
+func TestCopyOfRequest(t *testing.T) {
+	g := NewWithT(t)
+	address, _ := startServer(t, nil)
+	var dials atomic.Int32
+	client := upstream.NewWithDialer(headers, membudget.New(testMemory), func(ctx context.Context, address string) (net.Conn, error) {
+		dials.Add(1)
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", address)
+	})
+	r := request("first", "")
+	second := r.Copy()
+	var both sync.WaitGroup
+	for _, sent := range []*upstream.Request{r, second} {
+		both.Go(func() {
+			out := client.Do(t.Context(), "s", address, time.Now().Add(time.Second), sent)
+			g.Expect(out.Response).NotTo(BeNil(), "%v", out.Cause)
+		})
+	}
+	both.Wait()
+	r.AddConnsOf(second)
+	used := dials.Load()
+	out := client.Do(t.Context(), "s", address, time.Now().Add(time.Second), r)
+	g.Expect(out.Response).NotTo(BeNil(), "%v", out.Cause)
+	g.Expect(dials.Load()).To(Equal(used+1), "a connection of its own")
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -54,6 +54,20 @@
 	carriedBy []*conn
 }
 
+// Copy returns a copy of the request that can be sent while r is. Both use the same header
+// and body, which no exchange changes.
+func (r *Request) Copy() *Request {
+	second := *r
+	second.carriedBy = slices.Clone(r.carriedBy)
+	return &second
+}
+
+// AddConnsOf keeps r from being sent on a connection on which a copy of it was sent. Both
+// must not be in use.
+func (r *Request) AddConnsOf(second *Request) {
+	r.carriedBy = append(r.carriedBy, second.carriedBy...)
+}
+
 // Response is a complete response of a server.
 type Response struct {
 	Status int
