--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -48,6 +48,8 @@
 	respondedAt time.Duration
 	// estimate is the processing time of its class.
 	estimate *durationEstimate
+	// hedged is true if a second copy of the job was sent, or if it is that copy.
+	hedged bool
 	// finished is true once the job is neither waiting nor running. Queues drop
 	// finished jobs when they are next processed.
 	finished bool
--- a/internal/schedule/warmup.go
+++ b/internal/schedule/warmup.go
@@ -212,6 +212,9 @@
 	}
 }
 
+// doubtful reports whether the server is cold or may be.
+func (w *warmup) doubtful(now time.Duration) bool { return w != nil && !w.trusted(now) }
+
 // restricts reports whether requests for which the limit leaves no time are to be refused
 // at once. The limit of a server that is not known to be cold ends with the next proof.
 func (w *warmup) restricts(now time.Duration) bool {
