Test lygate and lyrouter with crowds of callers that use up memory

Callers that the operators do not control ended a process: it ran out of memory. No test starts the programs and sends them such requests.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
 # make demo: runs the main job on the project's own stand-ins.
-# make test: runs all tests.
+# make test: runs all tests but those of make test-callers.
 GO ?= go
 LINT_VERSION = v2.15.0
 
-.PHONY: all soak build demo faults test test-race lint fmt model bench capacity generate
+.PHONY: all soak build demo faults test test-race test-callers lint fmt model bench capacity generate
 
 all: build
 
@@ -28,6 +28,12 @@
 test-race:
 	scripts/known-red.sh $(GO) test -race ./...
 
+# Confronts real processes with many callers, one crowd at a time; not to be run beside
+# other load.
+test-callers:
+	$(GO) vet -tags callers ./internal/callertest
+	scripts/known-red.sh $(GO) test -count=1 -p 1 -parallel 1 -tags callers ./internal/callertest
+
 fmt:
 	gofmt -w $$(git ls-files '*.go')
 
