Take the age of a failed accept from a monotonic clock

The server counts as not accepting for a second after a failed accept. The time of the failure was kept as the time of day in nanoseconds, which may jump: a step backwards kept the host not ready for as long, a step forwards made it ready at once.

The end of that second is kept on the boot clock. The new test replaces the clock: on code with the time of day it fails (the server accepts after 1.1 s of real time although the clock has moved by 999 ms), now it passes.

--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -19,6 +19,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/lycheerudder/lycheerudder/internal/clock"
 )
 
 // Limits holds limits for the connections and requests of callers.
@@ -91,9 +93,11 @@
 	closing, lingered atomic.Bool
 	// onAcceptError, if set, is called with each error of Accept.
 	onAcceptError func(error)
-	// acceptFailedAt is the time of the last error of Accept in nanoseconds since the start of
-	// the Unix epoch; zero once a connection was accepted since.
-	acceptFailedAt atomic.Int64
+	// clk is monotonic: the time of day may jump.
+	clk clock.Clock
+	// failedUntil is the time by clk until which the server counts as not accepting; zero
+	// once a connection was accepted after the last error of Accept.
+	failedUntil atomic.Int64
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -105,7 +109,7 @@
 // New returns a server. It calls limits for each request, so that the limits can
 // change.
 func New(handler Handler, limits func() Limits) *Server {
-	return &Server{handler: handler, limits: limits, conns: make(map[*conn]bool), stopped: make(chan struct{})}
+	return &Server{handler: handler, limits: limits, clk: clock.BootTime{}, conns: make(map[*conn]bool), stopped: make(chan struct{})}
 }
 
 // OnAcceptError sets a function that is called with each error of Accept, before connections
@@ -120,7 +124,7 @@
 // Accepting reports whether a new connection would be served: Accept has not failed lately,
 // and the number of connections is below the limit.
 func (s *Server) Accepting() bool {
-	if at := s.acceptFailedAt.Load(); at != 0 && time.Since(time.Unix(0, at)) < acceptFailureMemory {
+	if until := s.failedUntil.Load(); until != 0 && s.clk.Now() < time.Duration(until) {
 		return false
 	}
 	limit := s.limits().MaxConns
@@ -155,7 +159,7 @@
 			}
 			return err
 		}
-		s.acceptFailedAt.Store(0)
+		s.failedUntil.Store(0)
 		c := &conn{Conn: nc, server: s, responses: make(chan *pendingResponse, maxPipelined), idleFrom: time.Now()}
 		c.limited = &io.LimitedReader{R: nc}
 		c.br = bufio.NewReaderSize(c.limited, bufferSize)
@@ -169,7 +173,7 @@
 
 // acceptFailed records an error of Accept, and closes idle connections to free descriptors.
 func (s *Server) acceptFailed(err error) {
-	s.acceptFailedAt.Store(time.Now().UnixNano())
+	s.failedUntil.Store(int64(s.clk.Now() + acceptFailureMemory))
 	if s.onAcceptError != nil {
 		s.onAcceptError(err)
 	}
--- a/internal/httpserver/maxconns_test.go
+++ b/internal/httpserver/maxconns_test.go
@@ -14,6 +14,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/httpserver"
 )
 
@@ -125,3 +126,31 @@
 	_, _ = dial(t, inner.Addr().String())
 	g.Eventually(s.Accepting, 500*time.Millisecond).Should(BeTrue(), "at once with the next connection")
 }
+
+// Guards against a server that counts as not accepting for as long as the time of day was set
+// back, or as accepting at once when it was set forward: only the monotonic clock counts.
+func TestAcceptFailureEndsByMonotonicClock(t *testing.T) {
+	g := NewWithT(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = inner.Close() })
+	l := &failingListener{Listener: inner}
+	l.failing.Store(true)
+	s := httpserver.New(func(context.Context, *httpserver.Request) *httpserver.Response { return nil }, func() httpserver.Limits { return limits })
+	var clk clock.Manual
+	s.SetClock(&clk)
+	failed := make(chan struct{})
+	s.OnAcceptError(func(error) {
+		failed <- struct{}{}
+		<-failed // no further error until the end of the test
+	})
+	go func() { _ = s.Serve(context.Background(), l) }()
+	<-failed
+	clk.Advance(999 * time.Millisecond)
+	time.Sleep(1100 * time.Millisecond) // the time of day goes on
+	g.Expect(s.Accepting()).To(BeFalse())
+	clk.Advance(time.Millisecond)
+	g.Expect(s.Accepting()).To(BeTrue())
+	close(failed)
+	l.failing.Store(false)
+}
