Log the id of a request that is refused for too many connections

Such a request was counted (refused-too-many-connections), but had no log line, and its response did not carry its id.

A log line holds at most 128 bytes of an id: a caller may send 16 KiB, and up to 512 lines wait in memory to be written.

TestTooManyConnectionsAreLogged fails on the code before (response without id, no entry), now it passes, as do the tests of internal/gateway.

--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -81,7 +81,7 @@
 // disconnected.
 func (in *ingress) handle(parent context.Context, r *httpserver.Request) *httpserver.Response {
 	if r.TooManyConns {
-		return in.refuse(nil, "too-many-connections", defaultRetryAfter)
+		return in.refuse(in.unroutedRequest(r.Request, r.Arrived), "too-many-connections", defaultRetryAfter)
 	}
 	cfg := in.watcher.config.Load()
 	if cfg == nil {
@@ -103,6 +103,14 @@
 	return response
 }
 
+// unroutedRequest returns a callerRequest that is refused before a route is chosen.
+func (in *ingress) unroutedRequest(r *http.Request, arrived time.Time) *callerRequest {
+	c := &callerRequest{route: &fleet.Route{}, startedAt: arrived, deadline: arrived.Add(defaultTimeLeft)}
+	c.request.ID = r.Header.Get(in.names.RequestID)
+	c.job.Key = schedule.NoKey
+	return c
+}
+
 // prepare returns a callerRequest with its deadline, service, key and forwarded
 // headers.
 func (in *ingress) prepare(r *httpserver.Request, route *fleet.Route, cfg *fleet.Config) *callerRequest {
--- a/internal/gateway/ingress_test.go
+++ b/internal/gateway/ingress_test.go
@@ -1,13 +1,18 @@
 package gateway
 
 import (
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	. "github.com/onsi/gomega"
 
 	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/fleet"
+	"github.com/lycheerudder/lycheerudder/internal/httpserver"
 	"github.com/lycheerudder/lycheerudder/internal/schedule"
 	"github.com/lycheerudder/lycheerudder/internal/upstream"
 )
@@ -31,3 +36,22 @@
 	g.Expect(in.shouldRetry(c, wrongServer)).To(BeFalse())
 	g.Expect(in.shouldRetry(c, upstream.Outcome{Result: schedule.ServerFull, NotRun: true})).To(BeTrue())
 }
+
+// Guards against a request that is refused because there are too many connections and cannot
+// be found in the log, and against log lines as long as the id that a caller sends.
+func TestTooManyConnectionsAreLogged(t *testing.T) {
+	g := NewWithT(t)
+	handler := memory.New()
+	log.SetHandler(handler)
+	t.Cleanup(func() { log.SetHandler(log.HandlerFunc(func(*log.Entry) error { return nil })) })
+	in := &ingress{names: HTTPNames{RequestID: "X-Id"}, metrics: NewMetrics(), log: newRequestLog(new(clock.Manual))}
+	id := strings.Repeat("i", 10000)
+	response := in.handle(t.Context(), &httpserver.Request{
+		Request: &http.Request{Header: http.Header{"X-Id": {id}}}, Arrived: time.Now(), TooManyConns: true,
+	})
+	g.Expect(response.Status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(response.Header.Get("X-Id")).To(Equal(id))
+	g.Expect(handler.Entries).To(HaveLen(1))
+	g.Expect(handler.Entries[0].Fields["id"]).To(Equal(id[:128]))
+	g.Expect(handler.Entries[0].Fields["outcome"]).To(Equal("too-many-connections"))
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -24,6 +24,10 @@
 
 const maxLinesPerSecond = 40
 
+// maxLoggedID bounds the bytes of a request id in a log line. A caller may send one as long as
+// a head, and up to 512 lines wait in memory to be written.
+const maxLoggedID = 128
+
 func newRequestLog(clk clock.Clock) *requestLog {
 	return &requestLog{log: logging.For(logging.Frontend), clk: clk, limiter: logging.Limiter{PerSecond: maxLinesPerSecond}}
 }
@@ -36,7 +40,8 @@
 	if !ok {
 		return
 	}
-	e := l.log.With("id", c.request.ID).With("config", c.configVersion).With("epoch", c.epoch).With("route", c.route.Name).With("outcome", outcome).
+	id := c.request.ID
+	e := l.log.With("id", id[:min(len(id), maxLoggedID)]).With("config", c.configVersion).With("epoch", c.epoch).With("route", c.route.Name).With("outcome", outcome).
 		With("sends", c.sends).With("may_have_run", c.mayHaveRun).
 		With("took_ms", time.Since(c.startedAt).Milliseconds()).With("left_ms", time.Until(c.deadline).Milliseconds())
 	if c.job.Key >= 0 {
