Bound the memory that callers hold, over all connections of lygate

A body got memory for its announced length at once, or doubled its buffer when it was chunked, and nothing counted these bytes over all connections; the response was copied to be written, and the request to be sent (capacity only).

A request that is being received gives way when others find no room: slow ones first, then those that hold the most; it is refused with 503 and Retry-After, has not run, and its connection is closed. An eighth is left for small requests; pipelined ones may not use it. An announced body for which there will be no room, or of a connection beyond the limit, is refused before it is read. When connections run out, one whose request is slow gives way. Responses are written without a copy.

Two lines of tests follow the new type of bodies: httpserver_test.go (r.Content.Bytes()) and upstream_test.go (pieces.Body); no check changes.

--- a/cmd/lygate/main.go
+++ b/cmd/lygate/main.go
@@ -41,10 +41,6 @@
 // logFlushTimeout bounds the wait for buffered log lines before the process exits.
 const logFlushTimeout = 100 * time.Millisecond
 
-// memoryLimitShare is the share of the host's memory limit that is set as the soft
-// limit of the Go runtime.
-const memoryLimitShare = 0.7
-
 func main() {
 	var o options
 	p := settings.Program{Name: "lygate", Description: "Entry host of lycheerudder on the users' platform."}
@@ -60,7 +56,7 @@
 			return err
 		}
 		if initial.MemoryBytes > 0 {
-			debug.SetMemoryLimit(int64(float64(initial.MemoryBytes) * memoryLimitShare))
+			debug.SetMemoryLimit(int64(float64(initial.MemoryBytes) * gateway.GoMemoryShare))
 		}
 		if o.MetricsPort > 0 {
 			initial.MetricsAddress = net.JoinHostPort(initial.IP, strconv.Itoa(o.MetricsPort))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/lycheerudder/lycheerudder/internal/listen"
 	"github.com/lycheerudder/lycheerudder/internal/logging"
 	"github.com/lycheerudder/lycheerudder/internal/membudget"
+	"github.com/lycheerudder/lycheerudder/internal/pieces"
 	"github.com/lycheerudder/lycheerudder/internal/upstream"
 )
 
@@ -173,7 +174,7 @@
 	}
 	g := &gateway{settings: settings, active: newActiveBounds(settings.Bounds), clk: clk, store: store, link: link, log: logging.For(logging.Router)}
 	incarnation := rand.Uint64()
-	responses := membudget.New(responseMemory(settings.MemoryBytes))
+	responses := membudget.New(memoryShare(settings.MemoryBytes, responseMemoryShare))
 	metrics.RegisterFunc("response_memory_bytes", func() float64 { return float64(responses.Used()) })
 	g.upstream = upstream.New(upstream.Headers{
 		RequestID: names.RequestID, TimeLeft: names.TimeLeft, Target: names.Target,
@@ -201,6 +202,10 @@
 		budget: newRetryBudget(clk, g.active), log: newRequestLog(clk), metrics: metrics,
 	}
 	g.callers = httpserver.New(g.ingress.handle, g.limits)
+	requests := membudget.NewIntake(memoryShare(settings.MemoryBytes, requestMemoryShare), pieces.SlowAfter)
+	metrics.RegisterFunc("request_memory_bytes", func() float64 { return float64(requests.Used()) })
+	g.callers.SetMemory(requests)
+	g.callers.OnRefusal(g.ingress.refuseUnread)
 	g.callers.OnAcceptError(newAcceptErrors(g.log, clk, metrics, g.upstream).handle)
 	metrics.RegisterFunc("caller_connections", func() float64 { return float64(g.callers.ConnCount()) })
 	metrics.RegisterFunc("idle_server_connections", func() float64 { return float64(g.upstream.IdleCount()) })
@@ -227,23 +232,6 @@
 	return g, nil
 }
 
-const (
-	// responseMemoryShare is the share of the host's memory that the bodies of
-	// responses may hold together. The process needs about 25 MB besides; a body is
-	// copied once more when it is written to its caller.
-	responseMemoryShare = 0.2
-	// defaultMemory is the memory of a host whose settings state none, in bytes.
-	defaultMemory = 256 << 20
-)
-
-// responseMemory returns the budget for bodies of responses in bytes.
-func responseMemory(hostMemory int64) int64 {
-	if hostMemory <= 0 {
-		hostMemory = defaultMemory
-	}
-	return int64(responseMemoryShare * float64(hostMemory))
-}
-
 // minCPUShare bounds the delay of the claims of hosts with little CPU.
 const minCPUShare = 0.1
 
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -152,7 +152,9 @@
 	h := fnv.New64a()
 	_, _ = io.WriteString(h, r.Method)
 	_, _ = io.WriteString(h, r.RequestURI)
-	_, _ = h.Write(r.Content)
+	for _, piece := range r.Content {
+		_, _ = h.Write(piece)
+	}
 	return h.Sum64()
 }
 
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -12,6 +12,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -21,6 +22,8 @@
 	"time"
 
 	"github.com/lycheerudder/lycheerudder/internal/clock"
+	"github.com/lycheerudder/lycheerudder/internal/membudget"
+	"github.com/lycheerudder/lycheerudder/internal/pieces"
 )
 
 // Limits holds limits for the connections and requests of callers.
@@ -37,7 +40,7 @@
 // Request is a complete request of a caller.
 type Request struct {
 	*http.Request
-	Content []byte // the whole body
+	Content pieces.Body // the whole body; empty if TooManyConns is true
 	// Arrived is the time at which the first byte of the request was read.
 	Arrived time.Time
 	// TooManyConns is true if the connection exceeds Limits.MaxConns. It is closed after the
@@ -84,7 +87,7 @@
 
 // Server accepts connections and runs a handler for each request.
 //
-// Lock order: Server.mu before conn.mu.
+// Lock order: Server.mu before conn.mu and before the lock of memory.
 type Server struct {
 	handler Handler
 	limits  func() Limits
@@ -93,6 +96,10 @@
 	closing, lingered atomic.Bool
 	// onAcceptError, if set, is called with each error of Accept.
 	onAcceptError func(error)
+	// onRefusal, if set, returns the response to a refused request.
+	onRefusal func(*http.Request, Refusal) *Response
+	// memory is what connections and requests hold until their handlers return.
+	memory *membudget.Intake
 	// clk is monotonic: the time of day may jump.
 	clk clock.Clock
 	// failedUntil is the time by clk until which the server counts as not accepting; zero
@@ -109,13 +116,22 @@
 // New returns a server. It calls limits for each request, so that the limits can
 // change.
 func New(handler Handler, limits func() Limits) *Server {
-	return &Server{handler: handler, limits: limits, clk: clock.BootTime{}, conns: make(map[*conn]bool), stopped: make(chan struct{})}
+	unlimited := membudget.NewIntake(math.MaxInt64, pieces.SlowAfter)
+	return &Server{handler: handler, limits: limits, memory: unlimited, clk: clock.BootTime{}, conns: make(map[*conn]bool), stopped: make(chan struct{})}
 }
 
 // OnAcceptError sets a function that is called with each error of Accept, before connections
 // are accepted again. It must be set before Serve.
 func (s *Server) OnAcceptError(f func(error)) { s.onAcceptError = f }
 
+// SetMemory bounds the memory that connections and requests hold together. It must be set
+// before Serve.
+func (s *Server) SetMemory(memory *membudget.Intake) { s.memory = memory }
+
+// OnRefusal sets a function that returns the response to a request that the server refuses
+// itself with a Refusal; its head is empty if it was not read. It must be set before Serve.
+func (s *Server) OnRefusal(f func(*http.Request, Refusal) *Response) { s.onRefusal = f }
+
 // acceptFailureMemory is the time for which a server whose Accept has failed counts as not
 // accepting, unless it has accepted a connection since: without new connections nothing
 // tells whether the cause has gone.
@@ -161,12 +177,13 @@
 		}
 		s.failedUntil.Store(0)
 		c := &conn{Conn: nc, server: s, responses: make(chan *pendingResponse, maxPipelined), idleFrom: time.Now()}
-		c.limited = &io.LimitedReader{R: nc}
+		c.limited = &io.LimitedReader{R: headReader{c}}
 		c.br = bufio.NewReaderSize(c.limited, bufferSize)
 		if !s.addConn(c) {
 			_ = nc.Close()
 			continue
 		}
+		s.memory.Hold(connBytes)
 		go c.serve(ctx)
 	}
 }
@@ -193,7 +210,7 @@
 
 // addConn registers a connection. It returns false once Shutdown has closed the
 // listener, and if there are far too many connections. If there are too many, it closes an
-// idle one, or else marks the connection for a refusal.
+// idle one or one whose request arrives slowly, or else marks the connection for a refusal.
 func (s *Server) addConn(c *conn) bool {
 	limit := s.limits().MaxConns
 	s.mu.Lock()
@@ -202,7 +219,7 @@
 		return false
 	}
 	if open := len(s.conns); limit > 0 && open >= limit {
-		c.refused = s.closeIdle(1) == 0
+		c.refused = s.closeIdle(1) == 0 && !s.memory.YieldSlow(s.clk.Now())
 		if float64(open) >= float64(limit)*(1+refusedShare) {
 			return false
 		}
@@ -234,6 +251,7 @@
 
 // removeConn removes a connection that is closed.
 func (s *Server) removeConn(c *conn) {
+	s.memory.Hold(-connBytes)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
@@ -304,6 +322,10 @@
 	lastWrite    time.Time // of a response; set by the writer goroutine
 	// refused is true if the first request is refused because there are too many connections.
 	refused bool
+	// headMemory, if set, holds what is read. It is set by the reader goroutine while it reads
+	// a head; noHeadMemory is true if there was no room for one.
+	headMemory   *membudget.Upload
+	noHeadMemory bool
 	// evicted is true if the connection is closed unless a request has arrived, to make room
 	// for others. idleFrom is the time since which there is no unanswered request.
 	evicted  atomic.Bool
@@ -453,9 +475,10 @@
 		}
 		arrived := time.Now()
 		_ = c.SetReadDeadline(arrived.Add(limits.HeaderTimeout))
-		r, status := c.readRequest(limits)
-		if status != 0 {
-			c.reject(status)
+		r, memory, refused := c.readRequest(limits)
+		if refused != nil {
+			memory.Release()
+			c.reject(refused)
 			c.drain(ctx)
 			return
 		}
@@ -463,7 +486,11 @@
 		p := &pendingResponse{ready: make(chan *Response, 1), last: last, isHead: r.Method == http.MethodHead}
 		r.Arrived, r.TooManyConns = arrived, c.refused
 		c.responses <- p
-		go func() { p.ready <- c.server.handler(ctx, r) }()
+		go func() {
+			response := c.server.handler(ctx, r)
+			memory.Release()
+			p.ready <- response
+		}()
 		if last {
 			c.drain(ctx)
 			return
@@ -494,55 +521,10 @@
 	return errors.As(err, &ne) && ne.Timeout()
 }
 
-// readRequest reads one request with its body. If it returns a status other than
-// zero, the request is rejected with that status.
-func (c *conn) readRequest(limits Limits) (*Request, int) {
-	hr, err := http.ReadRequest(c.br)
-	if err != nil {
-		if c.limited.N <= 0 {
-			return nil, http.StatusRequestHeaderFieldsTooLarge
-		}
-		if isTimeout(err) {
-			return nil, http.StatusRequestTimeout
-		}
-		return nil, http.StatusBadRequest
-	}
-	if hr.Host == "" && hr.ProtoAtLeast(1, 1) {
-		return nil, http.StatusBadRequest
-	}
-	r := &Request{Request: hr}
-	if hr.ContentLength == 0 {
-		return r, 0
-	}
-	if hr.ContentLength > limits.BodyBytes {
-		return nil, http.StatusRequestEntityTooLarge
-	}
-	if hr.Header.Get("Expect") != "" && c.unanswered.Load() == 1 {
-		if _, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, http.StatusBadRequest
-		}
-	}
-	c.limited.N = 1 << 62
-	_ = c.SetReadDeadline(time.Now().Add(bodyTimeout))
-	if hr.ContentLength > 0 {
-		r.Content = make([]byte, hr.ContentLength)
-		_, err = io.ReadFull(hr.Body, r.Content)
-	} else {
-		r.Content, err = io.ReadAll(io.LimitReader(hr.Body, limits.BodyBytes+1))
-		if err == nil && int64(len(r.Content)) > limits.BodyBytes {
-			return nil, http.StatusRequestEntityTooLarge
-		}
-	}
-	if err != nil {
-		return nil, http.StatusBadRequest
-	}
-	return r, 0
-}
-
-// reject queues the last response of the connection, with an error status.
-func (c *conn) reject(status int) {
+// reject queues the last response of the connection.
+func (c *conn) reject(r *Response) {
 	p := &pendingResponse{ready: make(chan *Response, 1), last: true}
-	p.ready <- &Response{Status: status}
+	p.ready <- r
 	c.responses <- p
 }
 
@@ -554,8 +536,7 @@
 		last := c.closeAfter(p)
 		if !ended && r != nil {
 			_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
-			_, err := c.Write(encode(r, last, p.isHead))
-			ended = err != nil
+			ended = c.write(r, last, p.isHead) != nil
 			c.lastWrite = time.Now()
 		}
 		if r != nil && r.Done != nil {
@@ -596,9 +577,29 @@
 	}
 }
 
-// encode returns the bytes of a response. A response to a HEAD request has no body.
-func encode(r *Response, last, isHead bool) []byte {
-	b := make([]byte, 0, 256+len(r.Body))
+// maxCopiedBody is the largest body that is copied to be written together with its head.
+const maxCopiedBody = 4 << 10
+
+// write writes a response. A response to a HEAD request has no body. A long body is not copied:
+// its caller may read slowly.
+func (c *conn) write(r *Response, last, isHead bool) error {
+	hasBody := !isHead && r.Status != http.StatusNoContent && r.Status != http.StatusNotModified
+	head := encodeHead(r, last)
+	if !hasBody || len(r.Body) <= maxCopiedBody {
+		if hasBody {
+			head = append(head, r.Body...)
+		}
+		_, err := c.Write(head)
+		return err
+	}
+	bufs := net.Buffers{head, r.Body}
+	_, err := bufs.WriteTo(c.Conn)
+	return err
+}
+
+// encodeHead returns the bytes of a response up to its body.
+func encodeHead(r *Response, last bool) []byte {
+	b := make([]byte, 0, 512)
 	b = append(b, "HTTP/1.1 "...)
 	b = strconv.AppendInt(b, int64(r.Status), 10)
 	b = append(b, ' ')
@@ -620,9 +621,5 @@
 	}
 	b = append(b, "Content-Length: "...)
 	b = strconv.AppendInt(b, int64(len(r.Body)), 10)
-	b = append(b, "\r\n\r\n"...)
-	if isHead {
-		return b
-	}
-	return append(b, r.Body...)
+	return append(b, "\r\n\r\n"...)
 }
--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -33,7 +33,7 @@
 			}
 			return nil
 		}
-		return &httpserver.Response{Status: 200, Header: http.Header{"X-Path": {r.URL.Path}}, Body: append([]byte(r.URL.Path), r.Content...)}
+		return &httpserver.Response{Status: 200, Header: http.Header{"X-Path": {r.URL.Path}}, Body: append([]byte(r.URL.Path), r.Content.Bytes()...)}
 	}, func() httpserver.Limits { return limits })
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
--- /dev/null
+++ b/internal/httpserver/read.go
@@ -0,0 +1,218 @@
+package httpserver
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/lycheerudder/lycheerudder/internal/membudget"
+	"github.com/lycheerudder/lycheerudder/internal/pieces"
+)
+
+// Refusal says why the server refuses a request itself. The request has not run.
+type Refusal struct {
+	Status int
+	Reason string
+}
+
+// Refusals by the server itself.
+var (
+	// NoMemory is for a request for which there is no room.
+	NoMemory = Refusal{http.StatusServiceUnavailable, "no-memory"}
+	// GaveWay is for a request that was told to give way before it was complete.
+	GaveWay = Refusal{http.StatusServiceUnavailable, "gave-way"}
+	// BodyTooLarge is for a body over Limits.BodyBytes.
+	BodyTooLarge = Refusal{http.StatusRequestEntityTooLarge, "body-too-large"}
+)
+
+const (
+	// connBytes is the memory that a connection counts for: its buffer, the stacks of its
+	// goroutines and its queue of responses.
+	connBytes = 16 << 10
+	// requestBytes is the memory that a request counts for beside its head and its body: the
+	// goroutine of its handler and the context.
+	requestBytes = 4 << 10
+	// headCopies is the number of times that a head is held: as text, and in the headers that
+	// are passed on.
+	headCopies = 2
+	// memoryWait bounds the time for which a request waits for others to give way. They do so
+	// as soon as their goroutines run.
+	memoryWait = time.Second
+)
+
+// refuse returns the response to a request that the server refuses itself; r is nil if its
+// head is incomplete.
+func (c *conn) refuse(r *http.Request, why Refusal) *Response {
+	if r == nil {
+		r = &http.Request{Header: make(http.Header)}
+	}
+	if c.server.onRefusal != nil {
+		return c.server.onRefusal(r, why)
+	}
+	return &Response{Status: why.Status}
+}
+
+// readRequest reads one request with its body, and returns it with the memory that it holds.
+// If the request is rejected, it returns the response.
+func (c *conn) readRequest(limits Limits) (*Request, *membudget.Upload, *Response) {
+	memory := c.server.memory.Upload(c.unanswered.Load() > 1, c.server.clk.Now())
+	memory.Receive(func() { _ = c.SetReadDeadline(past) })
+	hr, status := c.readHead(memory)
+	switch {
+	case c.refused && status == 0:
+		memory.Complete()
+		return &Request{Request: hr}, memory, nil // the body of a request that does not run is not read
+	case memory.Yielding():
+		return nil, memory, c.refuse(hr, GaveWay)
+	case c.noHeadMemory:
+		return nil, memory, c.refuse(hr, NoMemory)
+	case status != 0:
+		return nil, memory, &Response{Status: status}
+	}
+	r := &Request{Request: hr}
+	if hr.ContentLength == 0 {
+		if !memory.Complete() {
+			return nil, memory, c.refuse(hr, GaveWay)
+		}
+		return r, memory, nil
+	}
+	if hr.ContentLength > limits.BodyBytes {
+		return nil, memory, c.refuse(hr, BodyTooLarge)
+	}
+	if !memory.CouldHold(hr.ContentLength) {
+		return nil, memory, c.refuse(hr, NoMemory)
+	}
+	if hr.Header.Get("Expect") != "" && c.unanswered.Load() == 1 {
+		if _, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return nil, memory, &Response{Status: http.StatusBadRequest}
+		}
+	}
+	c.limited.N = 1 << 62
+	_ = c.SetReadDeadline(time.Now().Add(bodyTimeout))
+	if memory.Yielding() { // the deadline above may have replaced that of yield
+		return nil, memory, c.refuse(hr, GaveWay)
+	}
+	content, err := c.readBody(hr, limits.BodyBytes, memory)
+	complete := memory.Complete()
+	var why refusalError
+	switch {
+	case errors.As(err, &why):
+		return nil, memory, c.refuse(hr, Refusal(why))
+	case !complete:
+		return nil, memory, c.refuse(hr, GaveWay)
+	case err != nil:
+		return nil, memory, &Response{Status: http.StatusBadRequest}
+	}
+	r.Content = content
+	return r, memory, nil
+}
+
+// readHead reads a head into memory. If it returns a status other than zero, the request is
+// rejected with that status.
+func (c *conn) readHead(memory *membudget.Upload) (*http.Request, int) {
+	if !c.refused {
+		c.noHeadMemory = !c.grow(memory, requestBytes+headCopies*int64(c.br.Buffered()))
+		c.headMemory = memory
+		defer func() { c.headMemory = nil }()
+	}
+	if c.noHeadMemory {
+		return nil, http.StatusServiceUnavailable
+	}
+	hr, err := http.ReadRequest(c.br)
+	switch {
+	case err == nil && hr.Host == "" && hr.ProtoAtLeast(1, 1):
+		return hr, http.StatusBadRequest
+	case err == nil:
+		return hr, 0
+	case c.limited.N <= 0:
+		return nil, http.StatusRequestHeaderFieldsTooLarge
+	case isTimeout(err):
+		return nil, http.StatusRequestTimeout
+	}
+	return nil, http.StatusBadRequest
+}
+
+// headReader reads from a connection and makes headMemory, if there is one, hold what is read.
+type headReader struct{ c *conn }
+
+func (r headReader) Read(b []byte) (int, error) {
+	n, err := r.c.Conn.Read(b)
+	if memory := r.c.headMemory; memory != nil && n > 0 && !r.c.grow(memory, headCopies*int64(n)) {
+		r.c.noHeadMemory = true
+		return 0, errNoHeadMemory
+	}
+	return n, err
+}
+
+var errNoHeadMemory = errors.New("no memory for the head of a request")
+
+// refusalError is the error of a body that is refused.
+type refusalError Refusal
+
+func (e refusalError) Error() string { return e.Reason }
+
+// readBody reads a body in pieces as it arrives.
+func (c *conn) readBody(hr *http.Request, limit int64, memory *membudget.Upload) (pieces.Body, error) {
+	end := hr.ContentLength
+	if end < 0 {
+		end = limit + 1 // with one byte more, the body is too large
+	}
+	var body pieces.Body
+	for held := int64(0); held < end; {
+		size := pieces.NextPiece(held, end)
+		if !c.grow(memory, size) {
+			if memory.Yielding() {
+				return nil, refusalError(GaveWay)
+			}
+			return nil, refusalError(NoMemory)
+		}
+		piece := make([]byte, size)
+		n, err := readFull(hr.Body, piece)
+		held += int64(n)
+		body = append(body, piece[:n])
+		switch {
+		case errors.Is(err, io.EOF) && hr.ContentLength < 0 && held <= limit:
+			return body, nil
+		case err != nil && held < end:
+			return nil, err
+		}
+	}
+	if hr.ContentLength < 0 {
+		return nil, refusalError(BodyTooLarge)
+	}
+	return body, nil
+}
+
+// readFull reads until b is full or an error occurs. Unlike io.ReadFull it returns the error of
+// the reader, which tells the end of a chunked body from a connection that is cut off.
+func readFull(r io.Reader, b []byte) (n int, err error) {
+	for n < len(b) && err == nil {
+		var m int
+		m, err = r.Read(b[n:])
+		n += m
+	}
+	return n, err
+}
+
+// grow makes the request hold n bytes more, and waits for others that give way to it. It
+// returns false if there is no room.
+func (c *conn) grow(memory *membudget.Upload, n int64) bool {
+	var timeout <-chan time.Time
+	for {
+		ok, retry := memory.Grow(n, c.server.clk.Now())
+		if retry == nil {
+			return ok
+		}
+		if timeout == nil {
+			timer := time.NewTimer(memoryWait)
+			defer timer.Stop()
+			timeout = timer.C
+		}
+		select {
+		case <-retry:
+		case <-timeout:
+			return false
+		}
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"github.com/lycheerudder/lycheerudder/internal/membudget"
+	"github.com/lycheerudder/lycheerudder/internal/pieces"
 	"github.com/lycheerudder/lycheerudder/internal/schedule"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
@@ -48,7 +49,7 @@
 	URI    string
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   pieces.Body
 	// carriedBy holds the kept connections on which the request was sent.
 	carriedBy []*conn
 }
@@ -270,13 +271,13 @@
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	head := c.encodeHead(server, deadline, r)
 	written := make(chan writeResult, 1)
-	if len(r.Body) <= readBufferSize {
-		n, err := cn.Write(append(head, r.Body...))
+	if r.Body.Len() <= readBufferSize {
+		n, err := cn.Write(append(head, r.Body.Bytes()...))
 		written <- writeResult{n: n, err: err}
 	} else {
 		// A server may respond before it has read a long body.
 		go func() {
-			bufs := net.Buffers{head, r.Body}
+			bufs := append(net.Buffers{head}, r.Body...)
 			n, err := bufs.WriteTo(cn.Conn)
 			written <- writeResult{n: int(n), err: err}
 		}()
@@ -321,7 +322,7 @@
 
 // encodeHead returns the request line and the headers.
 func (c *Client) encodeHead(server topology.ServerID, deadline time.Time, r *Request) []byte {
-	b := make([]byte, 0, 512+len(r.Body))
+	b := make([]byte, 0, 512)
 	b = append(b, r.Method...)
 	b = append(b, ' ')
 	b = append(b, r.URI...)
@@ -337,8 +338,8 @@
 	b = appendHeader(b, c.headers.RequestID, r.ID)
 	b = appendHeader(b, c.headers.TimeLeft, strconv.FormatInt(left, 10))
 	b = appendHeader(b, c.headers.Target, string(server))
-	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
-		b = appendHeader(b, "Content-Length", strconv.Itoa(len(r.Body)))
+	if length := r.Body.Len(); length > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
+		b = appendHeader(b, "Content-Length", strconv.Itoa(length))
 	}
 	return append(b, "\r\n"...)
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -18,6 +18,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lycheerudder/lycheerudder/internal/membudget"
+	"github.com/lycheerudder/lycheerudder/internal/pieces"
 	"github.com/lycheerudder/lycheerudder/internal/schedule"
 	"github.com/lycheerudder/lycheerudder/internal/upstream"
 )
@@ -91,7 +92,7 @@
 }
 
 func request(id, body string) *upstream.Request {
-	return &upstream.Request{ID: id, Method: "POST", URI: "/" + id, Host: "h", Header: http.Header{}, Body: []byte(body)}
+	return &upstream.Request{ID: id, Method: "POST", URI: "/" + id, Host: "h", Header: http.Header{}, Body: pieces.Body{[]byte(body)}}
 }
 
 const okResponse = "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Signature: s\r\nContent-Length: 2\r\n\r\nok"
