Bound the memory of request bodies in lyrouter by a setting

lyrouter refused bodies beyond 256 MiB together, whatever memory its host has, and got memory for announced lengths at once. Each caller that stopped before the end kept its memory until its deadline (at most 30 s).

The bodies count towards an intake as in lygate: a quarter of the new setting memory-mb (LYR_MEMORY_MB), 256 MiB without it as before. They are received in pieces and then joined, since they are passed on as one slice; both copies are counted. An incomplete body gives way to others; it is refused as not run (overload), and its connection is closed. The setting also sets the soft limit of the Go runtime. New counters refused_no_memory and refused_gave_way, gauge request_body_bytes, at most two log lines a second. The code that receives a body moves from internal/httpserver to internal/pieces, which both use.

--- a/cmd/lyrouter/main.go
+++ b/cmd/lyrouter/main.go
@@ -18,6 +18,7 @@
 		if err := logging.Setup(s.LogLevel, s.LogJSON); err != nil {
 			return err
 		}
+		s.SetMemoryLimit()
 		return router.Run(ctx, s)
 	})
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -11,11 +11,13 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/kit/endpoint"
 
+	"github.com/lycheerudder/lycheerudder/internal/clock"
+	"github.com/lycheerudder/lycheerudder/internal/membudget"
+	"github.com/lycheerudder/lycheerudder/internal/pieces"
 	"github.com/lycheerudder/lycheerudder/internal/request"
 	"github.com/lycheerudder/lycheerudder/internal/verdict"
 )
@@ -49,8 +51,9 @@
 	// limit is above request.MaxHeaderBytes, so that the handler itself refuses
 	// most heads that are too large, with a verdict.
 	maxHeadBytes = 4 * request.MaxHeaderBytes
-	// maxBufferedBodyBytes limits the size of all request bodies in memory.
-	maxBufferedBodyBytes = 256 << 20
+	// defaultBodyMemory bounds the memory of all request bodies, in bytes, if the options state
+	// no other.
+	defaultBodyMemory = 256 << 20
 	// writeGracePeriod is how long after the deadline a caller may still read
 	// the rest of a large response.
 	writeGracePeriod = time.Second
@@ -67,14 +70,20 @@
 	// Wall is the wall clock that the creation times of request ids are
 	// compared with; the default is time.Now.
 	Wall func() time.Time
+	// Memory bounds the memory of all request bodies together; the default is 256 MiB.
+	Memory *membudget.Intake
+	// Refused, if set, is called with the reason for each body that is refused for lack of
+	// memory.
+	Refused func(reason error)
 }
 
 type handler struct {
 	execute endpoint.Endpoint
 	wall    func() time.Time
-	// bufferedBodyBytes is the size of all request bodies in memory. A body counts
-	// with its declared length, or request.MaxBodyBytes if none is declared.
-	bufferedBodyBytes atomic.Int64
+	clk     clock.Clock
+	// memory holds all request bodies.
+	memory  *membudget.Intake
+	refused func(reason error)
 }
 
 // Handler returns the handler of the caller interface with default options. It
@@ -84,7 +93,10 @@
 // HandlerWithOptions returns the handler of the caller interface. It passes valid
 // requests to next.
 func HandlerWithOptions(next request.Doer, opts Options) http.Handler {
-	h := &handler{wall: opts.Wall, execute: MakeEndpoint(next)}
+	h := &handler{wall: opts.Wall, clk: clock.BootTime{}, memory: opts.Memory, refused: opts.Refused, execute: MakeEndpoint(next)}
+	if h.memory == nil {
+		h.memory = NewBodyMemory(defaultBodyMemory)
+	}
 	if h.wall == nil {
 		h.wall = time.Now
 	}
@@ -94,6 +106,11 @@
 	return h
 }
 
+// NewBodyMemory returns memory of so many bytes for request bodies.
+func NewBodyMemory(total int64) *membudget.Intake {
+	return membudget.NewIntake(total, pieces.SlowAfter)
+}
+
 // MakeEndpoint adapts next to a go-kit endpoint.
 func MakeEndpoint(next request.Doer) endpoint.Endpoint {
 	return func(ctx context.Context, req any) (any, error) { return next.Do(ctx, req.(*request.Request)) }
@@ -153,26 +170,48 @@
 // incomplete, the request has not run, and the caller can send it again. The
 // caller of readBody must call release when the body is no longer needed.
 func (h *handler) readBody(ctx context.Context, w http.ResponseWriter, req *request.Request) (release func(), err error) {
-	size := req.Size
-	if size == 0 {
+	if req.Size == 0 {
 		req.SetBody(nil)
 		return func() {}, nil
 	}
-	if size < 0 {
-		size = request.MaxBodyBytes
-	}
-	release = func() { h.bufferedBodyBytes.Add(-size) }
-	if h.bufferedBodyBytes.Add(size) > maxBufferedBodyBytes {
-		return release, verdict.New(verdict.CodeOverload, verdict.NotRun, "too many request bodies are in the memory of this host").WithRetry(time.Second)
+	memory := h.memory.Upload(false, h.clk.Now())
+	if req.Size > 0 && !memory.CouldHold(req.Size) {
+		return memory.Release, h.refuse(w, pieces.ErrNoMemory)
 	}
+	rc := http.NewResponseController(w)
+	memory.Receive(func() { _ = rc.SetReadDeadline(time.Unix(1, 0)) })
 	defer interruptRead(ctx, w)()
-	if _, err := req.ReadBody(); err != nil {
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			err = verdict.New(verdict.CodeDeadline, verdict.NotRun, "deadline passed before the request body was complete")
-		}
-		return release, err
+	body, err := pieces.Receive(req.Body, req.Size, request.MaxBodyBytes, memory, h.clk)
+	switch {
+	case errors.Is(err, pieces.ErrNoMemory), errors.Is(err, pieces.ErrGaveWay):
+		return memory.Release, h.refuse(w, err)
+	case errors.Is(err, pieces.ErrTooLarge):
+		return memory.Release, verdict.New(verdict.CodeTooLarge, verdict.NotRun, "request body exceeds %d bytes", request.MaxBodyBytes)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) && err != nil:
+		return memory.Release, verdict.New(verdict.CodeDeadline, verdict.NotRun, "deadline passed before the request body was complete")
+	case err != nil:
+		return memory.Release, verdict.New(verdict.CodeBadRequest, verdict.NotRun, "request body is incomplete: %v", err)
+	}
+	if len(body) == 1 {
+		req.SetBody(body[0])
+		return memory.Release, nil
+	}
+	// The body is passed on in one piece. Both copies exist for a moment.
+	if !pieces.Grow(memory, int64(body.Len()), h.clk) {
+		return memory.Release, h.refuse(w, pieces.ErrNoMemory)
+	}
+	req.SetBody(body.Bytes())
+	return memory.Release, nil
+}
+
+// refuse returns the error of a request for whose body there is no memory. Its connection is
+// closed.
+func (h *handler) refuse(w http.ResponseWriter, reason error) error {
+	if h.refused != nil {
+		h.refused(reason)
 	}
-	return release, nil
+	w.Header().Set("Connection", "close")
+	return verdict.New(verdict.CodeOverload, verdict.NotRun, "too many request bodies are in the memory of this host: %v", reason).WithRetry(time.Second)
 }
 
 // interruptRead makes reads of the request body fail when ctx ends. The returned
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lycheerudder/lycheerudder/internal/frontend"
+	"github.com/lycheerudder/lycheerudder/internal/pieces"
 	"github.com/lycheerudder/lycheerudder/internal/request"
 	"github.com/lycheerudder/lycheerudder/internal/verdict"
 )
@@ -268,3 +270,36 @@
 	_ = resp.Body.Close()
 	g.Expect(got).To(BeNil())
 }
+
+// Guards against an incomplete body that keeps its memory while a complete one finds none, and
+// against one that gives way and is executed, or whose caller does not learn that it was not.
+func TestIncompleteBodyGivesWay(t *testing.T) {
+	g := NewWithT(t)
+	memory := frontend.NewBodyMemory(1 << 20)
+	var runs atomic.Int32
+	var refused error
+	srv := httptest.NewServer(frontend.HandlerWithOptions(request.DoerFunc(func(context.Context, *request.Request) (*request.Response, error) {
+		runs.Add(1)
+		return &request.Response{Status: 200, Body: io.NopCloser(strings.NewReader("ok")), Size: 2}, nil
+	}), frontend.Options{Memory: memory, Refused: func(reason error) { refused = reason }}))
+	defer srv.Close()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(srv.URL, "http://"))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /v1/booking/x HTTP/1.1\r\nHost: x\r\nLyr-Customer: c\r\nLyr-Key: k\r\nLyr-Request-Id: %s\r\nLyr-Timeout: 30000\r\nContent-Length: 870000\r\n\r\n%s",
+		idAt(0), strings.Repeat("x", 800<<10))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(memory.Used).Should(BeNumerically(">=", 800<<10))
+	resp, err := do(t.Context(), srv.URL, strings.NewReader(strings.Repeat("x", 300<<10)))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(200))
+	_ = resp.Body.Close()
+	resp, err = http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	expectError(g, resp, verdict.CodeOverload, verdict.NotRun, "gave way")
+	g.Expect(resp.Close).To(BeTrue())
+	_ = resp.Body.Close()
+	g.Expect(refused).To(MatchError(pieces.ErrGaveWay))
+	g.Expect(runs.Load()).To(BeEquivalentTo(1))
+	g.Eventually(memory.Used).Should(BeZero())
+}
--- a/internal/httpserver/read.go
+++ b/internal/httpserver/read.go
@@ -36,9 +36,6 @@
 	// headCopies is the number of times that a head is held: as text, and in the headers that
 	// are passed on.
 	headCopies = 2
-	// memoryWait bounds the time for which a request waits for others to give way. They do so
-	// as soon as their goroutines run.
-	memoryWait = time.Second
 )
 
 // refuse returns the response to a request that the server refuses itself; r is nil if its
@@ -93,13 +90,13 @@
 	if memory.Yielding() { // the deadline above may have replaced that of yield
 		return nil, memory, c.refuse(hr, GaveWay)
 	}
-	content, err := c.readBody(hr, limits.BodyBytes, memory)
-	complete := memory.Complete()
-	var why refusalError
+	content, err := pieces.Receive(hr.Body, hr.ContentLength, limits.BodyBytes, memory, c.server.clk)
 	switch {
-	case errors.As(err, &why):
-		return nil, memory, c.refuse(hr, Refusal(why))
-	case !complete:
+	case errors.Is(err, pieces.ErrTooLarge):
+		return nil, memory, c.refuse(hr, BodyTooLarge)
+	case errors.Is(err, pieces.ErrNoMemory):
+		return nil, memory, c.refuse(hr, NoMemory)
+	case errors.Is(err, pieces.ErrGaveWay):
 		return nil, memory, c.refuse(hr, GaveWay)
 	case err != nil:
 		return nil, memory, &Response{Status: http.StatusBadRequest}
@@ -112,7 +109,7 @@
 // rejected with that status.
 func (c *conn) readHead(memory *membudget.Upload) (*http.Request, int) {
 	if !c.refused {
-		c.noHeadMemory = !c.grow(memory, requestBytes+headCopies*int64(c.br.Buffered()))
+		c.noHeadMemory = !pieces.Grow(memory, requestBytes+headCopies*int64(c.br.Buffered()), c.server.clk)
 		c.headMemory = memory
 		defer func() { c.headMemory = nil }()
 	}
@@ -138,7 +135,7 @@
 
 func (r headReader) Read(b []byte) (int, error) {
 	n, err := r.c.Conn.Read(b)
-	if memory := r.c.headMemory; memory != nil && n > 0 && !r.c.grow(memory, headCopies*int64(n)) {
+	if memory := r.c.headMemory; memory != nil && n > 0 && !pieces.Grow(memory, headCopies*int64(n), r.c.server.clk) {
 		r.c.noHeadMemory = true
 		return 0, errNoHeadMemory
 	}
@@ -146,73 +143,3 @@
 }
 
 var errNoHeadMemory = errors.New("no memory for the head of a request")
-
-// refusalError is the error of a body that is refused.
-type refusalError Refusal
-
-func (e refusalError) Error() string { return e.Reason }
-
-// readBody reads a body in pieces as it arrives.
-func (c *conn) readBody(hr *http.Request, limit int64, memory *membudget.Upload) (pieces.Body, error) {
-	end := hr.ContentLength
-	if end < 0 {
-		end = limit + 1 // with one byte more, the body is too large
-	}
-	var body pieces.Body
-	for held := int64(0); held < end; {
-		size := pieces.NextPiece(held, end)
-		if !c.grow(memory, size) {
-			if memory.Yielding() {
-				return nil, refusalError(GaveWay)
-			}
-			return nil, refusalError(NoMemory)
-		}
-		piece := make([]byte, size)
-		n, err := readFull(hr.Body, piece)
-		held += int64(n)
-		body = append(body, piece[:n])
-		switch {
-		case errors.Is(err, io.EOF) && hr.ContentLength < 0 && held <= limit:
-			return body, nil
-		case err != nil && held < end:
-			return nil, err
-		}
-	}
-	if hr.ContentLength < 0 {
-		return nil, refusalError(BodyTooLarge)
-	}
-	return body, nil
-}
-
-// readFull reads until b is full or an error occurs. Unlike io.ReadFull it returns the error of
-// the reader, which tells the end of a chunked body from a connection that is cut off.
-func readFull(r io.Reader, b []byte) (n int, err error) {
-	for n < len(b) && err == nil {
-		var m int
-		m, err = r.Read(b[n:])
-		n += m
-	}
-	return n, err
-}
-
-// grow makes the request hold n bytes more, and waits for others that give way to it. It
-// returns false if there is no room.
-func (c *conn) grow(memory *membudget.Upload, n int64) bool {
-	var timeout <-chan time.Time
-	for {
-		ok, retry := memory.Grow(n, c.server.clk.Now())
-		if retry == nil {
-			return ok
-		}
-		if timeout == nil {
-			timer := time.NewTimer(memoryWait)
-			defer timer.Stop()
-			timeout = timer.C
-		}
-		select {
-		case <-retry:
-		case <-timeout:
-			return false
-		}
-	}
-}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -38,6 +38,10 @@
 	LeadershipsGained Counter = "leaderships_gained"
 	LeadershipsLost   Counter = "leaderships_lost"
 	LogAppends        Counter = "log_appends"
+	// RefusedNoMemory and RefusedGaveWay count requests whose bodies are refused for lack of
+	// memory: those that found no room, and those that were told to make room.
+	RefusedNoMemory Counter = "refused_no_memory"
+	RefusedGaveWay  Counter = "refused_gave_way"
 )
 
 const (
@@ -116,6 +120,11 @@
 }
 
 // getSeries returns the series of a customer and class and creates it if needed.
+// RegisterGauge registers a gauge whose value is computed when the metrics are written.
+func (s *Set) RegisterGauge(name string, f func() float64) {
+	_ = s.gauges.Register(name, gometrics.NewFunctionalGaugeFloat64(f)) // fails if it is registered already
+}
+
 func (s *Set) getSeries(customer topology.Customer, class request.Class) *series {
 	key := seriesKey{customer: customer, class: class}
 	if v, ok := s.series.Load(key); ok {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -49,6 +50,7 @@
 	Platform   string        `env:"LYR_PLATFORM" envDefault:"http://127.0.0.1:7400" flag:"platform" help:"URL of the platform's log service and host list."`
 	Retention  time.Duration `env:"LYR_RETENTION" envDefault:"24h" flag:"retention" help:"Time for which the log keeps records."`
 	DrainDelay time.Duration `env:"LYR_DRAIN_DELAY" envDefault:"1s" flag:"drain-delay" help:"Time between failing readiness and handing over, for the load balancer to notice."`
+	MemoryMB   int           `env:"LYR_MEMORY_MB" flag:"memory-mb" help:"Memory of this host in MiB, of which request bodies get a part; 0 for bodies of 256 MiB."`
 	LogLevel   string        `env:"LYR_LOG_LEVEL" envDefault:"info" flag:"log-level" help:"Log level: debug, info, warn or error."`
 	LogJSON    bool          `env:"LYR_LOG_JSON" flag:"log-json" help:"Log as JSON."`
 }
@@ -58,7 +60,12 @@
 	if s.Cell == "" {
 		s.Cell = s.DataCentre
 	}
+	var memory error
+	if s.MemoryMB < 0 {
+		memory = fmt.Errorf("memory-mb: %d is negative", s.MemoryMB)
+	}
 	return settings.NonNilErrors(
+		memory,
 		settings.CheckNotEmpty("host", s.Host),
 		settings.CheckNotEmpty("data-centre", s.DataCentre),
 		settings.CheckAddress("listen", s.Listen),
@@ -138,11 +145,16 @@
 	dispatcher := dispatch.New(dispatch.Options{Routes: h.control, Local: local, OnRetry: func(req *request.Request, code verdict.Code) {
 		metricSet.CountRetry(req.Customer, req.Class, code)
 	}})
-	h.callerServer = frontend.NewServer(frontend.HandlerWithOptions(dispatcher, frontend.Options{Middleware: []endpoint.Middleware{
-		frontend.Observe(func(req *request.Request, t request.Timing, err error, took time.Duration) {
-			metricSet.ObserveRequest(req.Customer, req.Class, took, t, err)
-		}),
-	}}))
+	bodies := bodyMemory(s.MemoryMB)
+	metricSet.RegisterGauge("request_body_bytes", func() float64 { return float64(bodies.Used()) })
+	h.callerServer = frontend.NewServer(frontend.HandlerWithOptions(dispatcher, frontend.Options{
+		Memory: bodies, Refused: refusalRecorder(h.log, metricSet),
+		Middleware: []endpoint.Middleware{
+			frontend.Observe(func(req *request.Request, t request.Timing, err error, took time.Duration) {
+				metricSet.ObserveRequest(req.Customer, req.Class, took, t, err)
+			}),
+		},
+	}))
 	h.operatorServer = &http.Server{Handler: admin.Handler(h.control, metricSet), ReadHeaderTimeout: readHeaderTimeout}
 	server := peer.NewServer(local).WithControl(h.control)
 	server.SetRelay(h.control.Relay())
