Let responses of slow readers give way to other responses

The responses that are received or not yet written share a fifth of the host's memory. Callers that do not read hold it for up to 10 s each. Meanwhile other responses find no room, are cut, and count as faults of their servers.

When an ordinary response (at most an eighth of that memory) finds no room, the response that has been written for the longest time, and for a second or more, is ended: its caller gets a part of it and its connection is closed, as with the time limit on writes. The exchange waits for the memory for 100 ms at most. Gauge slow_readers_closed_total.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -205,6 +205,8 @@
 	requests := membudget.NewIntake(memoryShare(settings.MemoryBytes, requestMemoryShare), pieces.SlowAfter)
 	metrics.RegisterFunc("request_memory_bytes", func() float64 { return float64(requests.Used()) })
 	g.callers.SetMemory(requests)
+	g.upstream.SetMakeRoom(g.callers.CloseSlowReader)
+	metrics.RegisterFunc("slow_readers_closed_total", func() float64 { return float64(g.callers.SlowReadersClosed()) })
 	g.callers.OnRefusal(g.ingress.refuseUnread)
 	g.callers.OnAcceptError(newAcceptErrors(g.log, clk, metrics, g.upstream).handle)
 	metrics.RegisterFunc("caller_connections", func() float64 { return float64(g.callers.ConnCount()) })
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -104,7 +104,8 @@
 	clk clock.Clock
 	// failedUntil is the time by clk until which the server counts as not accepting; zero
 	// once a connection was accepted after the last error of Accept.
-	failedUntil atomic.Int64
+	failedUntil       atomic.Int64
+	slowReadersClosed atomic.Int64
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -322,6 +323,10 @@
 	lastWrite    time.Time // of a response; set by the writer goroutine
 	// refused is true if the first request is refused because there are too many connections.
 	refused bool
+	// writing is true while a response is written, writeFrom the time at which that began, and
+	// writeEnded true if it was ended for a slow caller. All are guarded by mu.
+	writing, writeEnded bool
+	writeFrom           time.Duration
 	// headMemory, if set, holds what is read. It is set by the reader goroutine while it reads
 	// a head; noHeadMemory is true if there was no room for one.
 	headMemory   *membudget.Upload
@@ -535,8 +540,9 @@
 		r := <-p.ready
 		last := c.closeAfter(p)
 		if !ended && r != nil {
-			_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
+			c.beginWrite()
 			ended = c.write(r, last, p.isHead) != nil
+			c.endWrite()
 			c.lastWrite = time.Now()
 		}
 		if r != nil && r.Done != nil {
--- a/internal/httpserver/memory_test.go
+++ b/internal/httpserver/memory_test.go
@@ -14,6 +14,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/lycheerudder/lycheerudder/internal/clock"
 	"github.com/lycheerudder/lycheerudder/internal/httpserver"
 	"github.com/lycheerudder/lycheerudder/internal/membudget"
 	"github.com/lycheerudder/lycheerudder/internal/pieces"
@@ -132,3 +133,35 @@
 	_ = c.Close()
 	g.Eventually(memory.Used).Should(BeZero())
 }
+
+// Guards against callers that do not read and keep the memory of their responses, against
+// others that are cut off although they are not slow, and against a cut response that looks
+// complete.
+func TestSlowReaderGivesWay(t *testing.T) {
+	g := NewWithT(t)
+	const size = 16 << 20 // more than the kernel holds
+	released := make(chan struct{}, 1)
+	s := httpserver.New(func(context.Context, *httpserver.Request) *httpserver.Response {
+		return &httpserver.Response{Status: http.StatusOK, Body: make([]byte, size), Done: func() { released <- struct{}{} }}
+	}, func() httpserver.Limits { return limits })
+	clk := new(clock.Manual)
+	s.SetClock(clk)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = l.Close() })
+	go func() { _ = s.Serve(context.Background(), l) }()
+	c, br := dial(t, l.Addr().String())
+	_, _ = io.WriteString(c, getRequest)
+	_, err = br.Peek(1)
+	g.Expect(err).NotTo(HaveOccurred())
+	clk.Advance(999 * time.Millisecond)
+	g.Expect(s.CloseSlowReader()).To(BeFalse())
+	g.Expect(released).NotTo(Receive())
+	clk.Advance(time.Millisecond)
+	g.Expect(s.CloseSlowReader()).To(BeTrue())
+	g.Eventually(released).Should(Receive())
+	g.Eventually(s.CloseSlowReader).Should(BeFalse())
+	g.Expect(s.SlowReadersClosed()).To(BeEquivalentTo(1))
+	status, _, _ := readResponse(br)
+	g.Expect(status).To(BeZero())
+}
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -49,6 +49,15 @@
 	return true
 }
 
+// ordinaryShare is the share of a budget that one holder may hold and still count as ordinary.
+const ordinaryShare = 0.125
+
+// IsOrdinary reports whether the holder would hold a small share of the budget with n bytes
+// more, so that others are to make room for it.
+func (h *Holder) IsOrdinary(n int64) bool {
+	return float64(h.held+n) <= ordinaryShare*float64(h.budget.total)
+}
+
 // Shrink returns n of the bytes of the holder to the budget.
 func (h *Holder) Shrink(n int64) {
 	h.budget.mu.Lock()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -107,7 +107,11 @@
 	firstBodyBytes = 16 << 10
 	// maxResponses bounds the responses that are read in one exchange, with interim
 	// responses and late responses to earlier requests.
-	maxResponses   = 3
+	maxResponses = 3
+	// While a response waits for others to give up their memory, it tries again at this
+	// interval, and so many times: 100 ms, a fifth of the strictest objective for latency.
+	roomInterval   = 5 * time.Millisecond
+	roomTries      = 20
 	readBufferSize = 4 << 10
 )
 
@@ -116,7 +120,10 @@
 type Client struct {
 	headers Headers
 	memory  *membudget.Budget
-	dial    func(ctx context.Context, address string) (net.Conn, error)
+	// makeRoom, if set, makes a response that its caller reads slowly give up its memory. It
+	// returns false if there is none.
+	makeRoom func() bool
+	dial     func(ctx context.Context, address string) (net.Conn, error)
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -207,6 +214,10 @@
 	c.maxIdle = n
 }
 
+// SetMakeRoom sets a function that makes a response give up its memory, which happens soon
+// after; it returns false if none can. It must be set before the first request.
+func (c *Client) SetMakeRoom(f func() bool) { c.makeRoom = f }
+
 // IdleCount returns the number of idle connections.
 func (c *Client) IdleCount() int {
 	c.mu.Lock()
@@ -386,7 +397,7 @@
 			continue
 		}
 		memory := c.memory.Holder()
-		body, err := readBody(resp, memory)
+		body, err := c.readBody(resp, memory)
 		if err != nil {
 			memory.Release()
 			return fail(err)
@@ -448,7 +459,7 @@
 var errNoMemory = errors.New("response body is larger than the memory that is free")
 
 // readBody reads the body of a response into memory of the holder.
-func readBody(resp *http.Response, memory *membudget.Holder) ([]byte, error) {
+func (c *Client) readBody(resp *http.Response, memory *membudget.Holder) ([]byte, error) {
 	if resp.Request.Method == http.MethodHead || resp.ContentLength == 0 {
 		return nil, nil
 	}
@@ -456,7 +467,7 @@
 	if resp.ContentLength > 0 {
 		size = min(size, resp.ContentLength)
 	}
-	if !memory.Grow(size) {
+	if !c.grow(memory, size) {
 		return nil, errNoMemory
 	}
 	body := make([]byte, 0, size)
@@ -478,7 +489,7 @@
 			size = min(size, resp.ContentLength)
 		}
 		// Both buffers exist while the body is copied.
-		if !memory.Grow(size) {
+		if !c.grow(memory, size) {
 			return nil, errNoMemory
 		}
 		grown := make([]byte, len(body), size)
@@ -488,6 +499,21 @@
 	}
 }
 
+// grow makes a response hold n bytes more. If there is no room for an ordinary one, it waits
+// for responses that their callers read slowly to be given up.
+func (c *Client) grow(memory *membudget.Holder, n int64) bool {
+	for range roomTries {
+		if memory.Grow(n) {
+			return true
+		}
+		if c.makeRoom == nil || !memory.IsOrdinary(n) || !c.makeRoom() {
+			return false
+		}
+		time.Sleep(roomInterval)
+	}
+	return memory.Grow(n)
+}
+
 // classify determines the outcome of a request from its complete response.
 func (c *Client) classify(resp *http.Response) Outcome {
 	// The header counts in a 421 too: if another server has the address, the intended one
