Split the reading of a request, and test that a slow one makes room for a connection

readRequest exceeded the complexity that make lint allows, and the rule that a slow request gives way to a new connection had no test.

readRequest is split at the decision whether the body is read.

--- a/internal/httpserver/memory_test.go
+++ b/internal/httpserver/memory_test.go
@@ -1,6 +1,7 @@
 package httpserver_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -165,3 +166,51 @@
 	status, _, _ := readResponse(br)
 	g.Expect(status).To(BeZero())
 }
+
+// Guards against callers that are refused because others, which stop before the end of their
+// requests, hold all connections.
+func TestSlowRequestMakesRoomForANewConnection(t *testing.T) {
+	g := NewWithT(t)
+	s := httpserver.New(func(_ context.Context, r *httpserver.Request) *httpserver.Response {
+		if r.TooManyConns {
+			return &httpserver.Response{Status: http.StatusServiceUnavailable}
+		}
+		return &httpserver.Response{Status: http.StatusOK}
+	}, func() httpserver.Limits {
+		l := limits
+		l.MaxConns, l.HeaderTimeout = 4, 10*time.Second
+		return l
+	})
+	clk := new(clock.Manual)
+	s.SetClock(clk)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = l.Close() })
+	go func() { _ = s.Serve(context.Background(), l) }()
+	var slow []*bufio.Reader
+	for _, part := range []string{"GET / HTTP/1.1\r\n", post("/", 10), post("/", 10) + "x", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n"} {
+		c, br := dial(t, l.Addr().String())
+		_, _ = io.WriteString(c, part)
+		slow = append(slow, br)
+	}
+	g.Eventually(s.ConnCount).Should(Equal(4))
+	time.Sleep(50 * time.Millisecond) // the parts are read
+	newConn := func() int {
+		c, br := dial(t, l.Addr().String())
+		_, _ = io.WriteString(c, getRequest)
+		status, _, _ := readResponse(br)
+		return status
+	}
+	g.Expect(newConn()).To(Equal(http.StatusServiceUnavailable))
+	g.Eventually(s.ConnCount, 3*time.Second).Should(Equal(4))
+	clk.Advance(pieces.SlowAfter)
+	g.Expect(newConn()).To(Equal(http.StatusOK))
+	refused := make(chan bool, len(slow))
+	for _, br := range slow {
+		go func() {
+			status, _, closes := readResponse(br)
+			refused <- status == http.StatusServiceUnavailable && closes
+		}()
+	}
+	g.Eventually(refused).Should(Receive(BeTrue()), "one of the slow callers learns that its request has not run")
+}
--- a/internal/httpserver/read.go
+++ b/internal/httpserver/read.go
@@ -74,35 +74,50 @@
 		}
 		return r, memory, nil
 	}
-	if hr.ContentLength > limits.BodyBytes {
-		return nil, memory, c.refuse(hr, BodyTooLarge)
+	response := c.refuseUnread(hr, limits, memory)
+	if response == nil {
+		response = c.readBody(r, limits, memory)
 	}
-	if !memory.CouldHold(hr.ContentLength) {
-		return nil, memory, c.refuse(hr, NoMemory)
+	return r, memory, response
+}
+
+// refuseUnread returns the response to a request whose body is refused before it is read; nil
+// if the body is to be read.
+func (c *conn) refuseUnread(hr *http.Request, limits Limits, memory *membudget.Upload) *Response {
+	switch {
+	case hr.ContentLength > limits.BodyBytes:
+		return c.refuse(hr, BodyTooLarge)
+	case !memory.CouldHold(hr.ContentLength):
+		return c.refuse(hr, NoMemory)
 	}
-	if hr.Header.Get("Expect") != "" && c.unanswered.Load() == 1 {
+	return nil
+}
+
+// readBody reads the body of a request. If the request is rejected, it returns the response.
+func (c *conn) readBody(r *Request, limits Limits, memory *membudget.Upload) *Response {
+	if r.Header.Get("Expect") != "" && c.unanswered.Load() == 1 {
 		if _, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, memory, &Response{Status: http.StatusBadRequest}
+			return &Response{Status: http.StatusBadRequest}
 		}
 	}
 	c.limited.N = 1 << 62
 	_ = c.SetReadDeadline(time.Now().Add(bodyTimeout))
 	if memory.Yielding() { // the deadline above may have replaced that of yield
-		return nil, memory, c.refuse(hr, GaveWay)
+		return c.refuse(r.Request, GaveWay)
 	}
-	content, err := pieces.Receive(hr.Body, hr.ContentLength, limits.BodyBytes, memory, c.server.clk)
+	var err error
+	r.Content, err = pieces.Receive(r.Body, r.ContentLength, limits.BodyBytes, memory, c.server.clk)
 	switch {
 	case errors.Is(err, pieces.ErrTooLarge):
-		return nil, memory, c.refuse(hr, BodyTooLarge)
+		return c.refuse(r.Request, BodyTooLarge)
 	case errors.Is(err, pieces.ErrNoMemory):
-		return nil, memory, c.refuse(hr, NoMemory)
+		return c.refuse(r.Request, NoMemory)
 	case errors.Is(err, pieces.ErrGaveWay):
-		return nil, memory, c.refuse(hr, GaveWay)
+		return c.refuse(r.Request, GaveWay)
 	case err != nil:
-		return nil, memory, &Response{Status: http.StatusBadRequest}
+		return &Response{Status: http.StatusBadRequest}
 	}
-	r.Content = content
-	return r, memory, nil
+	return nil
 }
 
 // readHead reads a head into memory. If it returns a status other than zero, the request is
@@ -134,7 +149,7 @@
 type headReader struct{ c *conn }
 
 func (r headReader) Read(b []byte) (int, error) {
-	n, err := r.c.Conn.Read(b)
+	n, err := r.c.Read(b)
 	if memory := r.c.headMemory; memory != nil && n > 0 && !pieces.Grow(memory, headCopies*int64(n), r.c.server.clk) {
 		r.c.noHeadMemory = true
 		return 0, errNoHeadMemory
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -119,12 +119,12 @@
 	gometrics.GetOrRegisterGaugeFloat64(name, s.gauges).Update(v)
 }
 
-// getSeries returns the series of a customer and class and creates it if needed.
 // RegisterGauge registers a gauge whose value is computed when the metrics are written.
 func (s *Set) RegisterGauge(name string, f func() float64) {
 	_ = s.gauges.Register(name, gometrics.NewFunctionalGaugeFloat64(f)) // fails if it is registered already
 }
 
+// getSeries returns the series of a customer and class and creates it if needed.
 func (s *Set) getSeries(customer topology.Customer, class request.Class) *series {
 	key := seriesKey{customer: customer, class: class}
 	if v, ok := s.series.Load(key); ok {
