--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"github.com/lycheerudder/lycheerudder/internal/membudget"
+	"github.com/lycheerudder/lycheerudder/internal/pieces"
 	"github.com/lycheerudder/lycheerudder/internal/schedule"
 	"github.com/lycheerudder/lycheerudder/internal/statusline"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
@@ -49,7 +50,7 @@
 	URI    string
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   pieces.Body
 	// carriedBy holds the kept connections on which the request was sent.
 	carriedBy []*conn
 }
@@ -121,7 +122,11 @@
 	firstBodyBytes = 16 << 10
 	// maxResponses bounds the responses that are read in one exchange, with interim
 	// responses and late responses to earlier requests.
-	maxResponses   = 3
+	maxResponses = 3
+	// While a response waits for others to give up their memory, it tries again at this
+	// interval, and so many times: 100 ms, a fifth of the strictest objective for latency.
+	roomInterval   = 5 * time.Millisecond
+	roomTries      = 20
 	readBufferSize = 4 << 10
 )
 
@@ -130,7 +135,10 @@
 type Client struct {
 	headers Headers
 	memory  *membudget.Budget
-	dial    func(ctx context.Context, address string) (net.Conn, error)
+	// makeRoom, if set, makes a response that its caller reads slowly give up its memory. It
+	// returns false if there is none.
+	makeRoom func() bool
+	dial     func(ctx context.Context, address string) (net.Conn, error)
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -221,6 +229,10 @@
 	c.maxIdle = n
 }
 
+// SetMakeRoom sets a function that makes a response give up its memory, which happens soon
+// after; it returns false if none can. It must be set before the first request.
+func (c *Client) SetMakeRoom(f func() bool) { c.makeRoom = f }
+
 // IdleCount returns the number of idle connections.
 func (c *Client) IdleCount() int {
 	c.mu.Lock()
@@ -285,13 +297,13 @@
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	head := c.encodeHead(server, deadline, r)
 	written := make(chan writeResult, 1)
-	if len(r.Body) <= readBufferSize {
-		n, err := cn.Write(append(head, r.Body...))
+	if r.Body.Len() <= readBufferSize {
+		n, err := cn.Write(append(head, r.Body.Bytes()...))
 		written <- writeResult{n: n, err: err}
 	} else {
 		// A server may respond before it has read a long body.
 		go func() {
-			bufs := net.Buffers{head, r.Body}
+			bufs := append(net.Buffers{head}, r.Body...)
 			n, err := bufs.WriteTo(cn.Conn)
 			written <- writeResult{n: int(n), err: err}
 		}()
@@ -336,7 +348,7 @@
 
 // encodeHead returns the request line and the headers.
 func (c *Client) encodeHead(server topology.ServerID, deadline time.Time, r *Request) []byte {
-	b := make([]byte, 0, 512+len(r.Body))
+	b := make([]byte, 0, 512)
 	b = append(b, r.Method...)
 	b = append(b, ' ')
 	b = append(b, r.URI...)
@@ -352,8 +364,8 @@
 	b = appendHeader(b, c.headers.RequestID, r.ID)
 	b = appendHeader(b, c.headers.TimeLeft, strconv.FormatInt(left, 10))
 	b = appendHeader(b, c.headers.Target, string(server))
-	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
-		b = appendHeader(b, "Content-Length", strconv.Itoa(len(r.Body)))
+	if length := r.Body.Len(); length > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
+		b = appendHeader(b, "Content-Length", strconv.Itoa(length))
 	}
 	return append(b, "\r\n"...)
 }
@@ -400,7 +412,7 @@
 			continue
 		}
 		memory := c.memory.Holder()
-		body, err := readBody(resp, memory)
+		body, err := c.readBody(resp, memory)
 		if err != nil {
 			memory.Release()
 			return fail(err)
@@ -470,7 +482,7 @@
 var errNoMemory = errors.New("response body is larger than the memory that is free")
 
 // readBody reads the body of a response into memory of the holder.
-func readBody(resp *http.Response, memory *membudget.Holder) ([]byte, error) {
+func (c *Client) readBody(resp *http.Response, memory *membudget.Holder) ([]byte, error) {
 	if resp.Request.Method == http.MethodHead || resp.ContentLength == 0 {
 		return nil, nil
 	}
@@ -478,7 +490,7 @@
 	if resp.ContentLength > 0 {
 		size = min(size, resp.ContentLength)
 	}
-	if !memory.Grow(size) {
+	if !c.grow(memory, size) {
 		return nil, errNoMemory
 	}
 	body := make([]byte, 0, size)
@@ -500,7 +512,7 @@
 			size = min(size, resp.ContentLength)
 		}
 		// Both buffers exist while the body is copied.
-		if !memory.Grow(size) {
+		if !c.grow(memory, size) {
 			return nil, errNoMemory
 		}
 		grown := make([]byte, len(body), size)
@@ -510,6 +522,21 @@
 	}
 }
 
+// grow makes a response hold n bytes more. If there is no room for an ordinary one, it waits
+// for responses that their callers read slowly to be given up.
+func (c *Client) grow(memory *membudget.Holder, n int64) bool {
+	for range roomTries {
+		if memory.Grow(n) {
+			return true
+		}
+		if c.makeRoom == nil || !memory.IsOrdinary(n) || !c.makeRoom() {
+			return false
+		}
+		time.Sleep(roomInterval)
+	}
+	return memory.Grow(n)
+}
+
 // classify determines the outcome of a request from its complete response.
 func (c *Client) classify(resp *http.Response) Outcome {
 	// The header counts in a 421 too: if another server has the address, the intended one
