Read the load header of servers that add a fourth figure

Some servers add to running, waiting and slots the percentage of the usual time that work takes at present. The parser demanded exactly three figures, so nothing was known of the load of such servers: after a refusal for lack of a slot they were paused although their response stated free slots.

Three or four figures are read now. The fourth is passed on with the report as its pace (1 is usual); a fourth figure that is no percentage leaves the others valid.

--- a/internal/schedule/report.go
+++ b/internal/schedule/report.go
@@ -46,6 +46,9 @@
 	// response states; LoadKnown is false if it states none.
 	Running, Waiting int
 	LoadKnown        bool
+	// Pace is the time that work takes at the server at the time of the response,
+	// relative to its usual time; zero if the response does not state it.
+	Pace float64
 }
 
 const (
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -36,7 +36,9 @@
 	Target      string
 	Signature   string
 	NotExecuted string
-	ServerLoad  string // running, waiting and slots, separated by commas
+	// ServerLoad names the header with running, waiting and slots, and on some servers the
+	// percentage of the usual time that work takes at present, separated by commas.
+	ServerLoad  string
 	ServerLimit string // requests a second that the server accepts from all hosts
 	Leaving     string // set in all responses of a server that shuts down
 }
@@ -495,7 +497,7 @@
 	if resp.StatusCode != http.StatusMisdirectedRequest { // another server may have the address
 		outcome.Limit, outcome.LimitError = parseLimit(resp.Header.Get(c.headers.ServerLimit))
 	}
-	outcome.Report.Running, outcome.Report.Waiting, outcome.Report.LoadKnown = parseLoad(resp.Header.Get(c.headers.ServerLoad))
+	parseLoad(resp.Header.Get(c.headers.ServerLoad), &outcome.Report)
 	status := resp.StatusCode
 	if status == http.StatusServiceUnavailable {
 		outcome.Pause, outcome.PauseError = parsePause(resp.Header.Get("Retry-After"))
@@ -590,14 +592,22 @@
 	return value != "" && value != "0"
 }
 
-// parseLoad parses the numbers of running and waiting requests from the header
-// ServerLoad.
-func parseLoad(value string) (running, waiting int, ok bool) {
+// parseLoad parses the header ServerLoad, which has three or four figures, into a report.
+func parseLoad(value string, report *schedule.Report) {
 	parts := strings.Split(value, ",")
-	if len(parts) != 3 {
-		return 0, 0, false
+	if len(parts) != 3 && len(parts) != 4 {
+		return
 	}
 	running, err1 := strconv.Atoi(strings.TrimSpace(parts[0]))
 	waiting, err2 := strconv.Atoi(strings.TrimSpace(parts[1]))
-	return running, waiting, err1 == nil && err2 == nil
+	if err1 != nil || err2 != nil {
+		return
+	}
+	report.Running, report.Waiting, report.LoadKnown = running, waiting, true
+	if len(parts) == 4 {
+		// A figure that is not a percentage leaves the others valid.
+		if percent, err := strconv.ParseFloat(strings.TrimSpace(parts[3]), 64); err == nil && percent > 0 && !math.IsInf(percent, 0) {
+			report.Pace = percent / 100
+		}
+	}
 }
