Serve at a saturated server what is still in time

A saturated server or service started requests in the order of their targets, so most of them just before they became late: with a margin of 1.1 of the mean a third of them missed the target. A request that was refused and came back counted as new, although its caller had waited since the first attempt, and was served late in place of one that could be in time. Late requests filled the queue of a service without keys up to half of its slots.

While saturated, the next job is now the most urgent one that meets its target in nine of ten cases by the distribution of its class (spread.go), otherwise the one with the most time left. The queue is cut to what can be served in time in this order; the rest is refused. A request that comes back is known by its content and deadline and keeps its first target (returns.go). It may wait as a late job while its deadline can be met, and uses slots that no job in time needs.

--- a/internal/schedule/limit.go
+++ b/internal/schedule/limit.go
@@ -175,7 +175,7 @@
 	kept := srv.waiting[:0]
 	for _, j := range srv.waiting {
 		if wait := srv.limit.wait(len(kept)+1, now); now+wait > latest(j) {
-			out = append(out, s.refuse(j, Overloaded, max(minRetryAfter, wait)))
+			out = append(out, s.refuse(j, Overloaded, max(minRetryAfter, wait), now))
 			continue
 		}
 		kept = append(kept, j)
--- a/internal/schedule/pause.go
+++ b/internal/schedule/pause.go
@@ -236,7 +236,7 @@
 		case j.MayAwait(left, now):
 			held = append(held, j)
 		default:
-			out = append(out, s.refuse(j, Paused, max(minRetryAfter, left)))
+			out = append(out, s.refuse(j, Paused, max(minRetryAfter, left), now))
 		}
 	}
 	srv.waiting = kept
--- a/internal/schedule/report.go
+++ b/internal/schedule/report.go
@@ -83,6 +83,9 @@
 	if srv == nil {
 		return j, ""
 	}
+	if r.Result == Succeeded && j.estimate.observed {
+		j.estimate.spread.observe(r.Duration.Seconds() / (j.estimate.expectedSeconds() * srv.slowness))
+	}
 	srv.observeResult(r, s.ExpectedSeconds(j.Class), now)
 	if r.Result == Broken {
 		s.crashTracker.recordBroken(srv.id, j.ContentHash, now)
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -44,6 +44,8 @@
 	Tried []topology.ServerID
 
 	arrived time.Duration
+	// returned is true if the request was refused before and came back.
+	returned bool
 	// estimate is the processing time of its class.
 	estimate *durationEstimate
 	// finished is true once the job is neither waiting nor running. Queues drop
@@ -55,6 +57,7 @@
 type durationEstimate struct {
 	seconds  float64
 	observed bool // at least one job has succeeded
+	spread   spread
 }
 
 // observe adds an observation in seconds to the moving average.
@@ -209,12 +212,14 @@
 	// dirty lists the servers whose state has changed since the last Decide.
 	dirty        []*server
 	crashTracker *crashTracker
+	returns      *returnTracker
 	// pendingRefusals holds the refusals of jobs that were refused on arrival.
 	pendingRefusals []Decision
 	// unownedChanged is true if unowned has jobs that were added since the last
 	// Decide.
 	unownedChanged bool
 	lastSweep      time.Duration // time of the last Decide that checked all servers
+	lastSplit      time.Duration // time of the last splitServable of waiting
 }
 
 // New returns a Scheduler without servers. For a keyed service, SetOwners sets
@@ -229,6 +234,7 @@
 		limits:       make(map[topology.ServerID]*rateLimit),
 		pausedHosts:  make(map[uint64]*pausedHost),
 		crashTracker: newCrashTracker(),
+		returns:      newReturnTracker(),
 		ownerOf:      func(int) Owner { return Owner{} },
 	}
 }
@@ -274,6 +280,10 @@
 		s.pendingRefusals = append(s.pendingRefusals, Decision{Job: j, Refused: true, Reason: Harmful, RetryAfter: harmfulRetryAfter})
 		return
 	}
+	if refused, ok := s.returns.recognise(j, now); ok {
+		// The caller has waited since its first attempt.
+		j.returned, j.Target = true, min(j.Target, refused.target)
+	}
 	s.jobs[j.ID] = j
 	s.meanWork.observe(j.estimate.expectedSeconds())
 	if s.keyed {
@@ -393,7 +403,7 @@
 		var held []*Job
 		held, out = s.separatePaused(srv, now, out)
 		for len(srv.waiting) > 0 && srv.accepts(now) && len(srv.running) < srv.Slots+s.settings.Prefetch {
-			i := s.nextJob(srv.waiting, now, srv.slowness*s.targetMargin(srv, now))
+			i := s.nextOf(srv, now)
 			j := srv.waiting[i]
 			srv.waiting = append(srv.waiting[:i], srv.waiting[i+1:]...)
 			out = append(out, s.assign(j, srv, now))
@@ -418,9 +428,9 @@
 		}
 		switch {
 		case len(s.servers) == 0 && now-j.arrived > maxUnownedWait/2:
-			out = append(out, s.refuse(j, NoServer, time.Second))
+			out = append(out, s.refuse(j, NoServer, time.Second, now))
 		case now >= latest || (owner.FreeAt > now && owner.FreeAt > latest) || now-j.arrived > maxUnownedWait:
-			out = append(out, s.refuse(j, NoOwner, max(minRetryAfter, freeAt-now)))
+			out = append(out, s.refuse(j, NoOwner, max(minRetryAfter, freeAt-now), now))
 		default:
 			kept = append(kept, j)
 		}
@@ -437,22 +447,24 @@
 	}
 	backlog := s.expectedWait(srv.waiting, len(srv.running), srv.Slots, srv.slowness)
 	saturated := s.saturated(srv, now)
-	margin := s.targetMargin(srv, now)
+	if saturated {
+		var left []*Job
+		srv.waiting, left = splitServable(srv.waiting, now, s.capacity(srv, now), srv.slowness)
+		for _, j := range left {
+			out = append(out, s.refuse(j, Overloaded, max(minRetryAfter, backlog/2), now))
+		}
+	}
 	kept := srv.waiting[:0]
 	for _, j := range srv.waiting {
 		work := s.expectedTime(j, srv.slowness)
 		tooLate := now+work/2 > j.Deadline
-		// New arrivals are refused while the backlog leaves too little time.
-		if !tooLate && j.arrived == now && now+backlog+work > j.Deadline {
-			tooLate = true
-		}
-		// A late job would wait at a saturated server until its deadline, since
-		// jobs that can still meet their target always come first.
-		if saturated && now+time.Duration(float64(work)*margin) > j.Target {
+		// New arrivals are refused while the backlog leaves too little time. At a
+		// saturated server the backlog includes late jobs, which delay no other.
+		if !tooLate && !saturated && j.arrived == now && now+backlog+work > j.Deadline {
 			tooLate = true
 		}
 		if tooLate {
-			out = append(out, s.refuse(j, Overloaded, max(minRetryAfter, backlog/2)))
+			out = append(out, s.refuse(j, Overloaded, max(minRetryAfter, backlog/2), now))
 			continue
 		}
 		kept = append(kept, j)
@@ -473,6 +485,14 @@
 	return kept
 }
 
+// nextOf returns the index of the next job of a server.
+func (s *Scheduler) nextOf(srv *server, now time.Duration) int {
+	if s.saturated(srv, now) {
+		return nextSaturated(srv.waiting, now, srv.slowness)
+	}
+	return s.nextJob(srv.waiting, now, srv.slowness*normalMargin)
+}
+
 // nextJob returns the index of the next job: of those that can still meet
 // their target, the one with the earliest target after adjustment for its
 // priority. Jobs that cannot meet their target come after them, by deadline.
@@ -505,7 +525,10 @@
 	return Decision{Job: j, Server: srv.id, Address: srv.Address, Limited: srv.limit.inForce(now)}
 }
 
-func (s *Scheduler) refuse(j *Job, reason Reason, after time.Duration) Decision {
+func (s *Scheduler) refuse(j *Job, reason Reason, after, now time.Duration) Decision {
+	if !j.returned {
+		s.returns.recordRefusal(j, now)
+	}
 	j.finished = true
 	delete(s.jobs, j.ID)
 	return Decision{Job: j, Refused: true, Reason: reason, RetryAfter: after}
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -66,19 +66,12 @@
 	return srv.demand.at(now) > saturationThreshold*s.capacity(srv, now)
 }
 
-// targetMargin returns the multiple of its expected processing time that a job
-// must have left before its target to be expected to meet it. A saturated
-// server always has other jobs with more time left, so it does not spend a
-// slot on a job that would barely meet its target.
-func (s *Scheduler) targetMargin(srv *server, now time.Duration) float64 {
-	if s.saturated(srv, now) {
-		return saturatedMargin
-	}
-	return normalMargin
-}
-
 const (
-	normalMargin    = 0.8
+	// normalMargin is the multiple of its expected processing time that a job must have
+	// left before its target to be expected to meet it.
+	normalMargin = 0.8
+	// saturatedMargin is that of a saturated server with a limit: it always has other
+	// jobs with more time left.
 	saturatedMargin = 1.1
 )
 
--- a/internal/schedule/unkeyed.go
+++ b/internal/schedule/unkeyed.go
@@ -13,6 +13,9 @@
 	// before its target to be expected to meet it: of the processing times, nine in
 	// ten are below twice the mean.
 	poolMargin = 2
+	// splitInterval is the least interval at which the queue of a saturated service
+	// without keys is cut to what can be served, which sorts the queue.
+	splitInterval = 5 * time.Millisecond
 )
 
 // decideUnkeyed assigns waiting jobs to free servers and refuses the jobs that
@@ -28,7 +31,12 @@
 	saturated := slots > 0 && s.demand.at(now) > poolSaturation*float64(slots)
 	var held []*Job // their hosts are paused by all free servers
 	for len(s.waiting) > 0 {
-		i := s.nextJob(s.waiting, now, poolMargin)
+		i := 0
+		if saturated {
+			i = nextSaturated(s.waiting, now, s.fastestFree(now))
+		} else {
+			i = s.nextJob(s.waiting, now, poolMargin)
+		}
 		j := s.waiting[i]
 		srv := s.pickServer(j, now)
 		if srv == nil && s.pausedHostNumber(j) != noPausedHost && s.hasFreeServer(now) {
@@ -52,32 +60,26 @@
 // refuseUnkeyed refuses the waiting jobs of an unkeyed service that cannot be
 // completed in time.
 func (s *Scheduler) refuseUnkeyed(now time.Duration, slots, running int, saturated bool, out []Decision) []Decision {
-	late := func(j *Job) bool { return saturated && now+poolMargin*s.expectedTime(j, 1) > j.Target }
-	// Late jobs get only the slots that no other job can use. The youngest are kept,
-	// enough for half of the slots; the others would wait until their deadline and
-	// then be refused.
-	excess := -slots / 2
-	for _, j := range s.waiting {
-		if late(j) {
-			excess++
+	backlog := s.expectedWait(s.waiting, running, slots, 1)
+	if saturated && now-s.lastSplit >= splitInterval {
+		s.lastSplit = now
+		var left []*Job
+		s.waiting, left = splitServable(s.waiting, now, s.poolCapacity(now), 1)
+		for _, j := range left {
+			out = append(out, s.refuse(j, Overloaded, max(minRetryAfter, backlog/2), now))
 		}
 	}
-	backlog := s.expectedWait(s.waiting, running, slots, 1)
 	kept := s.waiting[:0]
 	for _, j := range s.waiting {
 		work := s.expectedTime(j, 1)
-		surplus := excess > 0 && late(j)
-		if surplus {
-			excess--
-		}
 		pause := s.pauseOfAll(s.pausedHostNumber(j), now)
 		switch {
 		case pause > 0 && !j.MayAwait(pause, now):
-			out = append(out, s.refuse(j, Paused, max(minRetryAfter, pause)))
+			out = append(out, s.refuse(j, Paused, max(minRetryAfter, pause), now))
 		case slots == 0 && now-j.arrived > maxUnownedWait/2:
-			out = append(out, s.refuse(j, NoServer, time.Second))
-		case surplus, now+work/2 > j.Deadline, j.arrived == now && slots > 0 && now+backlog+work > j.Deadline:
-			out = append(out, s.refuse(j, Overloaded, max(minRetryAfter, backlog/2)))
+			out = append(out, s.refuse(j, NoServer, time.Second, now))
+		case now+work/2 > j.Deadline, !saturated && j.arrived == now && slots > 0 && now+backlog+work > j.Deadline:
+			out = append(out, s.refuse(j, Overloaded, max(minRetryAfter, backlog/2), now))
 		default:
 			kept = append(kept, j)
 		}
@@ -86,6 +88,30 @@
 	return out
 }
 
+// poolCapacity returns the capacity of all servers in slots of mean speed.
+func (s *Scheduler) poolCapacity(now time.Duration) float64 {
+	var sum float64
+	for _, srv := range s.sortedServers {
+		sum += s.capacity(srv, now)
+	}
+	return sum
+}
+
+// fastestFree returns the least slowness of the servers that accept a request and have a
+// free slot; 1 if there is none.
+func (s *Scheduler) fastestFree(now time.Duration) float64 {
+	least := math.Inf(1)
+	for _, srv := range s.sortedServers {
+		if len(srv.running) < srv.Slots && srv.slowness < least && srv.accepts(now) {
+			least = srv.slowness
+		}
+	}
+	if math.IsInf(least, 1) {
+		return 1
+	}
+	return least
+}
+
 // pickServer returns the server with a free slot and the least cost for the
 // job, or nil if no server has a free slot.
 func (s *Scheduler) pickServer(j *Job, now time.Duration) *server {
