Give each key hotter than a server a fast server of its own

A plan moved at most one hot key, always to the server of the highest capacity and only if that had 1.25 times as much; two hot keys ended on one server, and other keys stayed beside a hot key until balancing reached them.

--- a/internal/keyplacement/keyplacement.go
+++ b/internal/keyplacement/keyplacement.go
@@ -81,8 +81,8 @@
 
 func (s *serverLoad) utilisation() float64 { return s.load / s.Capacity }
 
-// Plan returns the moves to make: first for ranges that need a server, then for a hot
-// key, then to balance the utilisation of servers, then to join ranges.
+// Plan returns the moves to make: first for ranges that need a server, then for hot
+// keys, then to balance the utilisation of servers, then to join ranges.
 func Plan(ranges []Range, servers []Server, sums []float64, settings Settings) []Move {
 	if len(servers) == 0 {
 		return nil
@@ -100,13 +100,13 @@
 		}
 	}
 	p.assignRanges()
-	p.moveHotKey()
 	var load, capacity float64
 	for _, s := range p.servers {
 		load += s.load
 		capacity += s.Capacity
 	}
 	p.mean = load / capacity
+	p.placeHotKeys(max(settings.MinMoves, len(servers)/settings.ServersPerMove))
 	moves := max(settings.MinMoves, len(servers)/settings.ServersPerMove)
 	joins := max(minJoinsPerPlan, len(servers)/settings.ServersPerMove)
 	rangeLimit := settings.MaxRangesPerServer * float64(len(servers))
@@ -127,41 +127,6 @@
 	return p.moves
 }
 
-const (
-	// hotKeyShare is the load of a single key, as a fraction of its server's
-	// capacity, above which the key is moved to a server of more capacity.
-	hotKeyShare = 0.7
-	// minCapacityRatio is the minimum ratio of the capacities of the two servers.
-	minCapacityRatio = 1.25
-)
-
-// moveHotKey moves a key that takes most of its server's capacity to the server with
-// the highest capacity, because a single key cannot be split. It moves at most one.
-func (p *planner) moveHotKey() {
-	for _, r := range p.ranges {
-		s := p.byID[r.Server]
-		if s == nil || r.Next != "" || !r.Movable || r.NeedsServer {
-			continue
-		}
-		limit := hotKeyShare * s.Capacity
-		key := p.findHotKey(r, limit)
-		if key < 0 {
-			continue
-		}
-		largest := slices.MaxFunc(p.servers, func(a, b *serverLoad) int { return cmp.Compare(a.Capacity, b.Capacity) })
-		if largest.Capacity < minCapacityRatio*s.Capacity {
-			continue
-		}
-		l := p.load(key, key)
-		s.load -= l
-		largest.load += l
-		p.moves = append(p.moves, Move{From: key, To: key, Server: largest.ID})
-		i := slices.IndexFunc(p.ranges, func(q Range) bool { return q.From == r.From })
-		p.split(i, key, key, largest.ID)
-		return
-	}
-}
-
 const (
 	// minJoinsPerPlan is the least bound of the moves of one plan that only join
 	// ranges. With more servers, the bound is that of the moves that balance load.
@@ -272,7 +237,7 @@
 			continue
 		}
 		for from := r.From; from <= r.To; {
-			s := p.leastUtilised()
+			s := p.leastUtilised(nil)
 			spare := mean*s.Capacity - s.load
 			to := max(from, p.lastKeyWithin(from, r.To, max(spare, total/capacity/8)))
 			if remaining := p.load(min(to+1, r.To), r.To); to < r.To && remaining < spare/8 {
@@ -285,8 +250,16 @@
 	}
 }
 
-func (p *planner) leastUtilised() *serverLoad {
-	return slices.MinFunc(p.servers, func(a, b *serverLoad) int { return cmp.Compare(a.utilisation(), b.utilisation()) })
+// leastUtilised returns the server with the lowest utilisation that is not excluded; nil
+// if there is none.
+func (p *planner) leastUtilised(excluded map[*serverLoad]bool) *serverLoad {
+	var least *serverLoad
+	for _, s := range p.servers {
+		if !excluded[s] && (least == nil || s.utilisation() < least.utilisation()) {
+			least = s
+		}
+	}
+	return least
 }
 
 // saturatedUtilisation is the utilisation above which a server gains nothing from a
@@ -296,7 +269,7 @@
 // balance moves a range from a server with high utilisation to the one with the
 // lowest. It returns false if no move gains enough.
 func (p *planner) balance(settings Settings) bool {
-	low := p.leastUtilised()
+	low := p.leastUtilised(nil)
 	if low.utilisation() > saturatedUtilisation {
 		return false
 	}
--- a/internal/keyplacement/keyplacement_test.go
+++ b/internal/keyplacement/keyplacement_test.go
@@ -158,6 +158,40 @@
 	g.Expect(load[id(3)]).To(BeNumerically("<", 2.9), "other keys remain on the server of the hot key")
 }
 
+// Gives two keys of one range 12 busy slots each, more than twice what the fastest server
+// has. Guards against hot keys that share a server with each other or with other keys,
+// and against one that gets a fast server only after several plans.
+func TestHotKeysHaveTheirOwnServers(t *testing.T) {
+	g := NewWithT(t)
+	capacities := make(map[topology.ServerID]float64)
+	var list []keyplacement.Server
+	for i := range 24 {
+		list = append(list, keyplacement.Server{ID: id(i), Capacity: []float64{2.4, 4, 5.6}[i%3]})
+		capacities[id(i)] = list[i].Capacity
+	}
+	prefixSums := sums(func(k int) float64 {
+		if k == 30000 || k == 30007 {
+			return 12
+		}
+		return 48.0 / keymap.KeyCount
+	})
+	ranges, _ := applyPlans(evenRanges(24), list, prefixSums, 2)
+	keys, owners := make(map[topology.ServerID]int), make(map[topology.ServerID]bool)
+	for _, r := range ranges {
+		keys[r.Server] += r.To - r.From + 1
+		for _, key := range []int{30000, 30007} {
+			if r.From <= key && key <= r.To {
+				owners[r.Server] = true
+			}
+		}
+	}
+	g.Expect(owners).To(HaveLen(2))
+	for owner := range owners {
+		g.Expect(capacities[owner]).To(Equal(5.6))
+		g.Expect(keys[owner]).To(Equal(1))
+	}
+}
+
 // Guards against a new server that gets no keys while the load is low.
 func TestNewServerGetsKeys(t *testing.T) {
 	g := NewWithT(t)
