Move no keys because the load of all of them grows

Saturated servers passed keys to servers that were saturated as well.

The load of all groups that have not changed by themselves now follows their common growth, and their shares the long time constant. Servers above 1.05 of their capacity, in place of 1.5, get no keys from others.

--- a/internal/keyplacement/keyplacement.go
+++ b/internal/keyplacement/keyplacement.go
@@ -263,8 +263,9 @@
 }
 
 // saturatedUtilisation is the utilisation above which a server gains nothing from a
-// move of keys to another that is above it as well: both refuse requests.
-const saturatedUtilisation = 1.5
+// move of keys to another that is above it as well: both refuse requests. With 1.5, twice
+// as many keys moved in a replay of an overloaded service, at the same value.
+const saturatedUtilisation = 1.05
 
 // balance moves a range from a server with high utilisation to the one with the
 // lowest. It returns false if no move gains enough.
--- a/internal/keyplacement/meter.go
+++ b/internal/keyplacement/meter.go
@@ -27,7 +27,8 @@
 // requests occupy, with exponential decay. It is made for load of which a part, a set of
 // adjacent hot keys, changes within a second, while the rest only seems to change by the
 // random arrival of requests: it measures with a short and a long time constant, and
-// uses the short one for the groups of keys whose two loads differ significantly.
+// uses the short one for the groups of keys whose two loads differ significantly. The
+// load of the others follows that of all of them together.
 type Meter struct {
 	fast, slow decayingLoads
 	// meanWork is the mean work of a request in seconds.
@@ -95,19 +96,37 @@
 	m.fast.advance(now)
 	m.slow.advance(now)
 	fastUnit, slowUnit := m.fast.unit(), m.slow.unit()
+	var fast, slow [keymap.KeyCount / groupKeys]float64
+	var fastTotal, slowTotal float64
+	for i := range fast {
+		for k := i * groupKeys; k < (i+1)*groupKeys; k++ {
+			fast[i] += m.fast.loads[k]
+			slow[i] += m.slow.loads[k]
+		}
+		fast[i] *= fastUnit
+		slow[i] *= slowUnit
+		fastTotal += fast[i]
+		slowTotal += slow[i]
+	}
+	// A load that grows alike for all keys changes no group. Its growth is taken from the
+	// groups that have not changed by themselves.
+	growth := ratio(fastTotal, slowTotal)
+	var fastRest, slowRest float64
+	for i := range fast {
+		if !m.changed(fast[i], slow[i]*growth) {
+			fastRest += fast[i]
+			slowRest += slow[i]
+		}
+	}
+	growth = ratio(fastRest, slowRest)
 	sums := make([]float64, keymap.KeyCount+1)
 	var sum float64
-	for from := 0; from < keymap.KeyCount; from += groupKeys {
-		var fast, slow float64
-		for k := from; k < from+groupKeys; k++ {
-			fast += m.fast.loads[k]
-			slow += m.slow.loads[k]
-		}
-		loads, unit := m.slow.loads, slowUnit
-		if m.changed(fast*fastUnit, slow*slowUnit) {
+	for i := range fast {
+		loads, unit := m.slow.loads, slowUnit*growth
+		if m.changed(fast[i], slow[i]*growth) {
 			loads, unit = m.fast.loads, fastUnit
 		}
-		for k := from; k < from+groupKeys; k++ {
+		for k := i * groupKeys; k < (i+1)*groupKeys; k++ {
 			sums[k] = sum
 			sum += loads[k] * unit
 		}
@@ -116,6 +135,14 @@
 	return sums
 }
 
+// ratio returns a/b, 1 if there is no load.
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 1
+	}
+	return a / b
+}
+
 // changed reports whether the load of a group differs from its earlier load by more than
 // the random arrival of requests explains.
 func (m *Meter) changed(fast, slow float64) bool {
