Take into account that a server is slow for a moment

Some machines are 3 times slower for 400 ms and say so in the fourth figure of the load header. Requests went to them as usual, keyed requests that waited for them were taken to be in time, and the responses of such a time made the server count as slow for the next ones.

The scheduler keeps the last pace of each server for 250 ms. A slow server is expected to remain slow for 200 ms more, which delays what starts there by that time less the work done in it; another server is preferred, and the order and the limit of its queue follow. A response tells the pace of its end only, so the duration of an exchange that overlapped a slow time is divided by at most the highest pace that was stated, and not below the expected time.

A host tells the leader in a message of its own (ServerPaces), which earlier releases reject, only of paces that differ by 20% from the usual one and of the return to it. The gauge unusual_pace_servers counts these servers.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,6 +100,9 @@
 // HandleServerPauses implements hostlink.Handler.
 func (g *gateway) HandleServerPauses(m *hostlink.ServerPauses) { g.followers.handlePauses(m) }
 
+// HandleServerPaces implements hostlink.PacesHandler.
+func (g *gateway) HandleServerPaces(m *hostlink.ServerPaces) { g.followers.handlePaces(m) }
+
 // Run serves until the context ends, and then stops gracefully. It accepts
 // changed settings while it runs: the bounds apply at once, the rest after the
 // next start.
@@ -222,6 +225,7 @@
 		metrics.RegisterFunc(name, func() float64 { return g.elector.sumServices(pick) })
 	}
 	metrics.RegisterFunc("limited_servers", func() float64 { return float64(g.leaderClient.limits.count()) })
+	metrics.RegisterFunc("unusual_pace_servers", func() float64 { return float64(g.leaderClient.paces.count()) })
 	metrics.RegisterFunc("leaving_servers", func() float64 { return float64(len(g.watcher.leavingServers())) })
 	metrics.RegisterFunc("hosts", func() float64 { return float64(g.leaderClient.state().hosts) })
 	return g, nil
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -273,6 +273,7 @@
 func (in *ingress) recordStatements(c *callerRequest, decision schedule.Decision, outcome upstream.Outcome) {
 	in.recordLimit(c, decision, outcome)
 	in.recordPause(c, decision.Server, outcome)
+	in.leaderClient.recordPace(c.serviceHash, decision.Server, outcome.Report.Pace)
 	if outcome.Leaving {
 		in.watcher.recordLeaving(decision.Server)
 		in.leaderClient.passLeaving(in.watcher.leavingServer(decision.Server))
--- a/internal/gateway/leaderclient.go
+++ b/internal/gateway/leaderclient.go
@@ -97,6 +97,7 @@
 	limits        *serverLimits // that servers named to this host
 	limitPhase    float64       // of the fallback scheduler, see schedule.LimitShare
 	pauses        *serverPauses // that servers asked this host for
+	paces         serverPaces   // that servers stated to this host
 	// leavingServers returns the servers to tell a new leader of.
 	leavingServers func() []hostlink.LeavingServer
 	// refuseAfter is the latest deadline of requests that may still be sent to a server;
--- a/internal/hostlink/hostlink.go
+++ b/internal/hostlink/hostlink.go
@@ -113,6 +113,21 @@
 	Pauses      []ServerPause
 }
 
+// ServerPace is the time that work takes at a server at present.
+type ServerPace struct {
+	_       struct{} `cbor:",toarray"`
+	Service uint32   // hash of the service's name
+	Server  string
+	Percent uint16 // of the usual time; 100 is usual
+}
+
+// ServerPaces is a message from a host to the leader with servers that are unusually slow
+// or fast, or have become usual again, by their last response to the host.
+type ServerPaces struct {
+	_     struct{} `cbor:",toarray"`
+	Paces []ServerPace
+}
+
 // Decision is the leader's response to a routing request: a server, a refusal,
 // or the notice that the request is queued.
 type Decision struct {
@@ -201,12 +216,25 @@
 	ServerPauses   *ServerPauses
 }
 
-// The first bytes of an encoded limitsMessage, leavingMessage and pausesMessage: arrays
-// of three, four and five elements.
+// pacesMessage is the encoded form of ServerPaces. Its array is longer than those of the
+// other messages, so earlier releases reject it and nothing else.
+type pacesMessage struct {
+	_              struct{} `cbor:",toarray"`
+	ToLeader       *struct{}
+	FromLeader     *struct{}
+	ServerLimits   *struct{}
+	LeavingServers *struct{}
+	ServerPauses   *struct{}
+	ServerPaces    *ServerPaces
+}
+
+// The first bytes of an encoded limitsMessage, leavingMessage, pausesMessage and
+// pacesMessage: arrays of three to six elements.
 const (
 	limitsMessageHead  = 0x83
 	leavingMessageHead = 0x84
 	pausesMessageHead  = 0x85
+	pacesMessageHead   = 0x86
 )
 
 // Link sends and receives messages on one UDP socket. It is safe for concurrent
@@ -259,6 +287,11 @@
 	return l.send(to, pausesMessage{ServerPauses: m})
 }
 
+// SendServerPaces sends a message to the leader.
+func (l *Link) SendServerPaces(to netip.AddrPort, m *ServerPaces) error {
+	return l.send(to, pacesMessage{ServerPaces: m})
+}
+
 func (l *Link) send(to netip.AddrPort, m any) error {
 	data, err := cbor.Marshal(m)
 	if err != nil {
@@ -277,6 +310,11 @@
 	HandleServerPauses(m *ServerPauses)
 }
 
+// PacesHandler is implemented by a Handler of hosts that may lead.
+type PacesHandler interface {
+	HandleServerPaces(m *ServerPaces)
+}
+
 // Receive passes messages to h until the link is closed or reading fails.
 // Messages that cannot be decoded are dropped; onDecodeError is called for each.
 func (l *Link) Receive(h Handler, onDecodeError func(error)) error {
@@ -326,6 +364,15 @@
 			h.HandleServerPauses(m.ServerPauses)
 		}
 		return nil
+	case pacesMessageHead:
+		var m pacesMessage
+		if err := cbor.Unmarshal(datagram, &m); err != nil {
+			return err
+		}
+		if paces, ok := h.(PacesHandler); ok && m.ServerPaces != nil {
+			paces.HandleServerPaces(m.ServerPaces)
+		}
+		return nil
 	}
 	var m message
 	if err := cbor.Unmarshal(datagram, &m); err != nil {
--- a/internal/schedule/report.go
+++ b/internal/schedule/report.go
@@ -83,6 +83,8 @@
 	if srv == nil {
 		return j, ""
 	}
+	srv.pace.state(r.Pace, now)
+	r.Duration = srv.pace.usualDuration(r.Duration, s.expectedTime(j, srv.slowness), now)
 	if r.Result == Succeeded && j.estimate.observed {
 		j.estimate.spread.observe(r.Duration.Seconds() / (j.estimate.expectedSeconds() * srv.slowness))
 	}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -445,11 +445,12 @@
 	if len(srv.waiting) == 0 {
 		return out
 	}
-	backlog := s.expectedWait(srv.waiting, len(srv.running), srv.Slots, srv.slowness)
+	delay := srv.paceDelay(now)
+	backlog := delay + s.expectedWait(srv.waiting, len(srv.running), srv.Slots, srv.slowness)
 	saturated := s.saturated(srv, now)
 	if saturated {
 		var left []*Job
-		srv.waiting, left = splitServable(srv.waiting, now, s.capacity(srv, now), srv.slowness)
+		srv.waiting, left = splitServable(srv.waiting, now+delay, s.capacity(srv, now), srv.slowness)
 		for _, j := range left {
 			out = append(out, s.refuse(j, Overloaded, max(minRetryAfter, backlog/2), now))
 		}
@@ -488,9 +489,9 @@
 // nextOf returns the index of the next job of a server.
 func (s *Scheduler) nextOf(srv *server, now time.Duration) int {
 	if s.saturated(srv, now) {
-		return nextSaturated(srv.waiting, now, srv.slowness)
+		return nextSaturated(srv.waiting, now+srv.paceDelay(now), srv.slowness)
 	}
-	return s.nextJob(srv.waiting, now, srv.slowness*normalMargin)
+	return s.nextJob(srv.waiting, now+srv.paceDelay(now), srv.slowness*normalMargin)
 }
 
 // nextJob returns the index of the next job: of those that can still meet
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -31,6 +31,7 @@
 	// the latest of them.
 	pausedUntil  []time.Duration
 	lastPauseEnd time.Duration
+	pace         pace
 }
 
 // accepts reports whether the server may be sent a request now, if it has a free
--- a/internal/schedule/unkeyed.go
+++ b/internal/schedule/unkeyed.go
@@ -33,7 +33,7 @@
 	for len(s.waiting) > 0 {
 		i := 0
 		if saturated {
-			i = nextSaturated(s.waiting, now, s.fastestFree(now))
+			i = s.nextOfPool(now)
 		} else {
 			i = s.nextJob(s.waiting, now, poolMargin)
 		}
@@ -97,19 +97,22 @@
 	return sum
 }
 
-// fastestFree returns the least slowness of the servers that accept a request and have a
-// free slot; 1 if there is none.
-func (s *Scheduler) fastestFree(now time.Duration) float64 {
+// nextOfPool returns the index of the next job of a saturated service: the one that suits
+// the fastest server with a free slot.
+func (s *Scheduler) nextOfPool(now time.Duration) int {
+	slowness, delay := 1.0, time.Duration(0)
 	least := math.Inf(1)
+	work := max(s.meanWork.expectedSeconds(), minProcessingTime.Seconds())
 	for _, srv := range s.sortedServers {
-		if len(srv.running) < srv.Slots && srv.slowness < least && srv.accepts(now) {
-			least = srv.slowness
+		if len(srv.running) >= srv.Slots || !srv.accepts(now) {
+			continue
+		}
+		d := srv.paceDelay(now)
+		if cost := srv.slowness + d.Seconds()/work; cost < least {
+			slowness, delay, least = srv.slowness, d, cost
 		}
 	}
-	if math.IsInf(least, 1) {
-		return 1
-	}
-	return least
+	return nextSaturated(s.waiting, now+delay, slowness)
 }
 
 // pickServer returns the server with a free slot and the least cost for the
@@ -125,7 +128,7 @@
 		if !srv.accepts(now) || len(srv.running) >= srv.Slots {
 			continue
 		}
-		cost := srv.slowness * (1 + 0.25*float64(len(srv.running))/float64(srv.Slots))
+		cost := (srv.slowness + srv.paceDelay(now).Seconds()/j.estimate.expectedSeconds()) * (1 + 0.25*float64(len(srv.running))/float64(srv.Slots))
 		if srv.DataCentre != j.DataCentre {
 			cost *= s.settings.RemoteCost
 		}
