Tell callers of a saturated service to come back after their time

The retry delay was half of the backlog, whose length says nothing about the slots that will be free: while more arrives than can be served, new requests take each slot, and callers came back in vain.

A request that is refused because others need all slots now gets the rest of its time as the delay. Callers that honour a third of it at most come back spread as they arrived, and as late as they can, when the overload may be over.

--- a/internal/schedule/overload.go
+++ b/internal/schedule/overload.go
@@ -92,3 +92,11 @@
 	}
 	return kept, left
 }
+
+// saturatedRetryAfter returns the retry delay of a job that is refused because other jobs
+// need all slots. No slot will be free for it in its time, so it is told to come back
+// after that. Callers that come back sooner wait for a third of their time, so they are
+// spread as they arrived, and come back when the overload may be over.
+func saturatedRetryAfter(j *Job, now time.Duration) time.Duration {
+	return max(minRetryAfter, j.Deadline-now)
+}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -452,7 +452,7 @@
 		var left []*Job
 		srv.waiting, left = splitServable(srv.waiting, now+delay, s.capacity(srv, now), srv.slowness)
 		for _, j := range left {
-			out = append(out, s.refuse(j, Overloaded, max(minRetryAfter, backlog/2), now))
+			out = append(out, s.refuse(j, Overloaded, saturatedRetryAfter(j, now), now))
 		}
 	}
 	kept := srv.waiting[:0]
--- a/internal/schedule/unkeyed.go
+++ b/internal/schedule/unkeyed.go
@@ -66,7 +66,7 @@
 		var left []*Job
 		s.waiting, left = splitServable(s.waiting, now, s.poolCapacity(now), 1)
 		for _, j := range left {
-			out = append(out, s.refuse(j, Overloaded, max(minRetryAfter, backlog/2), now))
+			out = append(out, s.refuse(j, Overloaded, saturatedRetryAfter(j, now), now))
 		}
 	}
 	kept := s.waiting[:0]
