Cut the queue of a saturated service only every 5 ms

The next request is looked for only if a server has a free slot, and the queue is cut to what can be served at most every 5 ms. Without saturation nothing changes.

--- a/internal/schedule/unkeyed.go
+++ b/internal/schedule/unkeyed.go
@@ -14,7 +14,8 @@
 	// ten are below twice the mean.
 	poolMargin = 2
 	// splitInterval is the least interval at which the queue of a saturated service
-	// without keys is cut to what can be served, which sorts the queue.
+	// without keys is cut to what can be served. This sorts the queue, which may have
+	// some thousand jobs, and some thousand requests arrive in a second.
 	splitInterval = 5 * time.Millisecond
 )
 
@@ -31,11 +32,11 @@
 	saturated := slots > 0 && s.demand.at(now) > poolSaturation*float64(slots)
 	var held []*Job // their hosts are paused by all free servers
 	for len(s.waiting) > 0 {
-		i := 0
-		if saturated {
-			i = s.nextOfPool(now)
-		} else {
+		var i int
+		if !saturated {
 			i = s.nextJob(s.waiting, now, poolMargin)
+		} else if i = s.nextOfPool(now); i < 0 {
+			break
 		}
 		j := s.waiting[i]
 		srv := s.pickServer(j, now)
@@ -51,7 +52,7 @@
 		running++
 	}
 	s.waiting = append(s.waiting, held...)
-	if len(s.waiting) > 0 {
+	if len(s.waiting) > 0 && (!saturated || now-s.lastSplit >= splitInterval) {
 		out = s.refuseUnkeyed(now, slots, running, saturated, out)
 	}
 	return out
@@ -61,7 +62,7 @@
 // completed in time.
 func (s *Scheduler) refuseUnkeyed(now time.Duration, slots, running int, saturated bool, out []Decision) []Decision {
 	backlog := s.expectedWait(s.waiting, running, slots, 1)
-	if saturated && now-s.lastSplit >= splitInterval {
+	if saturated {
 		s.lastSplit = now
 		var left []*Job
 		s.waiting, left = splitServable(s.waiting, now, s.poolCapacity(now), 1)
@@ -98,7 +99,7 @@
 }
 
 // nextOfPool returns the index of the next job of a saturated service: the one that suits
-// the fastest server with a free slot.
+// the fastest server with a free slot, or -1 if there is no such server.
 func (s *Scheduler) nextOfPool(now time.Duration) int {
 	slowness, delay := 1.0, time.Duration(0)
 	least := math.Inf(1)
@@ -112,6 +113,9 @@
 			slowness, delay, least = srv.slowness, d, cost
 		}
 	}
+	if math.IsInf(least, 1) {
+		return -1
+	}
 	return nextSaturated(s.waiting, now+delay, slowness)
 }
 
