--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -133,6 +133,9 @@
 // HandleHedgeRequests implements hostlink.Handler.
 func (g *gateway) HandleHedgeRequests(m *hostlink.HedgeRequests) { g.followers.handleHedges(m) }
 
+// HandleServerPaces implements hostlink.PacesHandler.
+func (g *gateway) HandleServerPaces(m *hostlink.ServerPaces) { g.followers.handlePaces(m) }
+
 // Run serves until the context ends, and then stops gracefully. It accepts
 // changed settings while it runs: the bounds apply at once, the rest after the
 // next start.
@@ -275,6 +278,7 @@
 		metrics.RegisterFunc(name, func() float64 { return g.elector.sumServices(pick) })
 	}
 	metrics.RegisterFunc("limited_servers", func() float64 { return float64(g.leaderClient.limits.count()) })
+	metrics.RegisterFunc("unusual_pace_servers", func() float64 { return float64(g.leaderClient.paces.count()) })
 	metrics.RegisterFunc("leaving_servers", func() float64 { return float64(len(g.watcher.leavingServers())) })
 	metrics.RegisterFunc("evacuated_data_centres", func() float64 { return float64(len(g.watcher.evacuated())) })
 	metrics.RegisterFunc("hosts", func() float64 { return float64(g.leaderClient.state().hosts) })
--- a/internal/hostlink/hostlink.go
+++ b/internal/hostlink/hostlink.go
@@ -131,6 +131,21 @@
 	Requests    []HedgeRequest
 }
 
+// ServerPace is the time that work takes at a server at present.
+type ServerPace struct {
+	_       struct{} `cbor:",toarray"`
+	Service uint32   // hash of the service's name
+	Server  string
+	Percent uint16 // of the usual time; 100 is usual
+}
+
+// ServerPaces is a message from a host to the leader with servers that are unusually slow
+// or fast, or have become usual again, by their last response to the host.
+type ServerPaces struct {
+	_     struct{} `cbor:",toarray"`
+	Paces []ServerPace
+}
+
 // Decision is the leader's response to a routing request: a server, a refusal,
 // or the notice that the request is queued.
 type Decision struct {
@@ -232,13 +247,27 @@
 	HedgeRequests  *HedgeRequests
 }
 
-// The first bytes of an encoded limitsMessage, leavingMessage, pausesMessage and
-// hedgesMessage: arrays of three, four, five and six elements.
+// pacesMessage is the encoded form of ServerPaces. Its array is longer than those of the
+// other messages before it, so earlier releases reject it and nothing else.
+type pacesMessage struct {
+	_              struct{} `cbor:",toarray"`
+	ToLeader       *struct{}
+	FromLeader     *struct{}
+	ServerLimits   *struct{}
+	LeavingServers *struct{}
+	ServerPauses   *struct{}
+	HedgeRequests  *struct{}
+	ServerPaces    *ServerPaces
+}
+
+// The first bytes of an encoded limitsMessage, leavingMessage, pausesMessage,
+// hedgesMessage and pacesMessage: arrays of three to seven elements.
 const (
 	limitsMessageHead  = 0x83
 	leavingMessageHead = 0x84
 	pausesMessageHead  = 0x85
 	hedgesMessageHead  = 0x86
+	pacesMessageHead   = 0x87
 )
 
 // Link sends and receives messages on one UDP socket. It is safe for concurrent
@@ -307,6 +336,11 @@
 	return l.send(to, hedgesMessage{HedgeRequests: m})
 }
 
+// SendServerPaces sends a message to the leader.
+func (l *Link) SendServerPaces(to netip.AddrPort, m *ServerPaces) error {
+	return l.send(to, pacesMessage{ServerPaces: m})
+}
+
 func (l *Link) send(to netip.AddrPort, m any) error {
 	data, err := cbor.Marshal(m)
 	if err != nil {
@@ -326,6 +360,11 @@
 	HandleHedgeRequests(m *HedgeRequests)
 }
 
+// PacesHandler is implemented by a Handler of hosts that may lead.
+type PacesHandler interface {
+	HandleServerPaces(m *ServerPaces)
+}
+
 // Receive passes messages to h until the link is closed or reading fails.
 // Messages that cannot be decoded are dropped; onDecodeError is called for each.
 func (l *Link) Receive(h Handler, onDecodeError func(error)) error {
@@ -361,6 +400,10 @@
 		var m hedgesMessage
 		return deliver(datagram, &m, &m.HedgeRequests, h.HandleHedgeRequests)
 	}
+	if ph, ok := h.(PacesHandler); ok && head == pacesMessageHead {
+		var m pacesMessage
+		return deliver(datagram, &m, &m.ServerPaces, ph.HandleServerPaces)
+	}
 	if sh, ok := h.(StateHandler); ok && head == stateMessageHead {
 		return dispatchState(datagram, from, sh)
 	}
--- a/internal/schedule/limit.go
+++ b/internal/schedule/limit.go
@@ -182,7 +182,7 @@
 			}
 		}
 		if now+wait > latest(j) {
-			out = append(out, s.refuse(j, reason, max(minRetryAfter, srv.warmup.retryAfter(wait))))
+			out = append(out, s.refuse(j, reason, max(minRetryAfter, srv.warmup.retryAfter(wait)), now))
 			continue
 		}
 		kept = append(kept, j)
--- a/internal/schedule/report.go
+++ b/internal/schedule/report.go
@@ -46,6 +46,9 @@
 	// response states; LoadKnown is false if it states none.
 	Running, Waiting int
 	LoadKnown        bool
+	// Pace is the time that work takes at the server at the time of the response,
+	// relative to its usual time; zero if the response does not state it.
+	Pace float64
 }
 
 const (
@@ -81,6 +84,11 @@
 		return j, ""
 	}
 	srv.warmup.observe(j, r, now)
+	srv.pace.state(r.Pace, now)
+	r.Duration = srv.pace.usualDuration(r.Duration, s.expectedTime(j, srv.slowness), now)
+	if r.Result == Succeeded && j.estimate.observed {
+		j.estimate.spread.observe(r.Duration.Seconds() / (j.estimate.expectedSeconds() * srv.slowness))
+	}
 	srv.observeResult(r, s.ExpectedSeconds(j.Class), now)
 	if j.hedged && r.Result == CallerDisconnected {
 		srv.observeLostRace(r.Duration, s.ExpectedSeconds(j.Class))
--- a/internal/schedule/warmup.go
+++ b/internal/schedule/warmup.go
@@ -428,7 +428,7 @@
 	for _, j := range s.waiting {
 		wait := first + time.Duration(float64(len(kept))/max(rate, minLimitRate)*float64(time.Second))
 		if now+wait > latest(j) {
-			out = append(out, s.refuse(j, Cold, max(minRetryAfter, s.sortedServers[0].warmup.retryAfter(wait))))
+			out = append(out, s.refuse(j, Cold, max(minRetryAfter, s.sortedServers[0].warmup.retryAfter(wait)), now))
 			continue
 		}
 		kept = append(kept, j)
