--- a/internal/hostlink/paces_test.go
+++ b/internal/hostlink/paces_test.go
@@ -23,7 +23,7 @@
 func TestServerPacesArrive(t *testing.T) {
 	g := NewWithT(t)
 	sent := hostlink.ServerPaces{Paces: []hostlink.ServerPace{{Service: 9, Server: "s-1", Percent: 300}}}
-	datagram, err := cbor.Marshal([]any{nil, nil, nil, nil, nil, sent})
+	datagram, err := cbor.Marshal([]any{nil, nil, nil, nil, nil, nil, sent})
 	g.Expect(err).NotTo(HaveOccurred())
 	var got *hostlink.ServerPaces
 	g.Expect(hostlink.Dispatch(datagram, netip.AddrPort{}, pacesCollector{paces: &got})).To(Succeed())
