--- a/internal/hostlink/hostlink.go
+++ b/internal/hostlink/hostlink.go
@@ -399,10 +399,13 @@
 	case hedgesMessageHead:
 		var m hedgesMessage
 		return deliver(datagram, &m, &m.HedgeRequests, h.HandleHedgeRequests)
-	}
-	if ph, ok := h.(PacesHandler); ok && head == pacesMessageHead {
+	case pacesMessageHead:
 		var m pacesMessage
-		return deliver(datagram, &m, &m.ServerPaces, ph.HandleServerPaces)
+		return deliver(datagram, &m, &m.ServerPaces, func(p *ServerPaces) {
+			if ph, ok := h.(PacesHandler); ok {
+				ph.HandleServerPaces(p)
+			}
+		})
 	}
 	if sh, ok := h.(StateHandler); ok && head == stateMessageHead {
 		return dispatchState(datagram, from, sh)
