--- a/internal/hostlink/hostlink.go
+++ b/internal/hostlink/hostlink.go
@@ -365,14 +365,7 @@
 		}
 		return nil
 	case pacesMessageHead:
-		var m pacesMessage
-		if err := cbor.Unmarshal(datagram, &m); err != nil {
-			return err
-		}
-		if paces, ok := h.(PacesHandler); ok && m.ServerPaces != nil {
-			paces.HandleServerPaces(m.ServerPaces)
-		}
-		return nil
+		return dispatchPaces(datagram, h)
 	}
 	var m message
 	if err := cbor.Unmarshal(datagram, &m); err != nil {
@@ -386,3 +379,15 @@
 	}
 	return nil
 }
+
+// dispatchPaces decodes a datagram with paces of servers and passes them to h.
+func dispatchPaces(datagram []byte, h Handler) error {
+	var m pacesMessage
+	if err := cbor.Unmarshal(datagram, &m); err != nil {
+		return err
+	}
+	if paces, ok := h.(PacesHandler); ok && m.ServerPaces != nil {
+		paces.HandleServerPaces(m.ServerPaces)
+	}
+	return nil
+}
