--- a/internal/callertest/lygate_test.go
+++ b/internal/callertest/lygate_test.go
@@ -16,6 +16,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/lycheerudder/lycheerudder/platform"
 	"github.com/lycheerudder/lycheerudder/platform/standin"
 )
 
@@ -30,7 +31,7 @@
 	archive := standin.NewServer("archive-0", "archive", false, 8, 0, nil)
 	large := bytes.Repeat([]byte("x"), legalBody)
 	archive.Respond = func(w http.ResponseWriter, _ *http.Request) bool {
-		w.Header().Set("Lycheerudder-Server-Signature", "signed")
+		w.Header().Set(platform.HTTPNames.Signature, "signed")
 		_, _ = w.Write(large)
 		return true
 	}
@@ -72,8 +73,8 @@
 func gateRequest(address, path string, timeout time.Duration, body io.Reader) *http.Request {
 	r, _ := http.NewRequest(http.MethodPost, "http://"+address+path, body)
 	r.Host = "h.example"
-	r.Header.Set("Lycheerudder-Request-Id", "ordinary")
-	r.Header.Set("Lycheerudder-Deadline-Ms", fmt.Sprint(timeout.Milliseconds()))
+	r.Header.Set(platform.HTTPNames.RequestID, "ordinary")
+	r.Header.Set(platform.HTTPNames.TimeLeft, fmt.Sprint(timeout.Milliseconds()))
 	return r
 }
 
@@ -82,7 +83,7 @@
 // memory is less than that of the smallest host, so that a small crowd is enough.
 func TestCrowdsAtGate(t *testing.T) {
 	runCrowds(t, func(t *testing.T) *process { return startGate(t, 96, legalBody) }, func(i int, path string) string {
-		return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\nLycheerudder-Request-Id: c%d\r\nLycheerudder-Deadline-Ms: 10000\r\n", path, i)
+		return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\n%s: c%d\r\n%s: 10000\r\n", path, platform.HTTPNames.RequestID, i, platform.HTTPNames.TimeLeft)
 	})
 }
 
--- a/internal/gateway/storecalls_test.go
+++ b/internal/gateway/storecalls_test.go
@@ -264,7 +264,7 @@
 	s.store.Put("keyed.op", "config", fmt.Appendf(nil, `{"version":%d,"filler":"%x","routes":{"r":{"host":"h.example","path_prefix":"/","kind":"idempotent","timeout_ms":2000,"target_latency_ms":300,"priority":1,"service":"booking","max_attempts":2}},"services":{"booking":{"health_path":"/health","max_connections":100,"sharded":true,"warm_s":1.0}},"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, version, s.filler))
 }
 
-// paid returns the price of calls: a call to log-join costs a tenth of the others.
+// paid returns the price of calls: a join costs a tenth of the others.
 func paid(calls map[string]int) float64 {
 	sum := 0.0
 	for kind, n := range calls {
