--- a/internal/schedule/warmup.go
+++ b/internal/schedule/warmup.go
@@ -216,7 +216,7 @@
 func (w *warmup) doubtful(now time.Duration) bool { return w != nil && !w.trusted(now) }
 
 // restricts reports whether requests for which the limit leaves no time are to be refused
-// at once. The limit of a server that is not known to be cold ends with the next proof.
+// at once. After a mere sign of a restart the limit may end with the next response.
 func (w *warmup) restricts(now time.Duration) bool {
 	return w != nil && (w.cold(now) || (w.share.Role == AloneHost && !w.trusted(now)))
 }
