Name the memory for requests of callers a request budget

The type was called an intake, and requests that make room were said to give way; the usual terms are budget, yield and evict.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -71,7 +71,7 @@
 	// compared with; the default is time.Now.
 	Wall func() time.Time
 	// Memory bounds the memory of all request bodies together; the default is 256 MiB.
-	Memory *membudget.Intake
+	Memory *membudget.RequestBudget
 	// Refused, if set, is called with the reason for each body that is refused for lack of
 	// memory.
 	Refused func(reason error)
@@ -82,7 +82,7 @@
 	wall    func() time.Time
 	clk     clock.Clock
 	// memory holds all request bodies.
-	memory  *membudget.Intake
+	memory  *membudget.RequestBudget
 	refused func(reason error)
 }
 
@@ -107,8 +107,8 @@
 }
 
 // NewBodyMemory returns memory of so many bytes for request bodies.
-func NewBodyMemory(total int64) *membudget.Intake {
-	return membudget.NewIntake(total, pieces.SlowAfter)
+func NewBodyMemory(total int64) *membudget.RequestBudget {
+	return membudget.NewRequestBudget(total, pieces.SlowAfter)
 }
 
 // MakeEndpoint adapts next to a go-kit endpoint.
@@ -183,7 +183,7 @@
 	defer interruptRead(ctx, w)()
 	body, err := pieces.Receive(req.Body, req.Size, request.MaxBodyBytes, memory, h.clk)
 	switch {
-	case errors.Is(err, pieces.ErrNoMemory), errors.Is(err, pieces.ErrGaveWay):
+	case errors.Is(err, pieces.ErrNoMemory), errors.Is(err, pieces.ErrEvicted):
 		return memory.Release, h.refuse(w, err)
 	case errors.Is(err, pieces.ErrTooLarge):
 		return memory.Release, verdict.New(verdict.CodeTooLarge, verdict.NotRun, "request body exceeds %d bytes", request.MaxBodyBytes)
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -272,7 +272,7 @@
 }
 
 // Guards against an incomplete body that keeps its memory while a complete one finds none, and
-// against one that gives way and is executed, or whose caller does not learn that it was not.
+// against one that yields and is executed, or whose caller does not learn that it was not.
 func TestIncompleteBodyGivesWay(t *testing.T) {
 	g := NewWithT(t)
 	memory := frontend.NewBodyMemory(1 << 20)
@@ -296,10 +296,10 @@
 	_ = resp.Body.Close()
 	resp, err = http.ReadResponse(bufio.NewReader(conn), nil)
 	g.Expect(err).NotTo(HaveOccurred())
-	expectError(g, resp, verdict.CodeOverload, verdict.NotRun, "gave way")
+	expectError(g, resp, verdict.CodeOverload, verdict.NotRun, "yielded")
 	g.Expect(resp.Close).To(BeTrue())
 	_ = resp.Body.Close()
-	g.Expect(refused).To(MatchError(pieces.ErrGaveWay))
+	g.Expect(refused).To(MatchError(pieces.ErrEvicted))
 	g.Expect(runs.Load()).To(BeEquivalentTo(1))
 	g.Eventually(memory.Used).Should(BeZero())
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -250,7 +250,7 @@
 		budget: newRetryBudget(clk, g.active), hedges: hedge.New(settings.HedgeShare), log: newRequestLog(clk), metrics: metrics,
 	}
 	g.callers = httpserver.New(g.ingress.handle, g.limits)
-	requests := membudget.NewIntake(memoryShare(settings.MemoryBytes, requestMemoryShare), pieces.SlowAfter)
+	requests := membudget.NewRequestBudget(memoryShare(settings.MemoryBytes, requestMemoryShare), pieces.SlowAfter)
 	metrics.RegisterFunc("request_memory_bytes", func() float64 { return float64(requests.Used()) })
 	g.callers.SetMemory(requests)
 	g.upstream.SetMakeRoom(g.callers.CloseSlowReader)
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -99,7 +99,7 @@
 	// onRefusal, if set, returns the response to a refused request.
 	onRefusal func(*http.Request, Refusal) *Response
 	// memory is what connections and requests hold until their handlers return.
-	memory *membudget.Intake
+	memory *membudget.RequestBudget
 	// clk is monotonic: the time of day may jump.
 	clk clock.Clock
 	// failedUntil is the time by clk until which the server counts as not accepting; zero
@@ -117,7 +117,7 @@
 // New returns a server. It calls limits for each request, so that the limits can
 // change.
 func New(handler Handler, limits func() Limits) *Server {
-	unlimited := membudget.NewIntake(math.MaxInt64, pieces.SlowAfter)
+	unlimited := membudget.NewRequestBudget(math.MaxInt64, pieces.SlowAfter)
 	return &Server{handler: handler, limits: limits, memory: unlimited, clk: clock.BootTime{}, conns: make(map[*conn]bool), stopped: make(chan struct{})}
 }
 
@@ -127,7 +127,7 @@
 
 // SetMemory bounds the memory that connections and requests hold together. It must be set
 // before Serve.
-func (s *Server) SetMemory(memory *membudget.Intake) { s.memory = memory }
+func (s *Server) SetMemory(memory *membudget.RequestBudget) { s.memory = memory }
 
 // OnRefusal sets a function that returns the response to a request that the server refuses
 // itself with a Refusal; its head is empty if it was not read. It must be set before Serve.
--- a/internal/httpserver/memory_test.go
+++ b/internal/httpserver/memory_test.go
@@ -23,8 +23,8 @@
 
 // serveWithMemory starts a server with so much memory whose handler returns the length of the
 // body, counts its requests, and takes as long as the query says.
-func serveWithMemory(t *testing.T, total int64) (*membudget.Intake, *atomic.Int32, string) {
-	memory, runs := membudget.NewIntake(total, pieces.SlowAfter), new(atomic.Int32)
+func serveWithMemory(t *testing.T, total int64) (*membudget.RequestBudget, *atomic.Int32, string) {
+	memory, runs := membudget.NewRequestBudget(total, pieces.SlowAfter), new(atomic.Int32)
 	s := httpserver.New(func(_ context.Context, r *httpserver.Request) *httpserver.Response {
 		runs.Add(1)
 		if d, err := time.ParseDuration(r.URL.RawQuery); err == nil {
@@ -49,7 +49,7 @@
 }
 
 // Guards against incomplete requests that keep their memory while an ordinary one finds none,
-// against one that gives way and runs, or whose caller learns nothing, and against memory that
+// against one that yields and runs, or whose caller learns nothing, and against memory that
 // is not returned.
 func TestIncompleteRequestGivesWay(t *testing.T) {
 	for name, incomplete := range map[string]string{
--- a/internal/httpserver/read.go
+++ b/internal/httpserver/read.go
@@ -20,8 +20,8 @@
 var (
 	// NoMemory is for a request for which there is no room.
 	NoMemory = Refusal{http.StatusServiceUnavailable, "no-memory"}
-	// GaveWay is for a request that was told to give way before it was complete.
-	GaveWay = Refusal{http.StatusServiceUnavailable, "gave-way"}
+	// Evicted is for a request that was told to yield before it was complete.
+	Evicted = Refusal{http.StatusServiceUnavailable, "evicted"}
 	// BodyTooLarge is for a body over Limits.BodyBytes.
 	BodyTooLarge = Refusal{http.StatusRequestEntityTooLarge, "body-too-large"}
 )
@@ -61,7 +61,7 @@
 		memory.Complete()
 		return &Request{Request: hr}, memory, nil // the body of a request that does not run is not read
 	case memory.Yielding():
-		return nil, memory, c.refuse(hr, GaveWay)
+		return nil, memory, c.refuse(hr, Evicted)
 	case c.noHeadMemory:
 		return nil, memory, c.refuse(hr, NoMemory)
 	case status != 0:
@@ -70,7 +70,7 @@
 	r := &Request{Request: hr}
 	if hr.ContentLength == 0 {
 		if !memory.Complete() {
-			return nil, memory, c.refuse(hr, GaveWay)
+			return nil, memory, c.refuse(hr, Evicted)
 		}
 		return r, memory, nil
 	}
@@ -103,7 +103,7 @@
 	c.limited.N = 1 << 62
 	_ = c.SetReadDeadline(time.Now().Add(bodyTimeout))
 	if memory.Yielding() { // the deadline above may have replaced that of yield
-		return c.refuse(r.Request, GaveWay)
+		return c.refuse(r.Request, Evicted)
 	}
 	var err error
 	r.Content, err = pieces.Receive(r.Body, r.ContentLength, limits.BodyBytes, memory, c.server.clk)
@@ -112,8 +112,8 @@
 		return c.refuse(r.Request, BodyTooLarge)
 	case errors.Is(err, pieces.ErrNoMemory):
 		return c.refuse(r.Request, NoMemory)
-	case errors.Is(err, pieces.ErrGaveWay):
-		return c.refuse(r.Request, GaveWay)
+	case errors.Is(err, pieces.ErrEvicted):
+		return c.refuse(r.Request, Evicted)
 	case err != nil:
 		return &Response{Status: http.StatusBadRequest}
 	}
--- a/internal/httpserver/slowreader.go
+++ b/internal/httpserver/slowreader.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// slowReadAfter is the time after which a response that its caller has not read gives way to
+// slowReadAfter is the time after which a response that its caller has not read yields to
 // other responses. Callers on a link of 10 Mbit/s read 1 MiB in it.
 const slowReadAfter = time.Second
 
--- a/internal/membudget/intake.go
+++ b/internal/membudget/requestbudget.go
@@ -5,13 +5,13 @@
 	"time"
 )
 
-// Intake is the memory that the requests of callers hold together. It is made for many
+// RequestBudget is the memory that the requests of callers hold together. It is made for many
 // callers that send large bodies at once, and of which most stop before the end and keep
-// their connections open. While a request is received it gives way to others: first those
+// their connections open. While a request is received it yields to others: first those
 // that are slow, then those that hold the most. A request that was received completely
 // keeps its memory. The reserve is left for small requests, so that these always find room.
 // It is safe for concurrent use.
-type Intake struct {
+type RequestBudget struct {
 	mu             sync.Mutex
 	total, reserve int64
 	slowAfter      time.Duration
@@ -20,14 +20,14 @@
 	// receivingPart that of receiving and yieldingPart that of yielding.
 	large, receivingPart, yieldingPart int64
 	// receiving holds the requests that are being received, yielding those that were told to
-	// give way and have not released their memory.
+	// yield and have not released their memory.
 	receiving, yielding map[*Upload]bool
 	changed             chan struct{} // closed when waiting requests are to try again; nil if none waits
 }
 
 const (
-	// reserveShare is the share of the intake that large and pipelined requests leave for
-	// small ones. On the smallest host (144 MB, intake of 76 MB) the rest holds the largest
+	// reserveShare is the share of the budget that large and pipelined requests leave for
+	// small ones. On the smallest host (144 MB, budget of 76 MB) the rest holds the largest
 	// body that callers may send (64 MiB).
 	reserveShare = 0.12
 	// SmallRequest is the largest request in bytes that may use the reserve: the largest head
@@ -35,25 +35,25 @@
 	SmallRequest = 40 << 10
 )
 
-// NewIntake returns an intake of total bytes. A request counts as slow if it has not grown for
+// NewRequestBudget returns a request budget of total bytes. A request counts as slow if it has not grown for
 // slowAfter.
-func NewIntake(total int64, slowAfter time.Duration) *Intake {
-	return &Intake{
+func NewRequestBudget(total int64, slowAfter time.Duration) *RequestBudget {
+	return &RequestBudget{
 		total: total, reserve: int64(reserveShare * float64(total)), slowAfter: slowAfter,
 		receiving: make(map[*Upload]bool), yielding: make(map[*Upload]bool),
 	}
 }
 
 // Used returns the number of bytes that are held.
-func (in *Intake) Used() int64 {
+func (in *RequestBudget) Used() int64 {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	return in.used
 }
 
-// Hold makes the intake hold n bytes more, whether there is room or not, or fewer if n is
+// Hold makes the budget hold n bytes more, whether there is room or not, or fewer if n is
 // negative. It is for what is bounded elsewhere.
-func (in *Intake) Hold(n int64) {
+func (in *RequestBudget) Hold(n int64) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.used += n
@@ -63,7 +63,7 @@
 }
 
 // wakeWaiting lets waiting requests try again. The caller holds the lock.
-func (in *Intake) wakeWaiting() {
+func (in *RequestBudget) wakeWaiting() {
 	if in.changed != nil {
 		close(in.changed)
 		in.changed = nil
@@ -72,7 +72,7 @@
 
 // Upload is the share of one request.
 type Upload struct {
-	intake    *Intake
+	budget    *RequestBudget
 	pipelined bool
 	held      int64
 	grownAt   time.Duration
@@ -81,8 +81,8 @@
 
 // Upload returns the share of a request, which holds nothing yet. A request that is pipelined
 // behind another of its connection may not use the reserve.
-func (in *Intake) Upload(pipelined bool, now time.Duration) *Upload {
-	return &Upload{intake: in, pipelined: pipelined, grownAt: now}
+func (in *RequestBudget) Upload(pipelined bool, now time.Duration) *Upload {
+	return &Upload{budget: in, pipelined: pipelined, grownAt: now}
 }
 
 // largePart returns how much of held bytes counts as large.
@@ -96,7 +96,7 @@
 // missing returns how many bytes must be released before u can hold n more, if the given
 // number of bytes is released anyway.
 func (u *Upload) missing(n, released int64) int64 {
-	in := u.intake
+	in := u.budget
 	lacking := in.used + n - in.total
 	if part := u.largePart(u.held + n); part > 0 {
 		lacking = max(lacking, in.large-u.largePart(u.held)+part-(in.total-in.reserve))
@@ -104,11 +104,11 @@
 	return lacking - released
 }
 
-// Grow makes the request hold n bytes more. If there is no room now but others give way, it
+// Grow makes the request hold n bytes more. If there is no room now but others yield, it
 // returns a channel that is closed when the request is to try again. If it returns neither,
 // the request is to be refused.
 func (u *Upload) Grow(n int64, now time.Duration) (ok bool, retry <-chan struct{}) {
-	in := u.intake
+	in := u.budget
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if in.yielding[u] {
@@ -129,9 +129,9 @@
 	return false, in.changed
 }
 
-// makeRoom tells requests to give way to u, which wants n bytes, until the missing bytes are
+// makeRoom tells requests to yield to u, which wants n bytes, until the missing bytes are
 // about to be released. It returns false, and tells none, if that is not enough.
-func (in *Intake) makeRoom(u *Upload, n, missing int64, now time.Duration) bool {
+func (in *RequestBudget) makeRoom(u *Upload, n, missing int64, now time.Duration) bool {
 	if in.isSlow(u, now) {
 		return false
 	}
@@ -160,27 +160,29 @@
 	return true
 }
 
-func (in *Intake) isSlow(u *Upload, now time.Duration) bool { return now-u.grownAt >= in.slowAfter }
+func (in *RequestBudget) isSlow(u *Upload, now time.Duration) bool {
+	return now-u.grownAt >= in.slowAfter
+}
 
-// before reports whether a gives way before b: slow requests first, then those that hold more.
-func (in *Intake) before(a, b *Upload, now time.Duration) bool {
+// before reports whether a yields before b: slow requests first, then those that hold more.
+func (in *RequestBudget) before(a, b *Upload, now time.Duration) bool {
 	if slow := in.isSlow(a, now); slow != in.isSlow(b, now) {
 		return slow
 	}
 	return a.held > b.held
 }
 
-// tellToYield tells a request that is being received to give way. The caller holds the lock.
-func (in *Intake) tellToYield(v *Upload) {
+// tellToYield tells a request that is being received to yield. The caller holds the lock.
+func (in *RequestBudget) tellToYield(v *Upload) {
 	in.yielding[v] = true
 	in.yieldingPart += v.held
 	v.yield()
 	in.wakeWaiting() // v may wait itself
 }
 
-// YieldSlow tells the request that has been slow for the longest time to give way. It returns
+// YieldSlow tells the request that has been slow for the longest time to yield. It returns
 // false if none is slow.
-func (in *Intake) YieldSlow(now time.Duration) bool {
+func (in *RequestBudget) YieldSlow(now time.Duration) bool {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	var slowest *Upload
@@ -197,52 +199,52 @@
 }
 
 // CouldHold reports whether there would be room for n bytes more if all other requests that
-// are being received gave way.
+// are being received yielded.
 func (u *Upload) CouldHold(n int64) bool {
-	u.intake.mu.Lock()
-	defer u.intake.mu.Unlock()
-	others := u.intake.receivingPart
-	if u.intake.receiving[u] {
+	u.budget.mu.Lock()
+	defer u.budget.mu.Unlock()
+	others := u.budget.receivingPart
+	if u.budget.receiving[u] {
 		others -= u.held
 	}
 	return u.missing(n, others) <= 0
 }
 
 // Receive says that the request is being received from now on. Until Complete the
-// request may be told to give way by yield, once; yield must not call the intake.
+// request may be told to yield by yield, once; yield must not call the budget.
 func (u *Upload) Receive(yield func()) {
-	u.intake.mu.Lock()
-	defer u.intake.mu.Unlock()
+	u.budget.mu.Lock()
+	defer u.budget.mu.Unlock()
 	u.yield = yield
-	u.intake.receiving[u] = true
-	u.intake.receivingPart += u.held
+	u.budget.receiving[u] = true
+	u.budget.receivingPart += u.held
 }
 
 // Complete says that the whole request was received. It returns false if the request gives
 // way: it must be refused.
 func (u *Upload) Complete() bool {
-	u.intake.mu.Lock()
-	defer u.intake.mu.Unlock()
+	u.budget.mu.Lock()
+	defer u.budget.mu.Unlock()
 	u.stopReceiving()
-	return !u.intake.yielding[u]
+	return !u.budget.yielding[u]
 }
 
-// Yielding reports whether the request was told to give way.
+// Yielding reports whether the request was told to yield.
 func (u *Upload) Yielding() bool {
-	u.intake.mu.Lock()
-	defer u.intake.mu.Unlock()
-	return u.intake.yielding[u]
+	u.budget.mu.Lock()
+	defer u.budget.mu.Unlock()
+	return u.budget.yielding[u]
 }
 
 func (u *Upload) stopReceiving() {
-	if u.intake.receiving[u] {
-		delete(u.intake.receiving, u)
-		u.intake.receivingPart -= u.held
+	if u.budget.receiving[u] {
+		delete(u.budget.receiving, u)
+		u.budget.receivingPart -= u.held
 	}
 }
 
 func (u *Upload) setHeld(held int64) {
-	in := u.intake
+	in := u.budget
 	in.used += held - u.held
 	in.large += u.largePart(held) - u.largePart(u.held)
 	if in.receiving[u] {
@@ -254,9 +256,9 @@
 	u.held = held
 }
 
-// Release returns all bytes of the request to the intake.
+// Release returns all bytes of the request to the budget.
 func (u *Upload) Release() {
-	in := u.intake
+	in := u.budget
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	u.stopReceiving()
--- a/internal/membudget/intake_test.go
+++ b/internal/membudget/requestbudget_test.go
@@ -13,8 +13,8 @@
 const slowAfter = time.Second
 
 // receive returns a request that is being received and holds n bytes. It releases them as soon
-// as it is told to give way, and counts that.
-func receive(g *WithT, in *membudget.Intake, n int64, now time.Duration, told *int) *membudget.Upload {
+// as it is told to yield, and counts that.
+func receive(g *WithT, in *membudget.RequestBudget, n int64, now time.Duration, told *int) *membudget.Upload {
 	u := in.Upload(false, now)
 	u.Receive(func() { *told++ })
 	ok, _ := u.Grow(n, now)
@@ -24,11 +24,11 @@
 
 // Load: callers that stop just short of the end of large bodies and keep their connections
 // open, until all memory is held. Guards against small requests that find no room, and against
-// requests that lose theirs although slower or larger ones could give way.
+// requests that lose theirs although slower or larger ones could yield.
 func TestIncompleteRequestsGiveWay(t *testing.T) {
 	g := NewWithT(t)
 	const mb = 1 << 20
-	in := membudget.NewIntake(10*mb, slowAfter)
+	in := membudget.NewRequestBudget(10*mb, slowAfter)
 	var fast, slow, small int
 	stalled := receive(g, in, 2*mb, 0, &slow)
 	now := 2 * slowAfter
@@ -51,7 +51,7 @@
 	g.Expect(ok).To(BeTrue())
 
 	ok, retry = large.Grow(4*mb, now)
-	g.Expect(ok || retry != nil).To(BeFalse(), "the one that holds the most makes no other give way")
+	g.Expect(ok || retry != nil).To(BeFalse(), "the one that holds the most makes no other yield")
 	g.Expect(in.YieldSlow(now)).To(BeFalse())
 	g.Expect(in.YieldSlow(now + slowAfter)).To(BeTrue())
 }
@@ -60,7 +60,7 @@
 // requests that are refused because of them, and against bodies that are read in vain.
 func TestReserveIsForSmallRequests(t *testing.T) {
 	g := NewWithT(t)
-	in := membudget.NewIntake(10<<20, slowAfter)
+	in := membudget.NewRequestBudget(10<<20, slowAfter)
 	for range 1000 {
 		u := in.Upload(false, 0)
 		u.Receive(func() {})
@@ -80,12 +80,12 @@
 	}
 }
 
-// Guards against requests that together hold more than the intake, against bytes that are not
-// returned, and against a request that waits although none is told to give way.
-func TestIntakeIsNeverExceeded(t *testing.T) {
+// Guards against requests that together hold more than the budget, against bytes that are not
+// returned, and against a request that waits although none is told to yield.
+func TestRequestBudgetIsNeverExceeded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const total = 1 << 20
-		in := membudget.NewIntake(total, slowAfter)
+		in := membudget.NewRequestBudget(total, slowAfter)
 		told := make(map[*membudget.Upload]bool)
 		var uploads []*membudget.Upload
 		now := time.Duration(0)
@@ -107,7 +107,7 @@
 				uploads = append(uploads[:i], uploads[i+1:]...)
 			case action == 2:
 				if u.Complete() == told[u] {
-					t.Fatalf("told to give way: %t", told[u])
+					t.Fatalf("told to yield: %t", told[u])
 				}
 			default:
 				ok, retry := u.Grow(rapid.Int64Range(1, 300<<10).Draw(t, "bytes"), now)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -38,10 +38,10 @@
 	LeadershipsGained Counter = "leaderships_gained"
 	LeadershipsLost   Counter = "leaderships_lost"
 	LogAppends        Counter = "log_appends"
-	// RefusedNoMemory and RefusedGaveWay count requests whose bodies are refused for lack of
+	// RefusedNoMemory and RefusedEvicted count requests whose bodies are refused for lack of
 	// memory: those that found no room, and those that were told to make room.
 	RefusedNoMemory Counter = "refused_no_memory"
-	RefusedGaveWay  Counter = "refused_gave_way"
+	RefusedEvicted  Counter = "refused_evicted"
 )
 
 const (
--- a/internal/pieces/pieces.go
+++ b/internal/pieces/pieces.go
@@ -21,7 +21,7 @@
 	// largestPiece bounds what a caller that stops sending has for nothing: with it, a body
 	// of 64 MiB has about 1,000 pieces, which one call to writev takes.
 	largestPiece = 64 << 10
-	// memoryWait bounds the time for which a request waits for others to give way. They do so
+	// memoryWait bounds the time for which a request waits for others to yield. They do so
 	// as soon as their goroutines run.
 	memoryWait = time.Second
 )
@@ -58,7 +58,7 @@
 var (
 	ErrTooLarge = errors.New("body is too large")
 	ErrNoMemory = errors.New("no memory for the body")
-	ErrGaveWay  = errors.New("body gave way to others")
+	ErrEvicted  = errors.New("body yielded to others")
 )
 
 // Receive reads a body into memory, which the caller has told that the request is being
@@ -67,7 +67,7 @@
 func Receive(r io.Reader, length, limit int64, memory *membudget.Upload, clk clock.Clock) (Body, error) {
 	body, err := receive(r, length, limit, memory, clk)
 	if !memory.Complete() {
-		return nil, ErrGaveWay
+		return nil, ErrEvicted
 	}
 	return body, err
 }
@@ -111,7 +111,7 @@
 	return n, err
 }
 
-// Grow makes a request hold n bytes more, and waits for others that give way to it. It returns
+// Grow makes a request hold n bytes more, and waits for others that yield to it. It returns
 // false if there is no room.
 func Grow(memory *membudget.Upload, n int64, clk clock.Clock) bool {
 	var timeout <-chan time.Time
--- a/internal/router/memory.go
+++ b/internal/router/memory.go
@@ -33,7 +33,7 @@
 }
 
 // bodyMemory returns the memory for request bodies on a host with so much memory.
-func bodyMemory(hostMB int) *membudget.Intake {
+func bodyMemory(hostMB int) *membudget.RequestBudget {
 	if hostMB == 0 {
 		return frontend.NewBodyMemory(defaultBodyMemoryMB << 20)
 	}
@@ -45,8 +45,8 @@
 	limiter, clk := &logging.Limiter{PerSecond: refusalLinesPerSecond}, clock.NewMonotonic()
 	return func(reason error) {
 		counter := metrics.RefusedNoMemory
-		if errors.Is(reason, pieces.ErrGaveWay) {
-			counter = metrics.RefusedGaveWay
+		if errors.Is(reason, pieces.ErrEvicted) {
+			counter = metrics.RefusedEvicted
 		}
 		set.Count(counter, 1)
 		if ok, omitted := limiter.Allow(clk.Now()); ok {
