Play cold servers with the draws of the first random test again

When the rule for cold servers changed, its random test was narrowed to restarts of a second or more, without late messages and without idle servers.

--- a/internal/schedule/warmup_property_test.go
+++ b/internal/schedule/warmup_property_test.go
@@ -340,6 +340,39 @@
 	})
 }
 
+// Guards against the same with restarts of a quarter of a second or more at any moment, late
+// messages, and servers that are idle or get a burst right after the start.
+func TestColdServerAtAnyMoment(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		loads := []float64{0, 2, 8, 25, 60}
+		w := newColdWorld(rapid.Uint64().Draw(rt, "seed"))
+		w.slots = rapid.SampledFrom([]int{2, 4}).Draw(rt, "slots")
+		w.register()
+		w.work = rapid.SampledFrom([]time.Duration{50 * ms, 100 * ms, 220 * ms}).Draw(rt, "work")
+		w.load = rapid.SampledFrom(loads).Draw(rt, "load before")
+		w.lossRate = rapid.SampledFrom([]float64{0, 0.05}).Draw(rt, "loss")
+		w.run(time.Duration(rapid.IntRange(0, 3000).Draw(rt, "before")) * ms)
+		for range rapid.IntRange(1, 6).Draw(rt, "events") {
+			switch rapid.IntRange(0, 3).Draw(rt, "event") {
+			case 0, 1:
+				w.restart(time.Duration(rapid.IntRange(250, 1200).Draw(rt, "down")) * ms)
+			case 2:
+				if len(w.senders) == 1 {
+					w.replaceLeader(time.Duration(rapid.IntRange(1200, 2500).Draw(rt, "until the next leader"))*ms, rapid.Float64Range(0, 0.5).Draw(rt, "follow"))
+				}
+			case 3:
+				if len(w.cut) == 0 {
+					w.cutHosts(24, 1.0/3, false)
+				}
+			}
+			w.load = rapid.SampledFrom(loads).Draw(rt, "load")
+			w.run(time.Duration(rapid.IntRange(0, 4000).Draw(rt, "then")) * ms)
+		}
+		w.run(2 * time.Second)
+		NewWithT(rt).Expect(w.most()).To(BeNumerically("<=", 13))
+	})
+}
+
 // Guards against a server that starts again while it gets few requests or none, so that no
 // exchange shows it, and that is sent more than it tolerates as soon as it is back.
 func TestIdleServerThatStartsAgain(t *testing.T) {
