Reject a response that a reset ends while its request is written

Cause: the request and the response of an exchange are written and read at the same time. A socket reports a reset once. If the write of a long request takes it, the read sees an orderly end of the connection, and readBody took that for the end of a body without a length. A server that closes with the request unread causes the same reset.

Callers saw the part of a body that had arrived, or none, as a complete response with any status. The test "without length, reset" of TestFaults has no body in its request, so it passed.

Change: a body that only the end of the connection completes is accepted once the whole request was written without an error. Why this holds: a reset reaches the write, which then fails, or the read, which then fails; once the write has succeeded, only the read is left to take it. A body with a length or in chunks shows its end itself and doesn't wait.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -3,7 +3,8 @@
 // because http.Transport retries some requests by itself.
 //
 // Guarantees: a request is written at most once. A response is returned only if
-// it is complete and has the id of the request. A connection is reused only after
+// it is complete and has the id of the request; one that only the end of its connection
+// completes, only if the whole request was written. A connection is reused only after
 // a complete exchange without unread bytes, and never for the same request. What a
 // server sends without end is cut: a head at a fixed size, a body when the memory that
 // all exchanges share is used up.
@@ -127,9 +128,13 @@
 	maxResponses = 3
 	// While a response waits for others to give up their memory, it tries again at this
 	// interval, and so many times: 100 ms, a fifth of the strictest objective for latency.
-	roomInterval   = 5 * time.Millisecond
-	roomTries      = 20
-	readBufferSize = 4 << 10
+	roomInterval = 5 * time.Millisecond
+	roomTries    = 20
+	// halfClosedTimeout is the time after which a server that has ended its response with its
+	// side of the connection counts as not reading the rest of the request: half of the
+	// strictest objective for latency.
+	halfClosedTimeout = 250 * time.Millisecond
+	readBufferSize    = 4 << 10
 )
 
 // Client sends requests to servers and keeps idle connections for reuse. It is
@@ -296,21 +301,16 @@
 		}
 		return Outcome{Result: schedule.ConnectFailed, NotRun: true, Cause: err}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, func() { interrupt(cn) })
 	head := c.encodeHead(server, deadline, r)
-	written := make(chan writeResult, 1)
+	write := &requestWrite{conn: cn, done: make(chan struct{})}
 	if r.Body.Len() <= readBufferSize {
-		n, err := cn.Write(append(head, r.Body.Bytes()...))
-		written <- writeResult{n: n, err: err}
+		write.run(ctx, net.Buffers{append(head, r.Body.Bytes()...)})
 	} else {
 		// A server may respond before it has read a long body.
-		go func() {
-			bufs := append(net.Buffers{head}, r.Body...)
-			n, err := bufs.WriteTo(cn.Conn)
-			written <- writeResult{n: int(n), err: err}
-		}()
+		go write.run(ctx, append(net.Buffers{head}, r.Body...))
 	}
-	outcome, idleTimeout := c.readResponse(ctx, cn, r, written)
+	outcome, idleTimeout := c.readResponse(ctx, cn, r, write)
 	interrupted := !stop()
 	if idleTimeout <= 0 || interrupted || cn.br.Buffered() > 0 {
 		reset(cn.Conn)
@@ -324,12 +324,8 @@
 	return outcome
 }
 
-// writeResult holds the number of bytes of a request that the connection accepted, and
-// the error of the write.
-type writeResult struct {
-	n   int
-	err error
-}
+// interrupt makes all blocked and later reads and writes fail.
+func interrupt(nc net.Conn) { _ = nc.SetDeadline(time.Unix(1, 0)) }
 
 // reset closes a connection with a TCP reset, so that unsent bytes of the request
 // do not reach the server.
@@ -381,18 +377,14 @@
 
 // readResponse reads the response to r and returns the idle timeout of the
 // connection, which is zero if the connection must not be reused.
-func (c *Client) readResponse(ctx context.Context, cn *conn, r *Request, written chan writeResult) (Outcome, time.Duration) {
+func (c *Client) readResponse(ctx context.Context, cn *conn, r *Request, write *requestWrite) (Outcome, time.Duration) {
 	fail := func(err error) (Outcome, time.Duration) {
 		outcome := Outcome{Result: schedule.Broken, Cause: err}
 		if ctx.Err() != nil {
 			outcome.Result = contextResult(ctx)
 		}
-		select {
-		case w := <-written:
-			// The request has not run if the connection accepted no byte of it.
-			outcome.NotRun = w.err != nil && w.n == 0
-		default:
-		}
+		// The request has not run if the connection accepted no byte of it.
+		outcome.NotRun = write.ended() && write.err != nil && write.n == 0
 		return outcome, 0
 	}
 	method := &http.Request{Method: r.Method}
@@ -415,6 +407,9 @@
 		}
 		memory := c.memory.Holder()
 		body, err := c.readBody(resp, memory)
+		if err == nil && endsWithConnection(resp) {
+			err = checkEnd(ctx, write)
+		}
 		if err != nil {
 			memory.Release()
 			return fail(err)
@@ -432,7 +427,7 @@
 		} else {
 			outcome.Response.Body, outcome.Response.memory = body, memory
 		}
-		return outcome, c.idleTimeout(resp, written)
+		return outcome, c.idleTimeout(resp, write)
 	}
 	return fail(errors.New("too many interim responses or responses to other requests"))
 }
@@ -480,6 +475,23 @@
 
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
 
+// endsWithConnection reports whether the body of a response has no length and ends with
+// its connection.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// checkEnd returns an error unless the end of the connection, which was read, completes a
+// response. A socket reports a reset once: if the write of the request takes it, the read
+// sees an orderly end. So the end proves nothing until the request is written without an
+// error.
+func checkEnd(ctx context.Context, write *requestWrite) error {
+	if err := write.await(ctx); err != nil {
+		return fmt.Errorf("connection ended before the request was written: %w", err)
+	}
+	return nil
+}
+
 // errNoMemory is returned for a response that the budget has no room for.
 var errNoMemory = errors.New("response body is larger than the memory that is free")
 
@@ -582,13 +594,8 @@
 
 // idleTimeout returns the time for which the connection may stay idle, zero if it
 // must not be reused.
-func (c *Client) idleTimeout(resp *http.Response, written chan writeResult) time.Duration {
-	select {
-	case w := <-written:
-		if w.err != nil {
-			return 0
-		}
-	default:
+func (c *Client) idleTimeout(resp *http.Response, write *requestWrite) time.Duration {
+	if !write.ended() || write.err != nil {
 		return 0 // the request is not completely written
 	}
 	if resp.Close || (resp.ContentLength < 0 && len(resp.TransferEncoding) == 0) {
