Check the heads of all responses in the readers below their buffers

The package statusline is httpresponse now: Reader is a bufio.Reader whose source is checked, and takes the place of Await, which looked only at what the buffer holds at once. Transport checks with the same reader. A connection that was rejected returns that error, also where the parser would take the line it ends for a whole one.

TestStatusLinesInPieces checks Reader where it checked Await, and that the error is the one of the status code: before, any error would do. It failed (malformed code "") until Reader returned the error of its source.

--- a/internal/statusline/statusline_test.go
+++ b/internal/httpresponse/reader_test.go
@@ -1,7 +1,7 @@
-package statusline
+package httpresponse
 
 import (
-	"bufio"
+	"errors"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -37,8 +37,12 @@
 			NewWithT(t).Expect(err != nil).To(Equal(rest != ""), "%q in pieces of %d: %v", text, size, err)
 		}
 		if !strings.HasPrefix(text, "HTTP/1.1 10") {
-			err := Await(bufio.NewReader(iotest.OneByteReader(strings.NewReader(text))))
-			NewWithT(t).Expect(err != nil).To(Equal(rest != ""), "%q: %v", text, err)
+			r := NewReader(iotest.OneByteReader(strings.NewReader(text)), 16)
+			resp, err := r.ReadResponse(nil)
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+			NewWithT(t).Expect(errors.Is(err, ErrStatusCode)).To(Equal(rest != ""), "%q: %v", text, err)
 		}
 	}
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -11,7 +11,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -25,10 +24,10 @@
 	"sync"
 	"time"
 
+	"github.com/lycheerudder/lycheerudder/internal/httpresponse"
 	"github.com/lycheerudder/lycheerudder/internal/membudget"
 	"github.com/lycheerudder/lycheerudder/internal/pieces"
 	"github.com/lycheerudder/lycheerudder/internal/schedule"
-	"github.com/lycheerudder/lycheerudder/internal/statusline"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
 
@@ -155,9 +154,9 @@
 
 type conn struct {
 	net.Conn
-	limited *io.LimitedReader // reads from Conn
-	br      *bufio.Reader     // reads from limited
-	expires time.Time         // end of reuse: the server may close the idle connection later
+	limited *io.LimitedReader    // reads from Conn
+	br      *httpresponse.Reader // reads from limited
+	expires time.Time            // end of reuse: the server may close the idle connection later
 }
 
 // New returns a client that opens TCP connections. The bodies of responses that are
@@ -194,7 +193,7 @@
 		return nil, false, err
 	}
 	limited := &io.LimitedReader{R: nc}
-	return &conn{Conn: nc, limited: limited, br: bufio.NewReaderSize(limited, readBufferSize)}, false, nil
+	return &conn{Conn: nc, limited: limited, br: httpresponse.NewReader(limited, readBufferSize)}, false, nil
 }
 
 // takeIdle removes the idle connection to address that was used last and is not in
@@ -390,7 +389,7 @@
 	method := &http.Request{Method: r.Method}
 	for range maxResponses {
 		cn.limited.N = maxHeadBytes
-		resp, err := readHead(cn.br, method)
+		resp, err := cn.br.ReadResponse(method)
 		if err != nil {
 			if cn.limited.N <= 0 {
 				err = errors.New("response head is too large")
@@ -432,14 +431,6 @@
 	return fail(errors.New("too many interim responses or responses to other requests"))
 }
 
-// readHead reads the head of a response once its status code is known to be valid.
-func readHead(br *bufio.Reader, r *http.Request) (*http.Response, error) {
-	if err := statusline.Await(br); err != nil {
-		return nil, err
-	}
-	return http.ReadResponse(br, r)
-}
-
 // checkHead returns an error if the head of a response contains another status line. A
 // server that breaks off in a head and then writes the next response on the connection
 // leaves one head with the fields of both.
