Reject responses with an invalid field name at once

Cause: the parser of the standard library accepts blanks in names of fields, and keeps such names as they are. "Content-Length : 2" isn't the length then, and the body seems to have none. A line that begins with a blank is taken for more of the value before it.

Callers saw the line passed on with the response. Where it was the one that states the length or the encoding, the request waited until its deadline while the connection stayed open, and was answered with another body once it closed: chunk sizes and all, or what followed on the connection.

A name after a body in chunks is checked when it was parsed; the connection of the store is closed then, as it may be in its pool already. Lines that begin with a blank are rejected, which RFC 9112, section 5.2, leaves to a gateway. Why it works: what the parser gets has no name that it could take for another one.

--- a/internal/httpresponse/reader.go
+++ b/internal/httpresponse/reader.go
@@ -1,7 +1,10 @@
 // Package httpresponse reads HTTP/1.1 responses more strictly than the standard library, and
-// rejects broken ones as soon as the bytes that show it have arrived. The standard library
-// accepts any three characters that form a number as a status code: it takes 199 for an
-// interim response and waits for the next one, and returns 099, 999 and +20 to the caller.
+// rejects broken ones as soon as the bytes that show it have arrived.
+//
+// The standard library accepts any three characters that form a number as a status code: it
+// takes 199 for an interim response and waits for the next one, and returns 099, 999 and +20
+// to the caller. It also accepts blanks in names of fields and keeps such names as they are,
+// so a length with the name "Content-Length " is not the length of the body.
 package httpresponse
 
 import (
@@ -25,7 +28,8 @@
 
 // ReadResponse reads the next response to a request, or an interim one, like
 // http.ReadResponse. It returns an error if the head is broken, and doesn't wait for the
-// rest of such a head. After an error, the connection must not be used again.
+// rest of such a head; the body ends with an error if the fields after it are broken. After
+// an error, the connection must not be used again.
 func (r *Reader) ReadResponse(req *http.Request) (*http.Response, error) {
 	r.checked.scanner.expect()
 	// What was read together with the response before has not been checked.
@@ -40,7 +44,11 @@
 	if r.checked.err != nil { // the parser takes a line that ends with an error for a whole one
 		return nil, r.checked.err
 	}
-	return resp, err
+	if err != nil {
+		return nil, err
+	}
+	checkTrailer(resp, nil)
+	return resp, nil
 }
 
 // checkedReader returns the bytes of r up to one that its scanner rejects, and after them
--- a/internal/httpresponse/scanner.go
+++ b/internal/httpresponse/scanner.go
@@ -5,12 +5,10 @@
 // scanner checks the head of one response and those of the interim ones before it in the
 // bytes of a connection.
 type scanner struct {
-	mu    sync.Mutex
-	state scannerState
-	line  []byte // beginning of the response, in state inStatusLine
-	// emptyLine is true if no byte but a carriage return follows the last line feed, in
-	// state inInterimHead.
-	emptyLine bool
+	mu      sync.Mutex
+	state   scannerState
+	line    []byte // beginning of the response, in state inStatusLine
+	interim bool   // the head is that of an interim response
 }
 
 type scannerState uint8
@@ -18,47 +16,89 @@
 const (
 	inRest scannerState = iota // nothing is checked
 	inStatusLine
-	inInterimHead
+	inLine      // the rest of a status line, or the value of a field
+	inLineStart // the first byte of the line of a field, or of the end of the head
+	inHeadEnd   // after the carriage return of an empty line
+	inFieldName // after the first byte of a name
 )
 
 // expect says that the next byte is the first one of a response.
 func (s *scanner) expect() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.state, s.line = inStatusLine, s.line[:0]
+	s.expectStatusLine()
 }
 
+func (s *scanner) expectStatusLine() { s.state, s.line = inStatusLine, s.line[:0] }
+
 // scan checks the next bytes of the connection. If they are broken, it returns an error
 // and the number of bytes before the one that shows it.
 func (s *scanner) scan(data []byte) (int, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i, b := range data {
-		switch s.state {
-		case inRest:
-			return len(data), nil
-		case inStatusLine:
-			s.line = append(s.line, b)
-			code, done, err := parseStatusLine(s.line)
-			if err != nil {
-				return i, err
-			}
-			if done {
-				s.state, s.emptyLine = inRest, b == '\n'
-				if isInterim(code) {
-					s.state = inInterimHead
-				}
-			}
-		case inInterimHead:
-			switch {
-			case b == '\n' && s.emptyLine:
-				s.state, s.line = inStatusLine, s.line[:0]
-			case b == '\n':
-				s.emptyLine = true
-			case b != '\r':
-				s.emptyLine = false
-			}
+		if s.state == inRest {
+			break
+		}
+		if err := s.scanByte(b); err != nil {
+			return i, err
 		}
 	}
 	return len(data), nil
 }
+
+func (s *scanner) scanByte(b byte) error {
+	switch s.state {
+	case inStatusLine:
+		return s.scanStatusLine(b)
+	case inLine:
+		if b == '\n' {
+			s.state = inLineStart
+		}
+	case inLineStart:
+		switch b {
+		case '\r':
+			s.state = inHeadEnd
+		case '\n':
+			s.endHead()
+		default:
+			s.state = inFieldName
+			return checkFieldNameByte(b)
+		}
+	case inHeadEnd:
+		if b != '\n' {
+			return errFieldNameByte('\r')
+		}
+		s.endHead()
+	case inFieldName:
+		if b != ':' {
+			return checkFieldNameByte(b)
+		}
+		s.state = inLine
+	}
+	return nil
+}
+
+func (s *scanner) scanStatusLine(b byte) error {
+	s.line = append(s.line, b)
+	code, done, err := parseStatusLine(s.line)
+	switch {
+	case err != nil || !done:
+		return err
+	case code == nil: // the parser of the head rejects it
+		s.state = inRest
+	case b == '\n':
+		s.state = inLineStart
+	default:
+		s.state = inLine
+	}
+	s.interim = isInterim(code)
+	return nil
+}
+
+func (s *scanner) endHead() {
+	s.state = inRest
+	if s.interim {
+		s.expectStatusLine()
+	}
+}
--- a/internal/httpresponse/transport.go
+++ b/internal/httpresponse/transport.go
@@ -10,7 +10,8 @@
 
 // Transport returns a RoundTripper that carries out requests with t, without HTTP/2 and
 // TLS, and fails those whose response has a broken head. The connection of such a
-// response is closed before t can use it again. It replaces the DialContext of t.
+// response is closed before t can use it again. The body ends with an error if the fields
+// after it are broken. Transport replaces the DialContext of t.
 func Transport(t *http.Transport) http.RoundTripper {
 	dial := t.DialContext
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -27,8 +28,10 @@
 
 func (t transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	// A connection gets a request only once the response to the one before is complete.
+	var nc net.Conn
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*conn); ok {
+		nc = info.Conn
+		if c, ok := nc.(*conn); ok {
 			c.checked.scanner.expect()
 		}
 	}}
@@ -42,6 +45,7 @@
 		_ = resp.Body.Close()
 		return nil, err
 	}
+	checkTrailer(resp, func() { _ = nc.Close() })
 	return resp, nil
 }
 
