Reject responses with broken heads from servers of lyrouter

Cause: internal/exchange read responses with http.ReadResponse alone.

Callers of lyrouter waited until the deadline for 000, +20, 199 and for a head that stops after a broken line, and got 600, 999 and responses with broken names, with a folded line, or with chunk sizes as part of the body where a length stood beside "Transfer-Encoding :".

The test comes first: 15 of 17 new rows of exchange: TestFaults failed before, each run by itself: five ended with the deadline, eight were passed on, and two were rejected for their missing length with the verdict ran. Two passed: a control byte in a name, and a response without a length that a reset ends while a long request is written: responses without a length are always rejected here.

Change: the connection has an httpresponse.Reader, which rejects such a response when the byte that shows it arrives. The request may have run then. All rows pass, each followed by an exchange that gets its own response.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -25,7 +25,7 @@
 	maxMessage       = 1 << 10 // bytes of a refusal's body that are copied into the error
 )
 
-// headRequest makes http.ReadResponse parse a response without a body.
+// headRequest makes ReadResponse parse a response without a body.
 var headRequest = &http.Request{Method: http.MethodHead}
 
 // exchange is one request on one connection.
@@ -73,7 +73,7 @@
 		hreq = headRequest
 	}
 	for range maxHeads {
-		resp, err := http.ReadResponse(e.conn.br, hreq)
+		resp, err := e.conn.br.ReadResponse(hreq)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -142,6 +142,24 @@
 	{name: "partial head, cancel", fault: cancelAfter(true, "Content-Le"), code: cancelled, verdict: mayHaveRun},
 	{name: "head over the limit", fault: respondWith(false, "X: ", strings.Repeat("x", 20<<10), "\r\n\r\n"), code: failed, verdict: mayHaveRun},
 	{name: "not HTTP", fault: func(s *serverConn) { s.readRequest(); s.send("hello\r\n\r\n") }, code: failed, verdict: mayHaveRun},
+	{name: "invalid status, head open", fault: func(s *serverConn) { s.readRequest(); s.send("HTTP/1.1 000 Zero\r\nX-Note: a\r\n") }, code: failed, verdict: mayHaveRun},
+	{name: "status 000", fault: replaceInHead("200 OK", "000 Zero"), code: failed, verdict: mayHaveRun},
+	{name: "status +20", fault: replaceInHead("200 OK", "+20 Sign"), code: failed, verdict: mayHaveRun},
+	{name: "status 199", fault: replaceInHead("200 OK", "199 Misc"), code: failed, verdict: mayHaveRun},
+	{name: "status 600", fault: replaceInHead("200 OK", "600 High"), code: failed, verdict: mayHaveRun},
+	{name: "status 999", fault: replaceInHead("200 OK", "999 High"), code: failed, verdict: mayHaveRun},
+	{name: "invalid field name, head open", fault: respondWith(true, "X-Note : a\r\n"), code: failed, verdict: mayHaveRun},
+	{name: "blank in a field name", fault: respondWith(true, "X Note: a\r\nContent-Length: 2\r\n\r\nok"), code: failed, verdict: mayHaveRun},
+	{name: "blank before a colon", fault: respondWith(true, "X-Note : a\r\nContent-Length: 2\r\n\r\nok"), code: failed, verdict: mayHaveRun},
+	{name: "blank in the name of the length", fault: respondWith(true, "Content-Length : 2\r\n\r\nok"), code: failed, verdict: mayHaveRun},
+	{name: "blank in the name of the encoding, closed", fault: respondWith(false, "Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"), code: failed, verdict: mayHaveRun},
+	{name: "blank in the name of the encoding beside a length", fault: respondWith(true, "Content-Length: 12\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"), code: failed, verdict: mayHaveRun},
+	{name: "folded line", fault: respondWith(true, "X-Note: a\r\n b\r\nContent-Length: 2\r\n\r\nok"), code: failed, verdict: mayHaveRun},
+	{name: "control byte in a field name", fault: respondWith(true, "X-\x01Note: a\r\nContent-Length: 2\r\n\r\nok"), code: failed, verdict: mayHaveRun},
+	{name: "blank in a field name of an interim response", fault: func(s *serverConn) {
+		_, head := s.readRequest()
+		s.send("HTTP/1.1 103 Early Hints\r\nX Note: a\r\n\r\n", head, "Content-Length: 2\r\n\r\nok")
+	}, code: failed, verdict: mayHaveRun},
 	{name: "only interim responses", fault: func(s *serverConn) { s.readRequest(); s.send(strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 9)) }, code: failed, verdict: mayHaveRun},
 	{name: "interim response first", fault: func(s *serverConn) {
 		_, head := s.readRequest()
@@ -171,6 +189,12 @@
 	{name: "over 8 MiB, with length", fault: respondWith(false, "Content-Length: 8388609\r\n\r\nok"), code: broken, verdict: ran},
 	{name: "over 8 MiB, chunked", fault: respondWith(false, "Transfer-Encoding: chunked\r\n\r\n", strings.Repeat("100000\r\n"+strings.Repeat("x", 1<<20)+"\r\n", 9), "0\r\n\r\n"), code: broken, verdict: ran, inBody: true},
 	{name: "exactly 8 MiB, chunked", fault: respondWith(true, "Transfer-Encoding: chunked\r\n\r\n", strings.Repeat("100000\r\n"+strings.Repeat("x", 1<<20)+"\r\n", 8), "0\r\n\r\n"), reused: true},
+	{name: "blank in a field name after the body", fault: respondWith(true, "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Note: a\r\n\r\n"), code: broken, verdict: ran, inBody: true},
+	{name: "without length, reset while a long request is written", size: 1 << 20, fault: func(s *serverConn) {
+		r, _ := http.ReadRequest(s.br)
+		s.send("HTTP/1.1 200 OK\r\nLyr-Verdict: ran\r\nLyr-Exchange: ", r.Header.Get(serverapi.HeaderExchange), "\r\n\r\npart")
+		_ = s.Close()
+	}, code: broken, verdict: ran},
 	{name: "body stalls, deadline", fault: stallAfter(true, "Content-Length: 9\r\n\r\nok"), code: deadline, verdict: ran, inBody: true},
 	{name: "body stalls, cancel", fault: cancelAfter(true, "Content-Length: 9\r\n\r\nok"), code: cancelled, verdict: ran, inBody: true},
 }
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -13,17 +13,21 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/lycheerudder/lycheerudder/internal/httpresponse"
 	"github.com/lycheerudder/lycheerudder/internal/request"
 )
 
-const idleTimeout = 60 * time.Second
+const (
+	idleTimeout    = 60 * time.Second
+	readBufferSize = 4 << 10
+)
 
 var errHeadTooLarge = errors.New("head of the response is too large")
 
 // conn is one connection to a server.
 type conn struct {
 	net.Conn
-	br *bufio.Reader
+	br *httpresponse.Reader
 	bw *bufio.Writer
 	// sent counts the bytes of the current request that the kernel has accepted.
 	sent atomic.Int64
@@ -40,7 +44,7 @@
 
 func newConn(nc net.Conn) *conn {
 	c := &conn{Conn: nc}
-	c.br, c.bw = bufio.NewReader(c), bufio.NewWriter(c)
+	c.br, c.bw = httpresponse.NewReader(c, readBufferSize), bufio.NewWriter(c)
 	if sc, ok := nc.(syscall.Conn); ok {
 		c.raw, _ = sc.SyscallConn()
 	}
