Reject responses with broken heads from the log, the host list and leases

Change: the three clients use httpresponse.Transport, as the store's client and releases do. The host list has its own copy of the default transport for that, with the same settings.

--- a/internal/hostlist/hostlist.go
+++ b/internal/hostlist/hostlist.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/lycheerudder/lycheerudder/internal/httpresponse"
 	"github.com/lycheerudder/lycheerudder/internal/topology"
 )
 
@@ -57,7 +58,8 @@
 
 // NewClient returns a client of the platform at base.
 func NewClient(base string) *Client {
-	return &Client{base: base, http: &http.Client{Timeout: 2 * time.Second}}
+	transport := httpresponse.Transport(http.DefaultTransport.(*http.Transport).Clone())
+	return &Client{base: base, http: &http.Client{Transport: transport, Timeout: 2 * time.Second}}
 }
 
 // Hosts implements Source. The result must not be changed.
--- a/internal/platformlog/client.go
+++ b/internal/platformlog/client.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/lycheerudder/lycheerudder/internal/httpresponse"
 )
 
 // Client implements Log over the HTTP protocol of the log service:
@@ -38,12 +40,12 @@
 // newTransport returns a transport that never retries an append: net/http
 // retries only requests that it considers idempotent, and a POST with a body
 // and without an Idempotency-Key header is not.
-func newTransport() *http.Transport {
-	return &http.Transport{
+func newTransport() http.RoundTripper {
+	return httpresponse.Transport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     30 * time.Second,
-	}
+	})
 }
 
 type appendReply struct {
--- a/internal/serverapi/client.go
+++ b/internal/serverapi/client.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/lycheerudder/lycheerudder/internal/httpresponse"
 )
 
 const maxLeaseReplyBytes = 4 << 20
@@ -24,11 +26,11 @@
 // NewClient returns a client of the server with the base URL, for example
 // "http://127.0.0.1:7500".
 func NewClient(baseURL string) *Client {
-	return &Client{baseURL: baseURL, http: &http.Client{Transport: &http.Transport{
+	return &Client{baseURL: baseURL, http: &http.Client{Transport: httpresponse.Transport(&http.Transport{
 		DialContext:     (&net.Dialer{Timeout: 500 * time.Millisecond}).DialContext,
 		MaxConnsPerHost: 1,
 		IdleConnTimeout: 10 * time.Second,
-	}}}
+	})}}
 }
 
 // Lease implements LeaseAPI.
