Reject a response of the store that a reset ends while a call is written

Cause: http.Transport writes a call and reads its response at the same time, as internal/upstream does: if the write takes the reset of the connection, the read sees an orderly end, and a body without a length is complete then.

The leader parses it as JSON, so a part of it was an error there; nothing else showed that it was a part.

Change: the connection under the transport follows how much of the request is written, and reports its end only once the whole request is; an error of the write is an error of the read. All other clients of httpresponse.Transport (releases, the log, the host list, leases) get this as well.

--- a/internal/httpresponse/scanner.go
+++ b/internal/httpresponse/scanner.go
@@ -31,6 +31,13 @@
 
 func (s *scanner) expectStatusLine() { s.state, s.line = inStatusLine, s.line[:0] }
 
+// isFirst reports whether a response is expected and none of it has arrived.
+func (s *scanner) isFirst() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state == inStatusLine && len(s.line) == 0
+}
+
 // scan checks the next bytes of the connection. If they are broken, it returns an error
 // and the number of bytes before the one that shows it.
 func (s *scanner) scan(data []byte) (int, error) {
--- a/internal/httpresponse/transport.go
+++ b/internal/httpresponse/transport.go
@@ -11,7 +11,9 @@
 // Transport returns a RoundTripper that carries out requests with t, without HTTP/2 and
 // TLS, and fails those whose response has a broken head. The connection of such a
 // response is closed before t can use it again. The body ends with an error if the fields
-// after it are broken. Transport replaces the DialContext of t.
+// after it are broken, or if the connection ends it before the request is written; only
+// requests that state the length of their body are followed. Transport replaces the
+// DialContext of t.
 func Transport(t *http.Transport) http.RoundTripper {
 	dial := t.DialContext
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -19,7 +21,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: nc, checked: checkedReader{r: nc}}, nil
+		return newConn(nc), nil
 	}
 	return transport{t}
 }
@@ -28,11 +30,11 @@
 
 func (t transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	// A connection gets a request only once the response to the one before is complete.
-	var nc net.Conn
+	var used *conn
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		nc = info.Conn
-		if c, ok := nc.(*conn); ok {
-			c.checked.scanner.expect()
+		if c, ok := info.Conn.(*conn); ok {
+			used = c
+			c.expect(r.ContentLength)
 		}
 	}}
 	resp, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
@@ -45,15 +47,10 @@
 		_ = resp.Body.Close()
 		return nil, err
 	}
-	checkTrailer(resp, func() { _ = nc.Close() })
+	checkTrailer(resp, func() {
+		if used != nil {
+			_ = used.Close()
+		}
+	})
 	return resp, nil
 }
-
-// conn checks the heads of the responses that are read from it.
-type conn struct {
-	net.Conn
-	checked checkedReader
-}
-
-// Read implements net.Conn.
-func (c *conn) Read(p []byte) (int, error) { return c.checked.Read(p) }
