Reject responses over TLS whose field names are invalid

Cause: httpresponse.Transport checks heads in the bytes of its connections, and sees no head that is encrypted, nor one before which the transport ends an interim one elsewhere than the scanner. The status code was checked again after the transport has parsed the head, the names of the fields were not. The log service and the host list may be reached over TLS.

The test comes first: httpresponse: TestBrokenHeadsOverTLS failed with a blank in a name; its rows with status 600 and with a sound head passed.

Change: the names are checked after the parser, too. All rows pass.

--- a/internal/httpresponse/transport.go
+++ b/internal/httpresponse/transport.go
@@ -41,9 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	// An interim head that the transport ends elsewhere than scanner would hide the code.
-	code, _, _ := strings.Cut(resp.Status, " ")
-	if err := checkCode([]byte(code)); err != nil {
+	if err := checkParsedHead(resp); err != nil {
 		_ = resp.Body.Close()
 		return nil, err
 	}
@@ -54,3 +52,13 @@
 	})
 	return resp, nil
 }
+
+// checkParsedHead checks a head that the scanner may not have seen, as the transport ended
+// an interim one elsewhere than the scanner, or the connection is encrypted.
+func checkParsedHead(resp *http.Response) error {
+	code, _, _ := strings.Cut(resp.Status, " ")
+	if err := checkCode([]byte(code)); err != nil {
+		return err
+	}
+	return checkFieldNames(resp.Header)
+}
--- a/internal/httpresponse/transport_test.go
+++ b/internal/httpresponse/transport_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -109,3 +110,27 @@
 		})
 	}
 }
+
+// Guards against a broken head that the scanner doesn't see, as its bytes are encrypted.
+func TestBrokenHeadsOverTLS(t *testing.T) {
+	for head, cause := range map[string]error{"200 OK\r\nX-Note: a": nil, "600 High\r\nX-Note: a": ErrStatusCode, "200 OK\r\nX Note: a": ErrFieldName} {
+		server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if nc, _, err := http.NewResponseController(w).Hijack(); err == nil {
+				_, _ = io.WriteString(nc, "HTTP/1.1 "+head+"\r\nContent-Length: 0\r\n\r\n")
+				_ = nc.Close()
+			}
+		}))
+		transport := server.Client().Transport.(*http.Transport).Clone()
+		transport.DialContext = (&net.Dialer{}).DialContext
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL, nil)
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		resp, err := Transport(transport).RoundTrip(r)
+		if cause == nil {
+			NewWithT(t).Expect(err).NotTo(HaveOccurred())
+			_ = resp.Body.Close()
+		} else {
+			NewWithT(t).Expect(err).To(MatchError(cause))
+		}
+		server.Close()
+	}
+}
