Share the time-out of half-closed connections, and test a slow reader

internal/upstream and the connections of http.Transport use the same time-out. No test had a server that takes longer than it to read the rest of a request after it has ended its response: TestServerReadsOnSlowly takes 0.8 s and passes; without the loop in requestWrite.run it fails after 0.25 s with "connection ended before the request was written".

--- a/internal/httpresponse/conn.go
+++ b/internal/httpresponse/conn.go
@@ -9,9 +9,9 @@
 	"time"
 )
 
-// halfClosedTimeout is the time after which a server that has closed its side of a connection
-// counts as not reading the rest of the request.
-const halfClosedTimeout = 250 * time.Millisecond
+// HalfClosedTimeout is the time after which a server that has closed its side of a connection
+// counts as not reading the rest of the request: half of the strictest objective for latency.
+const HalfClosedTimeout = 250 * time.Millisecond
 
 var errRequestNotRead = errors.New("the server does not read the request")
 
@@ -95,7 +95,7 @@
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			return c.writeErr
-		case <-time.After(halfClosedTimeout):
+		case <-time.After(HalfClosedTimeout):
 		}
 		c.mu.Lock()
 		stalled := c.request == before
--- a/internal/upstream/closedelimited_test.go
+++ b/internal/upstream/closedelimited_test.go
@@ -145,3 +145,28 @@
 	g.Expect(out.Result).To(Equal(schedule.Broken), "%v", out.Cause)
 	g.Expect(out.Response).To(BeNil())
 }
+
+// halfClosed is a connection of which a response and the end are read. Writes go on.
+type halfClosed struct {
+	net.Conn
+	response io.Reader
+}
+
+func (c halfClosed) Read(p []byte) (int, error) { return c.response.Read(p) }
+
+// Guards against a response that is lost because its server, which has ended it, takes long
+// to read the rest of the request.
+func TestServerReadsOnSlowly(t *testing.T) {
+	g := NewWithT(t)
+	local, remote := net.Pipe()
+	defer func() { _ = remote.Close() }()
+	go func() {
+		for _, err := io.CopyN(io.Discard, remote, 1<<10); err == nil; _, err = io.CopyN(io.Discard, remote, 1<<10) {
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+	c := halfClosed{Conn: local, response: strings.NewReader("HTTP/1.1 200 OK\r\nX-Id: x\r\nX-Signature: s\r\n\r\nok")}
+	client := upstream.NewWithDialer(headers, membudget.New(testMemory), func(context.Context, string) (net.Conn, error) { return c, nil })
+	out := client.Do(t.Context(), "s", "a:1", time.Now().Add(5*time.Second), request("x", strings.Repeat("x", 8<<10)))
+	g.Expect(out.Response).NotTo(BeNil(), "%v", out.Cause)
+}
--- a/internal/upstream/requestwrite.go
+++ b/internal/upstream/requestwrite.go
@@ -7,6 +7,8 @@
 	"os"
 	"sync/atomic"
 	"time"
+
+	"github.com/lycheerudder/lycheerudder/internal/httpresponse"
 )
 
 // requestWrite is the write of a request, which may go on while the response is read.
@@ -33,9 +35,9 @@
 	}
 }
 
-// limit lets the write fail after halfClosedTimeout, or once the context has ended.
+// limit lets the write fail after httpresponse.HalfClosedTimeout, or once the context has ended.
 func (w *requestWrite) limit(ctx context.Context) {
-	_ = w.conn.SetWriteDeadline(time.Now().Add(halfClosedTimeout))
+	_ = w.conn.SetWriteDeadline(time.Now().Add(httpresponse.HalfClosedTimeout))
 	if ctx.Err() != nil { // the deadline that its end has set may be the one replaced
 		interrupt(w.conn)
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -127,13 +127,9 @@
 	maxResponses = 3
 	// While a response waits for others to give up their memory, it tries again at this
 	// interval, and so many times: 100 ms, a fifth of the strictest objective for latency.
-	roomInterval = 5 * time.Millisecond
-	roomTries    = 20
-	// halfClosedTimeout is the time after which a server that has ended its response with its
-	// side of the connection counts as not reading the rest of the request: half of the
-	// strictest objective for latency.
-	halfClosedTimeout = 250 * time.Millisecond
-	readBufferSize    = 4 << 10
+	roomInterval   = 5 * time.Millisecond
+	roomTries      = 20
+	readBufferSize = 4 << 10
 )
 
 // Client sends requests to servers and keeps idle connections for reuse. It is
