Scan valid status lines and values of fields in one step

The scanner of heads called a function for every byte, and parsed the status line anew with each. A valid status line is parsed once now, and a value is skipped to its end. No change of what is rejected: the tests of httpresponse, upstream and exchange and the readers of platform pass.

--- a/internal/httpresponse/scanner.go
+++ b/internal/httpresponse/scanner.go
@@ -1,6 +1,9 @@
 package httpresponse
 
-import "sync"
+import (
+	"bytes"
+	"sync"
+)
 
 // scanner checks the head of one response and those of the interim ones before it in the
 // bytes of a connection.
@@ -43,17 +46,38 @@
 func (s *scanner) scan(data []byte) (int, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i, b := range data {
-		if s.state == inRest {
-			break
+	for i := s.skipStatusLine(data); i < len(data) && s.state != inRest; i++ {
+		if s.state == inLine {
+			end := bytes.IndexByte(data[i:], '\n')
+			if end < 0 {
+				break
+			}
+			i += end
 		}
-		if err := s.scanByte(b); err != nil {
+		if err := s.scanByte(data[i]); err != nil {
 			return i, err
 		}
 	}
 	return len(data), nil
 }
 
+// statusLineLen is the length of a status line with the byte after its code.
+const statusLineLen = len("HTTP/1.1 200 ")
+
+// skipStatusLine returns the number of bytes of a valid status line with which data begins,
+// zero if it must be scanned byte by byte.
+func (s *scanner) skipStatusLine(data []byte) int {
+	if s.state != inStatusLine || len(s.line) > 0 || len(data) < statusLineLen {
+		return 0
+	}
+	code, done, err := parseStatusLine(data[:statusLineLen])
+	if code == nil || !done || err != nil || data[statusLineLen-1] == '\n' {
+		return 0
+	}
+	s.state, s.interim = inLine, isInterim(code)
+	return statusLineLen
+}
+
 func (s *scanner) scanByte(b byte) error {
 	switch s.state {
 	case inStatusLine:
