--- a/review/stand2/leftbehind/main.go
+++ b/review/stand2/leftbehind/main.go
@@ -158,7 +158,7 @@
 
 // trouble is the outage with both kills.
 func (s *scene) trouble() error {
-	if _, err := s.killLeader(time.Second); err != nil {
+	if err := s.killLeader(time.Second); err != nil {
 		return err
 	}
 	time.Sleep(time.Until(s.start.Add(outageAt)))
@@ -171,7 +171,7 @@
 	}
 	s.record.Add("all registrations have lapsed")
 	time.Sleep(time.Until(s.start.Add(firstKill)))
-	if _, err := s.killLeader(time.Second); err != nil {
+	if err := s.killLeader(time.Second); err != nil {
 		return err
 	}
 	time.Sleep(time.Until(s.start.Add(outageAt + outageTime)))
@@ -184,7 +184,7 @@
 		return err
 	}
 	time.Sleep(secondKill)
-	if _, err := s.killLeader(time.Second); err != nil {
+	if err := s.killLeader(time.Second); err != nil {
 		return err
 	}
 	return <-added
@@ -232,7 +232,7 @@
 }
 
 // killLeader kills the host that leads, and starts it again after a while.
-func (s *scene) killLeader(within time.Duration) (*lab.Host, error) {
+func (s *scene) killLeader(within time.Duration) error {
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		h := s.leader()
 		if h == nil {
@@ -246,9 +246,9 @@
 		time.AfterFunc(downTime, func() {
 			s.record.Add("%s starts again: %v", h.Name, h.Start())
 		})
-		return h, nil
+		return nil
 	}
-	return nil, errors.New("no host leads")
+	return errors.New("no host leads")
 }
 
 // sendAll sends requests to all hosts in turn.
