--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for program in encodedslash headcrowd leftbehind; do
+for program in encodedslash headcrowd; do
 	go build -o target/review-2/ "./review/stand2/$program"
 done
